--- /dev/null
+++ b/tasks/system.go
@@ -0,0 +1,26 @@
+package tasks
+
+import (
+	"log/slog"
+
+	"github.com/asynkron/protoactor-go/actor"
+)
+
+// System holds the tasks of one process.
+type System struct {
+	actors *actor.ActorSystem
+	log    *slog.Logger
+}
+
+// NewSystem returns an empty system. Failures of tasks go to log.
+func NewSystem(log *slog.Logger) *System {
+	quiet := slog.New(levelHandler{Handler: log.Handler(), least: slog.LevelWarn})
+	actors := actor.NewActorSystem(actor.WithLoggerFactory(func(*actor.ActorSystem) *slog.Logger {
+		return quiet
+	}))
+	return &System{actors: actors, log: log}
+}
+
+// Shutdown stops the system after its tasks have been stopped by their
+// owners.
+func (s *System) Shutdown() { s.actors.Shutdown() }
--- /dev/null
+++ b/tasks/task.go
@@ -0,0 +1,162 @@
+package tasks
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"sync"
+
+	"github.com/asynkron/protoactor-go/actor"
+	"github.com/juju/errors"
+)
+
+// ErrStopped is returned by Ask when the task ended before it replied.
+const ErrStopped = errors.ConstError("task stopped")
+
+// Task handles the messages of one actor, one at a time.
+type Task interface {
+	// Handle processes one message. It must not block.
+	Handle(message any)
+}
+
+// Stopper is a task that releases resources when it ends.
+type Stopper interface {
+	// Stop runs after the last message.
+	Stop()
+}
+
+// Ref addresses a running task. It is safe for concurrent use.
+type Ref struct {
+	system *System
+	pid    *actor.PID
+	done   chan struct{}
+	ended  sync.Once
+	fault  error
+}
+
+// Spawn starts a task. It ends when ctx is cancelled, when Stop is called or
+// when Handle panics; Done tells the owner.
+func Spawn(ctx context.Context, s *System, name string, t Task) (*Ref, error) {
+	r := &Ref{system: s, done: make(chan struct{})}
+	a := &adapter{task: t, ref: r, name: name}
+	props := actor.PropsFromProducer(func() actor.Actor { return a })
+	pid, err := s.actors.Root.SpawnNamed(props, name)
+	if err != nil {
+		return nil, fmt.Errorf("start task %s: %w", name, err)
+	}
+	r.pid = pid
+	stop := context.AfterFunc(ctx, r.Stop)
+	go func() {
+		<-r.done
+		stop()
+	}()
+	return r, nil
+}
+
+// Tell sends a message without waiting. Messages to an ended task are
+// dropped.
+func (r *Ref) Tell(message any) {
+	select {
+	case <-r.done:
+	default:
+		r.system.actors.Root.Send(r.pid, message)
+	}
+}
+
+// Stop ends the task after the messages that are already queued.
+func (r *Ref) Stop() { r.system.actors.Root.Poison(r.pid) }
+
+// Done returns a channel that is closed when the task has ended.
+func (r *Ref) Done() <-chan struct{} { return r.done }
+
+// Err returns the panic that ended the task, or nil. It is valid once Done
+// is closed.
+func (r *Ref) Err() error { return r.fault }
+
+func (r *Ref) finish(fault error) {
+	r.ended.Do(func() {
+		r.fault = fault
+		close(r.done)
+	})
+}
+
+// Reply carries the answer of a task to one Ask. The task may keep it and
+// answer later. Only the first answer counts.
+type Reply[T any] struct {
+	values chan T
+}
+
+// NewReply returns a reply whose answer Values delivers.
+func NewReply[T any]() Reply[T] { return Reply[T]{values: make(chan T, 1)} }
+
+// Send delivers the answer without blocking.
+func (r Reply[T]) Send(value T) {
+	if r.values == nil {
+		return
+	}
+	select {
+	case r.values <- value:
+	default:
+	}
+}
+
+// Values returns the channel on which the answer arrives.
+func (r Reply[T]) Values() <-chan T { return r.values }
+
+// Ask sends the message that build returns and waits for the reply. It
+// returns the error of ctx when that ends first, and ErrStopped when the task
+// ends without a reply.
+func Ask[T any](ctx context.Context, r *Ref, build func(Reply[T]) any) (T, error) {
+	reply := NewReply[T]()
+	r.Tell(build(reply))
+	var zero T
+	select {
+	case v := <-reply.values:
+		return v, nil
+	case <-ctx.Done():
+		return zero, fmt.Errorf("ask task %s: %w", r.pid.GetId(), ctx.Err())
+	case <-r.done:
+		select {
+		case v := <-reply.values:
+			return v, nil
+		default:
+			return zero, fmt.Errorf("ask task %s: %w", r.pid.GetId(), ErrStopped)
+		}
+	}
+}
+
+// adapter connects a Task to the actor library.
+type adapter struct {
+	task Task
+	ref  *Ref
+	name string
+}
+
+var _ actor.Actor = (*adapter)(nil)
+
+// Receive implements actor.Actor.
+func (a *adapter) Receive(c actor.Context) {
+	switch m := c.Message().(type) {
+	case *actor.Started, *actor.Stopping, *actor.Restarting, *actor.Restart:
+	case *actor.Stopped:
+		if s, ok := a.task.(Stopper); ok {
+			s.Stop()
+		}
+		a.ref.finish(nil)
+	default:
+		a.handle(c, m)
+	}
+}
+
+// handle ends the task on a panic: its state may be inconsistent, so it must
+// not go on, and the process must learn of it through Done.
+func (a *adapter) handle(c actor.Context, message any) {
+	defer func() {
+		if p := recover(); p != nil {
+			a.ref.system.log.Error("tasks: task panicked", "task", a.name, "panic", p, "stack", string(debug.Stack()))
+			a.ref.finish(fmt.Errorf("task %s panicked: %v", a.name, p))
+			c.Stop(c.Self())
+		}
+	}()
+	a.task.Handle(message)
+}
--- /dev/null
+++ b/tasks/task_test.go
@@ -0,0 +1,113 @@
+package tasks
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"rhubarbrack/clock"
+)
+
+type question struct{ reply Reply[int] }
+
+type fault struct{}
+
+// counter counts the integers it receives and answers questions.
+type counter struct {
+	sum     int
+	ticks   chan struct{}
+	stopped chan struct{}
+}
+
+func (c *counter) Handle(message any) {
+	switch m := message.(type) {
+	case int:
+		c.sum += m
+		if c.ticks != nil {
+			c.ticks <- struct{}{}
+		}
+	case question:
+		m.reply.Send(c.sum)
+	case fault:
+		panic("broken")
+	}
+}
+
+func (c *counter) Stop() { close(c.stopped) }
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// Guards against a caller that waits forever on a task that has ended.
+func TestAsk(t *testing.T) {
+	cases := []struct {
+		name    string
+		before  func(r *Ref, cancel func())
+		want    int
+		wantErr error
+	}{
+		{name: "messages in order", before: func(r *Ref, _ func()) { r.Tell(1); r.Tell(2) }, want: 3},
+		{name: "task stopped", before: func(r *Ref, _ func()) { r.Stop(); <-r.Done() }, wantErr: ErrStopped},
+		{name: "context of the task ended", before: func(r *Ref, cancel func()) { cancel(); <-r.Done() }, wantErr: ErrStopped},
+		{name: "task panicked", before: func(r *Ref, _ func()) { r.Tell(fault{}); <-r.Done() }, wantErr: ErrStopped},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			s := NewSystem(quiet())
+			defer s.Shutdown()
+			r, err := Spawn(ctx, s, "counter", &counter{stopped: make(chan struct{})})
+			if err != nil {
+				t.Fatal(err)
+			}
+			tc.before(r, cancel)
+			got, err := Ask(context.Background(), r, func(reply Reply[int]) any { return question{reply: reply} })
+			if !errors.Is(err, tc.wantErr) || got != tc.want {
+				t.Errorf("Ask = %d, %v; want %d, %v", got, err, tc.want, tc.wantErr)
+			}
+		})
+	}
+}
+
+// Guards against a panic that the owner of the task never learns of.
+func TestPanicIsReported(t *testing.T) {
+	s := NewSystem(quiet())
+	defer s.Shutdown()
+	c := &counter{stopped: make(chan struct{})}
+	r, err := Spawn(context.Background(), s, "counter", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Tell(fault{})
+	<-r.Done()
+	if r.Err() == nil {
+		t.Error("Err = nil after a panic")
+	}
+	<-c.stopped
+}
+
+// Guards against a ticker that goes on after its context has ended.
+func TestEvery(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := NewSystem(quiet())
+	defer s.Shutdown()
+	c := &counter{ticks: make(chan struct{}), stopped: make(chan struct{})}
+	r, err := Spawn(context.Background(), s, "counter", c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	manual := clock.NewManual(time.Unix(0, 0))
+	done := Every(ctx, manual, time.Second, r, 1)
+	for range 3 {
+		for manual.Timers() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		manual.Advance(time.Second)
+		<-c.ticks
+	}
+	cancel()
+	<-done
+}
--- /dev/null
+++ b/wire/options.go
@@ -0,0 +1,63 @@
+package wire
+
+import (
+	"crypto/tls"
+	"time"
+
+	"rhubarbrack/clock"
+)
+
+const (
+	// defaultMessageBytes bounds one message. A snapshot of the
+	// configuration is the largest.
+	defaultMessageBytes = 64 << 20
+	// defaultServerCalls bounds the calls in flight of one connection.
+	// Slot requests wait in a queue, so each holds its place meanwhile.
+	defaultServerCalls = 4096
+	// defaultClientCalls bounds the calls in flight of one client.
+	defaultClientCalls = 4096
+	// defaultDialTimeout bounds the setting up of a connection.
+	defaultDialTimeout = time.Second
+	// defaultRedialPause keeps a client from dialling a dead peer in a loop.
+	defaultRedialPause = 100 * time.Millisecond
+)
+
+type options struct {
+	security     *tls.Config
+	clock        clock.Clock
+	messageBytes int64
+	serverCalls  int
+	clientCalls  int
+	dialTimeout  time.Duration
+	redialPause  time.Duration
+}
+
+// Option changes a default of Dial or Serve.
+type Option func(*options)
+
+// WithTLS sets the certificates of a connection. Nil means plain TCP.
+func WithTLS(security *tls.Config) Option { return func(o *options) { o.security = security } }
+
+// WithClock sets the clock. The default is the clock of the machine.
+func WithClock(c clock.Clock) Option { return func(o *options) { o.clock = c } }
+
+// WithMessageBytes sets the size limit of one message.
+func WithMessageBytes(n int64) Option { return func(o *options) { o.messageBytes = n } }
+
+// WithClientCalls sets the greatest number of calls in flight of a client.
+func WithClientCalls(n int) Option { return func(o *options) { o.clientCalls = n } }
+
+func newOptions(list []Option) options {
+	o := options{
+		clock:        clock.Wall(),
+		messageBytes: defaultMessageBytes,
+		serverCalls:  defaultServerCalls,
+		clientCalls:  defaultClientCalls,
+		dialTimeout:  defaultDialTimeout,
+		redialPause:  defaultRedialPause,
+	}
+	for _, apply := range list {
+		apply(&o)
+	}
+	return o
+}
