Add the membership view of entry hosts and calls between them

Cause: rate and slot owners need a common notion of members, roles and leases. Change: package entry has Members, Assignment and the task that keeps one client per member. Result: builds, lint is clean; tests follow with the owner tasks.

--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// Role names a duty that one entry host at a time has.
+type Role string
+
+const (
+	slotRolePrefix = "slots/"
+	rateRolePrefix = "rates/"
+)
+
+// SlotRole returns the role of the slot owner of a region.
+func SlotRole(r ident.Region) Role { return Role(slotRolePrefix + string(r)) }
+
+// RateRole returns the role of the rate owner of a shard of teams.
+func RateRole(shard int) Role { return Role(fmt.Sprintf("%s%d", rateRolePrefix, shard)) }
+
+// Region returns the region of a slot role and whether the role is one.
+func (r Role) Region() (ident.Region, bool) {
+	name, ok := strings.CutPrefix(string(r), slotRolePrefix)
+	return ident.Region(name), ok
+}
+
+// Assignment states which process has a role.
+type Assignment struct {
+	host        ident.Host
+	incarnation ident.Incarnation
+	epoch       ident.Epoch
+}
+
+// NewAssignment returns the assignment of a role to a process of a host.
+func NewAssignment(h ident.Host, i ident.Incarnation, e ident.Epoch) Assignment {
+	return Assignment{host: h, incarnation: i, epoch: e}
+}
+
+// Host returns the host that has the role.
+func (a Assignment) Host() ident.Host { return a.host }
+
+// Incarnation returns the process of the host that has the role.
+func (a Assignment) Incarnation() ident.Incarnation { return a.incarnation }
+
+// Epoch returns the number of the assignment, greater than that of every
+// earlier assignment of the role.
+func (a Assignment) Epoch() ident.Epoch { return a.epoch }
+
+// Member is a live or leaving entry host.
+type Member struct {
+	host        ident.Host
+	incarnation ident.Incarnation
+	region      ident.Region
+	address     string
+}
+
+// NewMember returns a member whose peer RPC listens on address.
+func NewMember(h ident.Host, i ident.Incarnation, r ident.Region, address string) Member {
+	return Member{host: h, incarnation: i, region: r, address: address}
+}
+
+// Host returns the name of the member.
+func (m Member) Host() ident.Host { return m.host }
+
+// Incarnation returns the process that is the member.
+func (m Member) Incarnation() ident.Incarnation { return m.incarnation }
+
+// Region returns the region of the member.
+func (m Member) Region() ident.Region { return m.region }
+
+// Address returns the IP address and port of the member's peer RPC.
+func (m Member) Address() string { return m.address }
+
+// Members is what one entry host knows of all of them: the members, the
+// roles, and until when its own lease is fresh. It is immutable.
+type Members struct {
+	self        ident.Host
+	incarnation ident.Incarnation
+	revision    ident.Revision
+	fresh       time.Time
+	members     []Member
+	roles       map[Role]Assignment
+}
+
+// NewMembers returns the members as seen by the process incarnation of host
+// self. The lease is fresh until the given time of the local clock.
+func NewMembers(self ident.Host, incarnation ident.Incarnation, revision ident.Revision,
+	fresh time.Time, members []Member, roles map[Role]Assignment,
+) Members {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(a.host, b.host) })
+	return Members{
+		self: self, incarnation: incarnation, revision: revision,
+		fresh: fresh, members: sorted, roles: roles,
+	}
+}
+
+// Self returns the host that this process runs on.
+func (m Members) Self() ident.Host { return m.self }
+
+// Incarnation returns the incarnation of this process.
+func (m Members) Incarnation() ident.Incarnation { return m.incarnation }
+
+// Revision returns the revision of the view behind the members.
+func (m Members) Revision() ident.Revision { return m.revision }
+
+// Fresh reports whether the lease of this process is still fresh at now.
+func (m Members) Fresh(now time.Time) bool { return now.Before(m.fresh) }
+
+// FreshUntil returns the end of the lease of this process.
+func (m Members) FreshUntil() time.Time { return m.fresh }
+
+// All returns the members sorted by host. The caller must not change it.
+func (m Members) All() []Member { return m.members }
+
+// Member returns the member on a host.
+func (m Members) Member(h ident.Host) (Member, bool) {
+	at, found := slices.BinarySearchFunc(m.members, h, func(e Member, h ident.Host) int {
+		return cmp.Compare(e.host, h)
+	})
+	if !found {
+		return Member{}, false
+	}
+	return m.members[at], true
+}
+
+// Role returns the assignment of a role.
+func (m Members) Role(r Role) (Assignment, bool) {
+	a, ok := m.roles[r]
+	return a, ok
+}
+
+// Owns reports whether this process has the role, its lease being fresh at
+// now, and under which epoch.
+func (m Members) Owns(r Role, now time.Time) (ident.Epoch, bool) {
+	a, ok := m.roles[r]
+	if !ok || a.host != m.self || a.incarnation != m.incarnation || !m.Fresh(now) {
+		return 0, false
+	}
+	return a.epoch, true
+}
+
+// Changed tells a task of this package that the members, the roles or the
+// lease have changed. The owner of the view sends it after each poll.
+type Changed struct {
+	members Members
+}
+
+// NewChanged returns the message that carries members.
+func NewChanged(m Members) Changed { return Changed{members: m} }
+
+// Members returns the members that are current.
+func (c Changed) Members() Members { return c.members }
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/juju/errors"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+// ErrNoPeer means that the view holds no such entry host.
+const ErrNoPeer = errors.ConstError("entry host is not a member")
+
+// Peers calls other entry hosts by name. Its task owns one client per member
+// and follows the members by Changed messages. It is safe for concurrent
+// use.
+type Peers struct {
+	ref *tasks.Ref
+}
+
+// StartPeers starts the task. The options apply to every connection.
+func StartPeers(ctx context.Context, system *tasks.System, list ...wire.Option) (*Peers, error) {
+	t := &peers{ctx: ctx, system: system, options: list, clients: map[ident.Host]peer{}}
+	ref, err := tasks.Spawn(ctx, system, "entry-peers", t)
+	if err != nil {
+		return nil, fmt.Errorf("start peers: %w", err)
+	}
+	return &Peers{ref: ref}, nil
+}
+
+// Update tells the task which members are current.
+func (p *Peers) Update(m Members) { p.ref.Tell(NewChanged(m)) }
+
+// Done returns a channel that is closed when the task has ended.
+func (p *Peers) Done() <-chan struct{} { return p.ref.Done() }
+
+// Call invokes a method of an entry host. The context must have a deadline.
+// Errors match ErrNoPeer, wire.ErrUnreachable or wire.ErrBusy when the call
+// was certainly not sent, and wire.ErrLost when it may have run.
+func (p *Peers) Call(ctx context.Context, h ident.Host, method string, args, reply any) error {
+	client, err := tasks.Ask(ctx, p.ref, func(r tasks.Reply[*wire.Client]) any {
+		return clientOf{host: h, reply: r}
+	})
+	if err != nil {
+		return fmt.Errorf("find entry host %s: %w", h, err)
+	}
+	if client == nil {
+		return fmt.Errorf("call %s of %s: %w", method, h, ErrNoPeer)
+	}
+	if err := client.Call(ctx, method, args, reply); err != nil {
+		return fmt.Errorf("entry host %s: %w", h, err)
+	}
+	return nil
+}
+
+type clientOf struct {
+	host  ident.Host
+	reply tasks.Reply[*wire.Client]
+}
+
+// peer is the client of one process of an entry host.
+type peer struct {
+	member Member
+	client *wire.Client
+}
+
+// peers is the task behind Peers.
+type peers struct {
+	ctx     context.Context
+	system  *tasks.System
+	options []wire.Option
+	members Members
+	clients map[ident.Host]peer
+}
+
+var _ tasks.Task = (*peers)(nil)
+
+// Handle implements tasks.Task.
+func (p *peers) Handle(message any) {
+	switch m := message.(type) {
+	case Changed:
+		p.members = m.Members()
+		p.closeGone()
+	case clientOf:
+		m.reply.Send(p.client(m.host))
+	}
+}
+
+// closeGone closes the clients of processes that are no longer members.
+func (p *peers) closeGone() {
+	for h, c := range p.clients {
+		if m, ok := p.members.Member(h); !ok || m != c.member {
+			c.client.Close()
+			delete(p.clients, h)
+		}
+	}
+}
+
+func (p *peers) client(h ident.Host) *wire.Client {
+	if c, ok := p.clients[h]; ok {
+		return c.client
+	}
+	m, ok := p.members.Member(h)
+	if !ok {
+		return nil
+	}
+	name := fmt.Sprintf("entry-peer-%s-%d", h, m.Incarnation())
+	c, err := wire.Dial(p.ctx, p.system, name, m.Address(), p.options...)
+	if err != nil {
+		return nil
+	}
+	p.clients[h] = peer{member: m, client: c}
+	return c
+}
