Give every actor a unique identifier

Cause: a task that replaces one of the same name could not start before the old one was removed from the registry. Change: Spawn appends the registry's next identifier to the name. Result: tests of tasks and wire pass.

--- a/tasks/task.go
+++ b/tasks/task.go
@@ -40,7 +40,9 @@
 	r := &Ref{system: s, done: make(chan struct{})}
 	a := &adapter{task: t, ref: r, name: name}
 	props := actor.PropsFromProducer(func() actor.Actor { return a })
-	pid, err := s.actors.Root.SpawnNamed(props, name)
+	// The suffix lets a task start while an ended one of the same name is
+	// still being removed.
+	pid, err := s.actors.Root.SpawnNamed(props, name+"-"+s.actors.ProcessRegistry.NextId())
 	if err != nil {
 		return nil, fmt.Errorf("start task %s: %w", name, err)
 	}
