--- /dev/null
+++ b/codec/snapshot.go
@@ -0,0 +1,205 @@
+package codec
+
+import (
+	"fmt"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/once"
+	"rhubarbrack/state"
+)
+
+const (
+	configKind  = "config"
+	machineKind = "machine"
+)
+
+type configRecord struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
+
+	Revision  uint64
+	Documents []storedRecord
+	Keys      []keyRecord
+	Members   []memberRecord
+	Roles     []roleRecord
+	Shares    []sharesRecord
+	Drains    []drainRecord
+	Suspects  []suspectRecord
+}
+
+// EncodeConfig returns the bytes of a Config. Equal Configs give equal bytes.
+func EncodeConfig(config *state.Config) ([]byte, error) {
+	record, err := configRecordOf(config)
+	if err != nil {
+		return nil, fmt.Errorf("encode config: %w", err)
+	}
+	return seal(configKind, record)
+}
+
+// DecodeConfig reads a Config from bytes of EncodeConfig.
+func DecodeConfig(data []byte) (*state.Config, error) {
+	var record configRecord
+	if err := openAs(configKind, data, &record); err != nil {
+		return nil, fmt.Errorf("decode config: %w", err)
+	}
+	config, err := record.config()
+	if err != nil {
+		return nil, fmt.Errorf("decode config: %w", err)
+	}
+	return config, nil
+}
+
+func configRecordOf(c *state.Config) (*configRecord, error) {
+	r := &configRecord{Revision: uint64(c.Revision())}
+	for _, d := range c.Documents() {
+		content, err := contentRecordOf(d.Document(), d.Source())
+		if err != nil {
+			return nil, fmt.Errorf("documents: %w", err)
+		}
+		r.Documents = append(r.Documents, storedRecord{Revision: uint64(d.Revision()), Content: content})
+	}
+	r.Keys = convert(c.Keys(), keyRecordOf)
+	r.Members = convert(c.Members(), memberRecordOf)
+	r.Roles = convert(c.Roles(), roleRecordOf)
+	r.Shares = convert(c.AllShares(), sharesRecordOf)
+	r.Drains = convert(c.Drains(), drainRecordOf)
+	r.Suspects = convert(c.Suspects(), suspectRecordOf)
+	return r, nil
+}
+
+func convert[T, R any](values []T, one func(T) R) []R {
+	out := make([]R, 0, len(values))
+	for _, v := range values {
+		out = append(out, one(v))
+	}
+	return out
+}
+
+func (r *configRecord) config() (*state.Config, error) {
+	b := state.NewConfigBuilder(ident.Revision(r.Revision))
+	for _, d := range r.Documents {
+		document, err := d.Content.document()
+		if err != nil {
+			return nil, fmt.Errorf("documents: %w", err)
+		}
+		b.Document(state.NewDocument(document, d.Content.Source, ident.Revision(d.Revision)))
+	}
+	for _, k := range r.Keys {
+		hash, err := fixed("key", k.Hash)
+		if err != nil {
+			return nil, fmt.Errorf("keys: %w", err)
+		}
+		b.Key(k.key(hash))
+	}
+	for _, m := range r.Members {
+		b.Member(m.member())
+	}
+	for _, role := range r.Roles {
+		b.Role(role.role())
+	}
+	for _, d := range r.Drains {
+		b.Drain(d.drain())
+	}
+	if err := r.addRest(b); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	config, err := b.Build()
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return config, nil
+}
+
+func (r *configRecord) addRest(b *state.ConfigBuilder) error {
+	for _, s := range r.Shares {
+		shares, err := sharesOf(s.Shares)
+		if err != nil {
+			return fmt.Errorf("shares: %w", err)
+		}
+		b.Shares(state.NewShares(ident.Service(s.Service), ident.Region(s.Origin), shares,
+			fromNanos(s.At), ident.Revision(s.Revision)))
+	}
+	for _, s := range r.Suspects {
+		fingerprint, err := fixed("suspect", s.Fingerprint)
+		if err != nil {
+			return fmt.Errorf("suspects: %w", err)
+		}
+		b.Suspect(state.NewSuspect(fingerprint, s.Crashes, fromNanos(s.Until), ident.Revision(s.Revision)))
+	}
+	return nil
+}
+
+type machineRecord struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
+
+	Revision  uint64
+	Config    configRecord
+	Claims    []onceRecord
+	Requests  []requestRecord
+	Histories []historyRecord
+	Ended     []endedRecord
+}
+
+// EncodeMachine returns the bytes of a whole Machine. Equal Machines give
+// equal bytes.
+func EncodeMachine(m *state.Machine) ([]byte, error) {
+	config, err := configRecordOf(m.Config())
+	if err != nil {
+		return nil, fmt.Errorf("encode machine: %w", err)
+	}
+	return seal(machineKind, &machineRecord{
+		Revision: uint64(m.Revision()), Config: *config,
+		Claims:    convert(m.Claims().Records(), onceRecordOf),
+		Requests:  convert(m.Requests(), requestRecordOf),
+		Histories: convert(m.Histories(), historyRecordOf),
+		Ended:     convert(m.EndedProcesses(), endedRecordOf),
+	})
+}
+
+// DecodeMachine reads a Machine from bytes of EncodeMachine. The options must
+// be those of the Machine that was encoded.
+func DecodeMachine(data []byte, options ...once.Option) (*state.Machine, error) {
+	var record machineRecord
+	if err := openAs(machineKind, data, &record); err != nil {
+		return nil, fmt.Errorf("decode machine: %w", err)
+	}
+	m, err := record.machine(options)
+	if err != nil {
+		return nil, fmt.Errorf("decode machine: %w", err)
+	}
+	return m, nil
+}
+
+func (r *machineRecord) machine(options []once.Option) (*state.Machine, error) {
+	config, err := r.Config.config()
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	b := state.NewMachineBuilder(ident.Revision(r.Revision), config, options...)
+	claims := make([]once.Record, 0, len(r.Claims))
+	for _, c := range r.Claims {
+		record, err := c.record()
+		if err != nil {
+			return nil, fmt.Errorf("claims: %w", err)
+		}
+		claims = append(claims, record)
+	}
+	b.Claims(claims)
+	for _, q := range r.Requests {
+		request, err := q.request()
+		if err != nil {
+			return nil, fmt.Errorf("requests: %w", err)
+		}
+		b.Request(request)
+	}
+	for _, h := range r.Histories {
+		b.History(h.history())
+	}
+	for _, e := range r.Ended {
+		b.Ended(state.NewEnded(ident.Host(e.Host), ident.Incarnation(e.Incarnation), fromNanos(e.At)))
+	}
+	m, err := b.Build()
+	if err != nil {
+		return nil, &CorruptError{what: machineKind, err: err}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/prof/document.go
@@ -0,0 +1,31 @@
+package prof
+
+// Kind names a kind of document.
+type Kind string
+
+// The kinds of documents.
+const (
+	KindFleet   Kind = "fleet"
+	KindProfile Kind = "profile"
+	KindTeam    Kind = "team"
+	KindService Kind = "service"
+)
+
+// Kinds returns all kinds, in the order in which a set of documents can be
+// put so that each finds the documents it refers to.
+func Kinds() []Kind { return []Kind{KindFleet, KindTeam, KindProfile, KindService} }
+
+// Document is one of *Fleet, *Profile, *Team and *Service.
+type Document interface {
+	// Kind returns the kind of the document.
+	Kind() Kind
+	// Name returns the name of the document, unique within its kind.
+	Name() string
+}
+
+var (
+	_ Document = (*Fleet)(nil)
+	_ Document = (*Profile)(nil)
+	_ Document = (*Team)(nil)
+	_ Document = (*Service)(nil)
+)
--- /dev/null
+++ b/state/requests.go
@@ -0,0 +1,103 @@
+package state
+
+import (
+	"container/list"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+const (
+	// requestRetention is the time for which the outcome of an operator's
+	// command is kept for resends.
+	requestRetention = 24 * time.Hour
+	// maxRequests bounds the kept outcomes. At 14,000 changes a day they all
+	// fit; beyond it the oldest is forgotten, and its resend meets the check of
+	// the expected revision.
+	maxRequests = 30_000
+)
+
+// Request is an operator's command with its first outcome.
+type Request struct {
+	id      ident.RequestID
+	digest  ident.Fingerprint
+	at      time.Time
+	outcome Outcome
+}
+
+// NewRequest returns a kept outcome for a snapshot.
+func NewRequest(id ident.RequestID, digest ident.Fingerprint, at time.Time, outcome Outcome) Request {
+	return Request{id: id, digest: digest, at: clean(at), outcome: outcome}
+}
+
+// ID returns the request id.
+func (r Request) ID() ident.RequestID { return r.id }
+
+// Digest returns the digest of the command.
+func (r Request) Digest() ident.Fingerprint { return r.digest }
+
+// At returns the time of the command.
+func (r Request) At() time.Time { return r.at }
+
+// Outcome returns the first outcome, without the source text of a conflict.
+func (r Request) Outcome() Outcome { return r.outcome }
+
+type requests struct {
+	byID  map[ident.RequestID]*list.Element
+	order *list.List
+}
+
+func newRequests() *requests {
+	return &requests{byID: make(map[ident.RequestID]*list.Element), order: list.New()}
+}
+
+func (r *requests) find(op Operator) (Outcome, bool) {
+	e, ok := r.byID[op.Request()]
+	if !ok {
+		return Outcome{}, false
+	}
+	first := e.Value.(Request)
+	if first.digest != digest(op) {
+		outcome := refuse(ReasonRequestReused, "request id %q was used for a different command", op.Request())
+		outcome.revision = first.outcome.revision
+		return outcome, true
+	}
+	first.outcome.resent, first.outcome.changed = true, false
+	return first.outcome, true
+}
+
+// keep stores the first outcome of a command. Commands without a request id
+// are not kept.
+func (r *requests) keep(op Operator, outcome Outcome) {
+	if op.Request() == "" {
+		return
+	}
+	outcome.source = ""
+	r.add(Request{id: op.Request(), digest: digest(op), at: op.At(), outcome: outcome})
+}
+
+func (r *requests) add(q Request) {
+	if r.order.Len() >= maxRequests {
+		r.drop(r.order.Front())
+	}
+	r.byID[q.id] = r.order.PushBack(q)
+}
+
+func (r *requests) expire(at time.Time) {
+	for e := r.order.Front(); e != nil && at.Sub(e.Value.(Request).at) >= requestRetention; e = r.order.Front() {
+		r.drop(e)
+	}
+}
+
+func (r *requests) drop(e *list.Element) {
+	delete(r.byID, e.Value.(Request).id)
+	r.order.Remove(e)
+}
+
+func (r *requests) all() []Request {
+	out := make([]Request, 0, r.order.Len())
+	for e := r.order.Front(); e != nil; e = e.Next() {
+		out = append(out, e.Value.(Request))
+	}
+	return out
+}
--- /dev/null
+++ b/state/shares.go
@@ -0,0 +1,85 @@
+package state
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// sumTolerance is the accepted rounding error of the sum of shares.
+const sumTolerance = 1e-6
+
+// SetShares sets the distribution of a service's load from an origin region.
+type SetShares struct {
+	shared
+	service ident.Service
+	origin  ident.Region
+	shares  []Share
+}
+
+var _ configCommand = SetShares{}
+
+// NewSetShares returns the command that sets the shares, which are numbers
+// from 0 to 1 that sum up to 1, at most one for each region.
+func NewSetShares(service ident.Service, origin ident.Region, shares []Share) SetShares {
+	sorted := slices.Clone(shares)
+	slices.SortStableFunc(sorted, func(a, b Share) int { return cmp.Compare(a.region, b.region) })
+	return SetShares{service: service, origin: origin, shares: sorted}
+}
+
+// Kind returns "set-shares".
+func (s SetShares) Kind() string { return "set-shares" }
+
+// Service returns the service.
+func (s SetShares) Service() ident.Service { return s.service }
+
+// Origin returns the region that the load comes from.
+func (s SetShares) Origin() ident.Region { return s.origin }
+
+// Shares returns the shares in ascending order of their regions.
+func (s SetShares) Shares() []Share { return slices.Clone(s.shares) }
+
+func (s SetShares) stamp(at time.Time) Command { s.at = at; return s }
+
+func (s SetShares) apply(c *Config, revision ident.Revision) (*Config, Outcome) {
+	if _, ok := c.Service(s.service); !ok {
+		return c, refuse(ReasonUnknownService, "there is no service %q", s.service)
+	}
+	fleet, _ := c.Fleet()
+	if !hasRegion(fleet, s.origin) {
+		return c, refuse(ReasonUnknownRegion, "region %q is not in the fleet", s.origin)
+	}
+	for _, sh := range s.shares {
+		if !hasRegion(fleet, sh.region) {
+			return c, refuse(ReasonUnknownRegion, "region %q is not in the fleet", sh.region)
+		}
+	}
+	if detail := s.fault(); detail != "" {
+		return c, refuse(ReasonInvalid, "%s", detail)
+	}
+	next := *c
+	next.shares = c.shares.set(sharesKey(s.service, s.origin), Shares{service: s.service, origin: s.origin,
+		shares: s.shares, at: s.at, revision: revision})
+	return &next, accept(true)
+}
+
+func (s SetShares) fault() string {
+	sum := 0.0
+	for i, sh := range s.shares {
+		if math.IsNaN(sh.part) || sh.part < 0 || sh.part > 1 {
+			return fmt.Sprintf("share %v of region %q: want a number from 0 to 1", sh.part, sh.region)
+		}
+		if i > 0 && s.shares[i-1].region == sh.region {
+			return fmt.Sprintf("region %q occurs twice", sh.region)
+		}
+		sum += sh.part
+	}
+	if math.Abs(sum-1) > sumTolerance {
+		return fmt.Sprintf("the shares sum up to %v, not to 1", sum)
+	}
+	return ""
+}
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,150 @@
+package state
+
+import (
+	"fmt"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/once"
+	"rhubarbrack/prof"
+)
+
+// ConfigBuilder collects the records of a snapshot of a Config. Records come
+// in any order; of two with the same name the later counts.
+type ConfigBuilder struct {
+	config Config
+	err    error
+}
+
+// NewConfigBuilder returns a builder for the Config of a revision.
+func NewConfigBuilder(revision ident.Revision) *ConfigBuilder {
+	return &ConfigBuilder{config: Config{revision: revision}}
+}
+
+// Document adds a document.
+func (b *ConfigBuilder) Document(d Document) {
+	if d.document == nil {
+		b.err = fmt.Errorf("build config: document without content at revision %d", d.revision)
+		return
+	}
+	c := &b.config
+	key := documentKey(d.document.Kind(), d.document.Name())
+	old, _ := c.documents.get(key)
+	c.hosts = c.hostsWith(old.document, d.document)
+	c.documents = c.documents.set(key, d)
+}
+
+// Key adds a key.
+func (b *ConfigBuilder) Key(k Key) { b.config.keys = b.config.keys.set(k.id, k) }
+
+// Member adds a member.
+func (b *ConfigBuilder) Member(m Member) { b.config.members = b.config.members.set(m.host, m) }
+
+// Role adds a role.
+func (b *ConfigBuilder) Role(r Role) { b.config.roles = b.config.roles.set(r.name, r) }
+
+// Shares adds a distribution of load.
+func (b *ConfigBuilder) Shares(s Shares) {
+	b.config.shares = b.config.shares.set(sharesKey(s.service, s.origin), s)
+}
+
+// Drain adds a drain.
+func (b *ConfigBuilder) Drain(d Drain) { b.config.drains = b.config.drains.set(d.id, d) }
+
+// Suspect adds a suspect.
+func (b *ConfigBuilder) Suspect(s Suspect) {
+	b.config.suspects = b.config.suspects.set(string(s.fingerprint[:]), s)
+}
+
+// Build returns the Config, or the first error of the records.
+func (b *ConfigBuilder) Build() (*Config, error) {
+	if b.err != nil {
+		return nil, b.err
+	}
+	config := b.config
+	return &config, nil
+}
+
+// Requests returns the kept outcomes of operators' commands, oldest first.
+func (m *Machine) Requests() []Request { return m.requests.all() }
+
+// Histories returns the histories of all documents in ascending order of kind
+// and name.
+func (m *Machine) Histories() []History {
+	out := make([]History, 0, m.history.documents.len())
+	m.history.documents.each(func(key string, versions []Version) bool {
+		kind, name := splitKey(key)
+		out = append(out, NewHistory(kind, name, versions))
+		return true
+	})
+	return out
+}
+
+func splitKey(key string) (prof.Kind, string) {
+	for i := range len(key) {
+		if key[i] == '/' {
+			return prof.Kind(key[:i]), key[i+1:]
+		}
+	}
+	return "", key
+}
+
+// EndedProcesses returns the ended processes that are remembered, in ascending
+// order of their hosts.
+func (m *Machine) EndedProcesses() []Ended { return m.ended.sorted() }
+
+// MachineBuilder collects the records of a snapshot of a Machine.
+type MachineBuilder struct {
+	machine *Machine
+	options []once.Option
+	err     error
+}
+
+// NewMachineBuilder returns a builder for the Machine of a revision.
+func NewMachineBuilder(revision ident.Revision, config *Config, options ...once.Option) *MachineBuilder {
+	m := NewMachine(options...)
+	m.revision, m.config = revision, config
+	b := &MachineBuilder{machine: m, options: options}
+	if config == nil || config.revision > revision {
+		b.err = fmt.Errorf("build machine: revision %d is below that of its configuration", revision)
+	}
+	return b
+}
+
+// Claims sets the claims, oldest first.
+func (b *MachineBuilder) Claims(records []once.Record) {
+	claims, err := once.Restore(records, b.options...)
+	if err != nil {
+		b.err = fmt.Errorf("build machine: %w", err)
+		return
+	}
+	b.machine.claims = claims
+}
+
+// Request adds a kept outcome. Requests are added oldest first.
+func (b *MachineBuilder) Request(r Request) {
+	if _, double := b.machine.requests.byID[r.id]; double || r.id == "" {
+		b.err = fmt.Errorf("build machine: request id %q is empty or occurs twice", r.id)
+		return
+	}
+	b.machine.requests.add(r)
+}
+
+// History adds the history of a document.
+func (b *MachineBuilder) History(h History) {
+	if len(h.versions) == 0 {
+		b.err = fmt.Errorf("build machine: history of %s %q is empty", h.kind, h.name)
+		return
+	}
+	b.machine.history.documents = b.machine.history.documents.set(documentKey(h.kind, h.name), trim(h.versions))
+}
+
+// Ended adds an ended process.
+func (b *MachineBuilder) Ended(e Ended) { b.machine.ended.hosts[e.host] = e }
+
+// Build returns the Machine, or the last error of the records.
+func (b *MachineBuilder) Build() (*Machine, error) {
+	if b.err != nil {
+		return nil, b.err
+	}
+	return b.machine, nil
+}
