--- /dev/null
+++ b/target/request.go
@@ -0,0 +1,77 @@
+package target
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+)
+
+// UnknownLength is the body length of a request whose body is sent in chunks.
+const UnknownLength = -1
+
+// Request is one request to a target. It can be dispatched once when it has a
+// body, and any number of times otherwise.
+type Request struct {
+	method string
+	url    *url.URL
+	host   string
+	header http.Header
+	body   io.Reader
+	length int64
+}
+
+// RequestOption sets a part of a Request.
+type RequestOption func(*Request)
+
+// WithHeader sets the header. It is copied when the request is sent;
+// Authorization and hop-by-hop headers are left out.
+func WithHeader(h http.Header) RequestOption { return func(r *Request) { r.header = h } }
+
+// WithBody sets the body and its length in bytes, or UnknownLength. A body
+// that also implements io.Closer is closed when the dispatch ends.
+func WithBody(body io.Reader, length int64) RequestOption {
+	return func(r *Request) { r.body, r.length = body, length }
+}
+
+// WithHost sets the Host header. The default is the address of the target.
+func WithHost(host string) RequestOption { return func(r *Request) { r.host = host } }
+
+// NewRequest returns a request for the given path with its query. It returns
+// an error when path does not start with a slash or is malformed.
+func NewRequest(method, path string, options ...RequestOption) (*Request, error) {
+	u, err := url.ParseRequestURI(path)
+	if err != nil {
+		return nil, fmt.Errorf("request path: %w", err)
+	}
+	if u.Host != "" || u.Scheme != "" {
+		return nil, fmt.Errorf("request path %q: want a path without host", path)
+	}
+	r := &Request{method: method, url: u}
+	for _, apply := range options {
+		apply(r)
+	}
+	return r, nil
+}
+
+// FromHTTP returns the request that forwards r. The body of r is used up by
+// the first dispatch.
+func FromHTTP(r *http.Request) *Request {
+	out := &Request{method: r.Method, url: r.URL, host: r.Host, header: r.Header}
+	if r.Body != nil && r.Body != http.NoBody {
+		out.body, out.length = r.Body, r.ContentLength
+	}
+	return out
+}
+
+// Method returns the HTTP method.
+func (r *Request) Method() string { return r.method }
+
+// Path returns the path with its query, as it is sent.
+func (r *Request) Path() string { return r.url.RequestURI() }
+
+// Header returns the header, which must not be changed.
+func (r *Request) Header() http.Header { return r.header }
+
+// HasBody reports whether the request has a body, which one dispatch uses up.
+func (r *Request) HasBody() bool { return r.body != nil && r.length != 0 }
