--- /dev/null
+++ b/agree/entry.go
@@ -0,0 +1,150 @@
+package agree
+
+import "rhubarbrack/ident"
+
+// Term numbers the successive leaderships. At most one leader exists in a
+// term.
+type Term uint64
+
+// Disk is the random identity of a data directory, created with it. Zero
+// means unknown.
+type Disk uint64
+
+// EntryKind tells what an entry of the log holds.
+type EntryKind uint8
+
+const (
+	// EntryEmpty starts the term of a leader.
+	EntryEmpty EntryKind = iota
+	// EntryData holds a change for the state machine.
+	EntryData
+	// EntryMembers holds a new membership.
+	EntryMembers
+)
+
+// entryOverhead is the approximate size, in bytes, of an encoded entry
+// without its data.
+const entryOverhead = 32
+
+// memberOverhead is the approximate size, in bytes, of an encoded member.
+const memberOverhead = 64
+
+// Entry is one position of the replicated log.
+type Entry struct {
+	revision ident.Revision
+	term     Term
+	kind     EntryKind
+	data     []byte
+	members  Members
+}
+
+// NewEntry returns an entry that holds data. The data is not copied.
+func NewEntry(revision ident.Revision, term Term, kind EntryKind, data []byte) Entry {
+	return Entry{revision: revision, term: term, kind: kind, data: data}
+}
+
+// NewMembersEntry returns an entry that holds a membership.
+func NewMembersEntry(revision ident.Revision, term Term, members Members) Entry {
+	return Entry{revision: revision, term: term, kind: EntryMembers, members: members}
+}
+
+// Revision returns the position in the log. The first is 1.
+func (e Entry) Revision() ident.Revision { return e.revision }
+
+// Term returns the term of the leader that created the entry.
+func (e Entry) Term() Term { return e.term }
+
+// Kind returns what the entry holds.
+func (e Entry) Kind() EntryKind { return e.kind }
+
+// Data returns the change for the state machine. It must not be modified.
+func (e Entry) Data() []byte { return e.data }
+
+// Members returns the membership of an entry of kind EntryMembers.
+func (e Entry) Members() Members { return e.members }
+
+// Size returns the approximate encoded size in bytes.
+func (e Entry) Size() int {
+	return entryOverhead + len(e.data) + memberOverhead*e.members.Len()
+}
+
+// HardState is what a node must not forget in a crash, besides its log.
+type HardState struct {
+	term    Term
+	vote    ident.Host
+	members Members
+}
+
+// NewHardState returns a hard state. The members are those at the formation
+// of the cluster, before the first entry of the log.
+func NewHardState(term Term, vote ident.Host, members Members) HardState {
+	return HardState{term: term, vote: vote, members: members}
+}
+
+// Term returns the latest term that the node has seen.
+func (h HardState) Term() Term { return h.term }
+
+// Vote returns the candidate that got the node's vote in the term, or "".
+func (h HardState) Vote() ident.Host { return h.vote }
+
+// Members returns the membership before the first entry of the log. It is
+// empty on a host that joined a running cluster.
+func (h HardState) Members() Members { return h.members }
+
+// Snapshot is the state of the machine after a revision, with the membership
+// at that revision.
+type Snapshot struct {
+	revision ident.Revision
+	term     Term
+	members  Members
+	data     []byte
+}
+
+// NewSnapshot returns a snapshot. The data is not copied.
+func NewSnapshot(revision ident.Revision, term Term, members Members, data []byte) Snapshot {
+	return Snapshot{revision: revision, term: term, members: members, data: data}
+}
+
+// Revision returns the last revision that the snapshot includes.
+func (s Snapshot) Revision() ident.Revision { return s.revision }
+
+// Term returns the term of the entry at the revision.
+func (s Snapshot) Term() Term { return s.term }
+
+// Members returns the membership at the revision.
+func (s Snapshot) Members() Members { return s.members }
+
+// Data returns the encoded state machine. It must not be modified.
+func (s Snapshot) Data() []byte { return s.data }
+
+// Restored is what a node finds on its disk when it starts.
+type Restored struct {
+	disk     Disk
+	hard     HardState
+	snapshot ident.Option[Snapshot]
+	entries  []Entry
+}
+
+// NewRestored returns the content of a disk. Entries are contiguous. When
+// there is a snapshot, they start at the latest right after it; else at 1.
+func NewRestored(disk Disk, hard HardState, snapshot ident.Option[Snapshot], entries []Entry) Restored {
+	return Restored{disk: disk, hard: hard, snapshot: snapshot, entries: entries}
+}
+
+// Disk returns the identity of the disk.
+func (r Restored) Disk() Disk { return r.disk }
+
+// HardState returns the last hard state written.
+func (r Restored) HardState() HardState { return r.hard }
+
+// Snapshot returns the last snapshot, if any.
+func (r Restored) Snapshot() ident.Option[Snapshot] { return r.snapshot }
+
+// Entries returns the entries of the log.
+func (r Restored) Entries() []Entry { return r.entries }
+
+// IsEmpty reports whether the disk holds no term, entry, snapshot or member.
+func (r Restored) IsEmpty() bool {
+	_, ok := r.snapshot.Get()
+	return !ok && len(r.entries) == 0 && r.hard.term == 0 && r.hard.members.Len() == 0
+}
--- /dev/null
+++ b/agree/input.go
@@ -0,0 +1,112 @@
+package agree
+
+import "rhubarbrack/ident"
+
+// Input is one event for Node.Step: Tick, Receive, Propose, ReadBarrier,
+// Synced, ChangeMember, Transfer, Compact or Form.
+type Input interface{ input() }
+
+// Tag names a request of the caller. The node returns it with the outcome.
+type Tag uint64
+
+// Tick tells the node the time. The caller sends it several times per
+// heartbeat interval.
+type Tick struct{}
+
+// Receive delivers a message of another node.
+type Receive struct{ message Message }
+
+// NewReceive returns the delivery of a message.
+func NewReceive(m Message) Receive { return Receive{message: m} }
+
+// Proposal is a change that the caller wants committed.
+type Proposal struct {
+	tag  Tag
+	data []byte
+}
+
+// NewProposal returns a proposal. The data is not copied.
+func NewProposal(tag Tag, data []byte) Proposal { return Proposal{tag: tag, data: data} }
+
+// Propose asks the leader to commit changes, in order.
+type Propose struct{ proposals []Proposal }
+
+// NewPropose returns a request to commit the proposals.
+func NewPropose(proposals ...Proposal) Propose { return Propose{proposals: proposals} }
+
+// ReadBarrier asks the leader for a revision that includes every change
+// acknowledged before the request, confirmed with a majority.
+type ReadBarrier struct{ tag Tag }
+
+// NewReadBarrier returns a request for a read barrier.
+func NewReadBarrier(tag Tag) ReadBarrier { return ReadBarrier{tag: tag} }
+
+// Synced reports that every write up to a number is durable.
+type Synced struct{ write uint64 }
+
+// NewSynced returns the report for all writes up to the given number.
+func NewSynced(write uint64) Synced { return Synced{write: write} }
+
+// ChangeKind is a change of one member.
+type ChangeKind uint8
+
+const (
+	// ChangeAdd adds a learner.
+	ChangeAdd ChangeKind = iota + 1
+	// ChangePromote makes a learner a voter.
+	ChangePromote
+	// ChangeRemove removes a member.
+	ChangeRemove
+)
+
+// ChangeMember asks the leader to change one member.
+type ChangeMember struct {
+	tag    Tag
+	kind   ChangeKind
+	member Member
+}
+
+// NewChangeMember returns a request to change a member. ChangePromote and
+// ChangeRemove use only the host of the member.
+func NewChangeMember(tag Tag, kind ChangeKind, member Member) ChangeMember {
+	return ChangeMember{tag: tag, kind: kind, member: member}
+}
+
+// Transfer asks the leader to hand its leadership to another voter.
+type Transfer struct {
+	tag    Tag
+	target ident.Host
+}
+
+// NewTransfer returns a request for a transfer. With an empty target the
+// leader chooses the voter whose log is the most complete.
+func NewTransfer(tag Tag, target ident.Host) Transfer { return Transfer{tag: tag, target: target} }
+
+// Compact hands the node a snapshot of the state machine, so that it may
+// drop the entries before it.
+type Compact struct {
+	revision ident.Revision
+	data     []byte
+}
+
+// NewCompact returns a snapshot of the state machine after the revision.
+func NewCompact(revision ident.Revision, data []byte) Compact {
+	return Compact{revision: revision, data: data}
+}
+
+// Form gives a node with an empty disk the first membership of its cluster.
+// It has no effect on a node that already has members.
+type Form struct{ members Members }
+
+// NewForm returns the first membership of a cluster.
+func NewForm(members Members) Form { return Form{members: members} }
+
+func (Tick) input()         {}
+func (Receive) input()      {}
+func (Propose) input()      {}
+func (ReadBarrier) input()  {}
+func (Synced) input()       {}
+func (ChangeMember) input() {}
+func (Transfer) input()     {}
+func (Compact) input()      {}
+func (Form) input()         {}
--- /dev/null
+++ b/ctrl/machine.go
@@ -0,0 +1,30 @@
+package ctrl
+
+import (
+	"rhubarbrack/agree"
+	"rhubarbrack/ident"
+)
+
+// Machine is the replicated state machine. The replica task calls it, one
+// call at a time. Its methods must not block and must have the same effect on
+// every host.
+type Machine interface {
+	// Apply carries out a committed change and returns its result, which
+	// Replica.Propose passes on. The data must not be modified.
+	Apply(revision ident.Revision, data []byte) any
+	// Snapshot returns the encoded state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state by that of a snapshot taken after the
+	// revision.
+	Restore(revision ident.Revision, data []byte) error
+}
+
+// Observer learns when the replica leads. The replica task calls it, so its
+// methods must not block.
+type Observer interface {
+	// LeadershipBegan tells that the replica leads in a term and that the
+	// machine holds every change committed in earlier terms.
+	LeadershipBegan(term agree.Term)
+	// LeadershipEnded tells that a leadership that had begun has ended.
+	LeadershipEnded(term agree.Term)
+}
--- /dev/null
+++ b/ctrl/peer_record.go
@@ -0,0 +1,147 @@
+package ctrl
+
+import (
+	"rhubarbrack/agree"
+	"rhubarbrack/ident"
+)
+
+// The record types are what replicas send each other over net/rpc. They are
+// converted to the types of package agree here and nowhere else.
+
+// MemberRecord is an agree.Member.
+type MemberRecord struct {
+	Host    string
+	Address string
+	Disk    uint64
+	Voter   bool
+}
+
+// LogEntryRecord is an agree.Entry.
+type LogEntryRecord struct {
+	Revision uint64
+	Term     uint64
+	Kind     uint8
+	Data     []byte
+	Members  []MemberRecord
+}
+
+// MessageRecord is an agree.Message without a snapshot.
+type MessageRecord struct {
+	Kind     uint8
+	From, To string
+	FromDisk uint64
+	ToDisk   uint64
+	Term     uint64
+	Revision uint64
+	LogTerm  uint64
+	Commit   uint64
+	Hint     uint64
+	Round    uint64
+	Reject   bool
+	Transfer bool
+	Entries  []LogEntryRecord
+}
+
+// BatchRecord holds messages in the order in which the sender sent them, and
+// the sender's address.
+type BatchRecord struct {
+	From     string
+	Address  string
+	Messages []MessageRecord
+}
+
+// AckRecord answers a BatchRecord.
+type AckRecord struct{}
+
+// ChunkRecord is a part of a snapshot. Message is the agree.MessageInstall
+// that the whole snapshot belongs to.
+type ChunkRecord struct {
+	Message  MessageRecord
+	Address  string
+	Revision uint64
+	Term     uint64
+	Members  []MemberRecord
+	Size     int
+	Offset   int
+	Data     []byte
+}
+
+// ChunkAckRecord answers a ChunkRecord. Accepted is false when the recipient
+// lacks the parts before.
+type ChunkAckRecord struct{ Accepted bool }
+
+// IdentifyRecord asks a host who it is.
+type IdentifyRecord struct{}
+
+// IdentityRecord tells who a host is. Initial is its initial list, Formed the
+// first membership of its cluster, and Members the current one, both empty on
+// an empty disk.
+type IdentityRecord struct {
+	Host    string
+	Disk    uint64
+	Initial []string
+	Formed  []MemberRecord
+	Members []MemberRecord
+}
+
+func fromMembers(members agree.Members) []MemberRecord {
+	var out []MemberRecord
+	for _, m := range members.List() {
+		out = append(out, MemberRecord{
+			Host: string(m.Host()), Address: m.Address(), Disk: uint64(m.Disk()), Voter: m.IsVoter(),
+		})
+	}
+	return out
+}
+
+func toMembers(records []MemberRecord) agree.Members {
+	list := make([]agree.Member, 0, len(records))
+	for _, r := range records {
+		list = append(list, agree.NewMember(ident.Host(r.Host), r.Address, agree.Disk(r.Disk), r.Voter))
+	}
+	return agree.NewMembers(list...)
+}
+
+func fromEntries(entries []agree.Entry) []LogEntryRecord {
+	var out []LogEntryRecord
+	for _, e := range entries {
+		out = append(out, LogEntryRecord{
+			Revision: uint64(e.Revision()), Term: uint64(e.Term()), Kind: uint8(e.Kind()),
+			Data: e.Data(), Members: fromMembers(e.Members()),
+		})
+	}
+	return out
+}
+
+func toEntries(records []LogEntryRecord) []agree.Entry {
+	var out []agree.Entry
+	for _, r := range records {
+		revision, term, kind := ident.Revision(r.Revision), agree.Term(r.Term), agree.EntryKind(r.Kind)
+		if kind == agree.EntryMembers {
+			out = append(out, agree.NewMembersEntry(revision, term, toMembers(r.Members)))
+		} else {
+			out = append(out, agree.NewEntry(revision, term, kind, r.Data))
+		}
+	}
+	return out
+}
+
+func fromMessage(m agree.Message) MessageRecord {
+	revision, logTerm := m.Position()
+	return MessageRecord{
+		Kind: uint8(m.Kind()), From: string(m.From()), To: string(m.To()),
+		FromDisk: uint64(m.FromDisk()), ToDisk: uint64(m.ToDisk()), Term: uint64(m.Term()),
+		Revision: uint64(revision), LogTerm: uint64(logTerm),
+		Commit: uint64(m.Commit()), Hint: uint64(m.Hint()), Round: m.Round(),
+		Reject: m.IsReject(), Transfer: m.IsTransfer(), Entries: fromEntries(m.Entries()),
+	}
+}
+
+func (r MessageRecord) message() agree.Message {
+	m := agree.NewMessage(agree.MessageKind(r.Kind), agree.Term(r.Term), ident.Host(r.From), ident.Host(r.To),
+		agree.Disk(r.FromDisk), agree.Disk(r.ToDisk))
+	return m.WithPosition(ident.Revision(r.Revision), agree.Term(r.LogTerm)).
+		WithProgress(ident.Revision(r.Commit), ident.Revision(r.Hint), r.Round).
+		WithFlags(r.Reject, r.Transfer).
+		WithEntries(toEntries(r.Entries))
+}
--- /dev/null
+++ b/ctrl/replica_member.go
@@ -0,0 +1,119 @@
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"rhubarbrack/agree"
+	"rhubarbrack/ident"
+	"rhubarbrack/tasks"
+)
+
+// AddMember adds a host, first as a learner and, when it has caught up, as a
+// voter. The host must be running with an empty disk. A call that is repeated
+// after a failure goes on where the first one stopped.
+func (r *Replica) AddMember(ctx context.Context, host ident.Host, address string) error {
+	if err := r.addMember(ctx, host, address); err != nil {
+		return fmt.Errorf("add member %s: %w", host, err)
+	}
+	return nil
+}
+
+func (r *Replica) addMember(ctx context.Context, host ident.Host, address string) error {
+	disk, err := r.identify(ctx, host, address)
+	if err != nil {
+		return err
+	}
+	member, known, err := r.member(ctx, host)
+	if err != nil {
+		return err
+	}
+	if known && member.Disk() != disk {
+		return fmt.Errorf("%w: %s", ErrIdentity, host)
+	}
+	learner := agree.NewMember(host, address, disk, false)
+	if !known {
+		if err := r.change(ctx, agree.ChangeAdd, learner); err != nil {
+			return err
+		}
+	}
+	if member.IsVoter() {
+		return nil
+	}
+	return r.change(ctx, agree.ChangePromote, learner)
+}
+
+// RemoveMember removes a host. It has no effect on a host that is no member.
+// A leader must transfer its leadership before its own host can be removed.
+func (r *Replica) RemoveMember(ctx context.Context, host ident.Host) error {
+	_, known, err := r.member(ctx, host)
+	if err == nil && known {
+		err = r.change(ctx, agree.ChangeRemove, agree.NewMember(host, "", 0, false))
+	}
+	if err != nil {
+		return fmt.Errorf("remove member %s: %w", host, err)
+	}
+	return nil
+}
+
+// member returns a member as a majority knows it.
+func (r *Replica) member(ctx context.Context, host ident.Host) (agree.Member, bool, error) {
+	if _, err := r.Barrier(ctx); err != nil {
+		return agree.Member{}, false, err
+	}
+	s, err := r.Status(ctx)
+	if err != nil {
+		return agree.Member{}, false, err
+	}
+	for _, m := range s.Members() {
+		if m.Member().Host() == host {
+			return m.Member(), true, nil
+		}
+	}
+	return agree.Member{}, false, nil
+}
+
+// change commits a membership change and repeats it while the node refuses
+// it for now.
+func (r *Replica) change(ctx context.Context, kind agree.ChangeKind, member agree.Member) error {
+	for {
+		result, err := ask(ctx, r, func(reply tasks.Reply[outcome]) any {
+			return changeMember{kind: kind, member: member, reply: reply}
+		})
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+		again := errors.Is(result.err, agree.ErrBehind) || errors.Is(result.err, agree.ErrChangePending) ||
+			errors.Is(result.err, agree.ErrTransferring)
+		if !again {
+			return result.err
+		}
+		timer := r.options.clock.NewTimer(r.options.tick)
+		select {
+		case <-timer.C():
+		case <-ctx.Done():
+			timer.Stop()
+			return fmt.Errorf("%w: %w", result.err, ctx.Err())
+		}
+	}
+}
+
+// identify asks a host for the identity of its disk.
+func (r *Replica) identify(ctx context.Context, host ident.Host, address string) (agree.Disk, error) {
+	client, err := r.dial(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	defer client.Close()
+	call, cancel := context.WithTimeout(ctx, r.options.callTimeout)
+	defer cancel()
+	var identity IdentityRecord
+	if err := client.Call(call, methodIdentify, &IdentifyRecord{}, &identity); err != nil {
+		return 0, fmt.Errorf("identify: %w", err)
+	}
+	if ident.Host(identity.Host) != host {
+		return 0, fmt.Errorf("%w: %s is the address of %s", ErrIdentity, address, identity.Host)
+	}
+	return agree.Disk(identity.Disk), nil
+}
--- /dev/null
+++ b/ctrl/replica_outbox.go
@@ -0,0 +1,70 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+)
+
+// outbox passes values from a task, which must not block, to a goroutine.
+type outbox[T any] struct {
+	mutex  sync.Mutex
+	values []T
+	limit  int
+	signal chan struct{}
+}
+
+// newOutbox returns an empty outbox. When it holds limit values, the oldest
+// makes room for a new one; zero means no limit.
+func newOutbox[T any](limit int) *outbox[T] {
+	return &outbox[T]{limit: limit, signal: make(chan struct{}, 1)}
+}
+
+// push adds a value without blocking.
+func (b *outbox[T]) push(value T) {
+	b.mutex.Lock()
+	b.values = append(b.values, value)
+	if b.limit > 0 && len(b.values) > b.limit {
+		b.values = b.values[1:]
+	}
+	b.mutex.Unlock()
+	b.wake()
+}
+
+func (b *outbox[T]) wake() {
+	select {
+	case b.signal <- struct{}{}:
+	default:
+	}
+}
+
+// take waits for values and removes the first ones, as many as fits accepts
+// and at least one. A nil fits accepts all. It reports false when ctx ended.
+func (b *outbox[T]) take(ctx context.Context, fits func(T) bool) ([]T, bool) {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil, false
+		case <-b.signal:
+		}
+		if values := b.remove(fits); len(values) > 0 {
+			return values, true
+		}
+	}
+}
+
+func (b *outbox[T]) remove(fits func(T) bool) []T {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	n := len(b.values)
+	for i := 0; fits != nil && i < n; i++ {
+		if !fits(b.values[i]) {
+			n = max(i, 1)
+		}
+	}
+	values := b.values[:n:n]
+	b.values = b.values[n:]
+	if len(b.values) > 0 {
+		b.wake()
+	}
+	return values
+}
--- /dev/null
+++ b/store/record.go
@@ -0,0 +1,128 @@
+package store
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"rhubarbrack/agree"
+	"rhubarbrack/ident"
+)
+
+// The record types are what the files hold. They are converted to the types
+// of package agree here and nowhere else.
+
+type identityRecord struct {
+	Host string
+	Disk uint64
+}
+
+type memberRecord struct {
+	Host    string
+	Address string
+	Disk    uint64
+	Voter   bool
+}
+
+type hardRecord struct {
+	Term    uint64
+	Vote    string
+	Members []memberRecord
+}
+
+type entryRecord struct {
+	Revision uint64
+	Term     uint64
+	Kind     uint8
+	Data     []byte
+	Members  []memberRecord
+}
+
+// logRecord is one record of the log. A record without hard state and
+// entries is a mark.
+type logRecord struct {
+	Synced  int64
+	Hard    *hardRecord
+	Entries []entryRecord
+}
+
+type snapshotRecord struct {
+	Revision uint64
+	Term     uint64
+	Members  []memberRecord
+	Data     []byte
+}
+
+func encode(record any) ([]byte, error) {
+	var body bytes.Buffer
+	encoder := msgpack.NewEncoder(&body)
+	// Records of the log are many and short, so field names are left out.
+	encoder.UseArrayEncodedStructs(true)
+	if err := encoder.Encode(record); err != nil {
+		return nil, fmt.Errorf("encode record: %w", err)
+	}
+	return body.Bytes(), nil
+}
+
+func decode(body []byte, record any) error {
+	if err := msgpack.Unmarshal(body, record); err != nil {
+		return fmt.Errorf("decode record: %w", err)
+	}
+	return nil
+}
+
+func fromMembers(members agree.Members) []memberRecord {
+	var out []memberRecord
+	for _, m := range members.List() {
+		out = append(out, memberRecord{
+			Host: string(m.Host()), Address: m.Address(), Disk: uint64(m.Disk()), Voter: m.IsVoter(),
+		})
+	}
+	return out
+}
+
+func toMembers(records []memberRecord) agree.Members {
+	list := make([]agree.Member, 0, len(records))
+	for _, r := range records {
+		list = append(list, agree.NewMember(ident.Host(r.Host), r.Address, agree.Disk(r.Disk), r.Voter))
+	}
+	return agree.NewMembers(list...)
+}
+
+func fromHard(h agree.HardState) *hardRecord {
+	return &hardRecord{Term: uint64(h.Term()), Vote: string(h.Vote()), Members: fromMembers(h.Members())}
+}
+
+func (r *hardRecord) hardState() agree.HardState {
+	return agree.NewHardState(agree.Term(r.Term), ident.Host(r.Vote), toMembers(r.Members))
+}
+
+func fromEntries(entries []agree.Entry) []entryRecord {
+	out := make([]entryRecord, 0, len(entries))
+	for _, e := range entries {
+		out = append(out, entryRecord{
+			Revision: uint64(e.Revision()), Term: uint64(e.Term()), Kind: uint8(e.Kind()),
+			Data: e.Data(), Members: fromMembers(e.Members()),
+		})
+	}
+	return out
+}
+
+func (r entryRecord) entry() agree.Entry {
+	revision, term := ident.Revision(r.Revision), agree.Term(r.Term)
+	if agree.EntryKind(r.Kind) == agree.EntryMembers {
+		return agree.NewMembersEntry(revision, term, toMembers(r.Members))
+	}
+	return agree.NewEntry(revision, term, agree.EntryKind(r.Kind), r.Data)
+}
+
+func fromSnapshot(s agree.Snapshot) snapshotRecord {
+	return snapshotRecord{
+		Revision: uint64(s.Revision()), Term: uint64(s.Term()), Members: fromMembers(s.Members()), Data: s.Data(),
+	}
+}
+
+func (r snapshotRecord) snapshot() agree.Snapshot {
+	return agree.NewSnapshot(ident.Revision(r.Revision), agree.Term(r.Term), toMembers(r.Members), r.Data)
+}
