Read and write documents as strict YAML

The YAML library cuts 1.5 to 1 for a whole number, takes '5' for a number and null for anything, and needs 2.4 GB for 20,000 levels of nesting. A text is now checked for size, nesting and refused syntax before parsing and against the record's type before decoding; each fault has line, column, field, value and what is allowed. A sample set of documents serves the tests of other packages.

--- /dev/null
+++ b/codec/fault.go
@@ -0,0 +1,70 @@
+package codec
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one place at which a YAML text is not valid.
+type Fault struct {
+	line, column int
+	field        string
+	value        string
+	allowed      string
+}
+
+// Line returns the line, from 1.
+func (f Fault) Line() int { return f.line }
+
+// Column returns the column, from 1.
+func (f Fault) Column() int { return f.column }
+
+// Field returns the path of the field, empty when the text is no YAML.
+func (f Fault) Field() string { return f.field }
+
+// Value returns the refused value, cut when it is long.
+func (f Fault) Value() string { return f.value }
+
+// Allowed describes what is allowed.
+func (f Fault) Allowed() string { return f.allowed }
+
+// String returns the fault in one line.
+func (f Fault) String() string {
+	place := fmt.Sprintf("line %d, column %d", f.line, f.column)
+	if f.field != "" {
+		place += ": " + f.field
+	}
+	return fmt.Sprintf("%s: %q is not allowed: want %s", place, f.value, f.allowed)
+}
+
+// DocumentError lists the faults of a YAML text. Nothing of the text is
+// applied.
+type DocumentError struct {
+	faults []Fault
+}
+
+// Faults returns the first faults in the order of the text, at most 20.
+func (e *DocumentError) Faults() []Fault { return append([]Fault(nil), e.faults...) }
+
+// Error lists the faults.
+func (e *DocumentError) Error() string {
+	lines := make([]string, 0, len(e.faults))
+	for _, f := range e.faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "; ")
+}
+
+// maxFaults bounds the faults that one DocumentError lists.
+const maxFaults = 20
+
+// maxShown is the length in bytes above which a refused value is cut.
+const maxShown = 80
+
+func short(value string) string {
+	value = strings.ToValidUTF8(value, "?")
+	if len(value) <= maxShown {
+		return value
+	}
+	return strings.ToValidUTF8(value[:maxShown], "") + "..."
+}
--- /dev/null
+++ b/codec/samples.go
@@ -0,0 +1,72 @@
+package codec
+
+import (
+	"embed"
+	"fmt"
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/prof"
+	"rhubarbrack/state"
+)
+
+// The file names give the order in which each document finds those that it
+// refers to.
+//
+//go:embed samples/*.yaml
+var sampleFiles embed.FS
+
+// Sample is a document with its source text.
+type Sample struct {
+	document prof.Document
+	source   string
+}
+
+// Document returns the document.
+func (s Sample) Document() prof.Document { return s.document }
+
+// Source returns its YAML text.
+func (s Sample) Source() string { return s.source }
+
+// Samples returns a set of documents for trials: the regions gulf, bay and
+// coast with two zones each, the services alerts, bells, charts and schedules
+// with the host names "<service>.test", the profile signals and eight teams.
+// They are in an order in which they can be put.
+func Samples() ([]Sample, error) {
+	files, err := sampleFiles.ReadDir("samples")
+	if err != nil {
+		return nil, fmt.Errorf("samples: %w", err)
+	}
+	out := make([]Sample, 0, len(files))
+	for _, f := range files {
+		data, err := sampleFiles.ReadFile("samples/" + f.Name())
+		if err != nil {
+			return nil, fmt.Errorf("samples: %w", err)
+		}
+		document, err := DecodeDocument(data)
+		if err != nil {
+			return nil, fmt.Errorf("sample %s: %w", f.Name(), err)
+		}
+		out = append(out, Sample{document: document, source: string(data)})
+	}
+	return out, nil
+}
+
+// SampleConfig returns a Config with the documents of Samples, put at the
+// given time. Its revision is the number of documents.
+func SampleConfig(at time.Time) (*state.Config, error) {
+	samples, err := Samples()
+	if err != nil {
+		return nil, fmt.Errorf("sample config: %w", err)
+	}
+	config := state.NewConfig()
+	for i, s := range samples {
+		request := ident.RequestID(fmt.Sprintf("sample-%d", i))
+		command := state.Stamp(state.NewPutDocument(request, 0, s.document, s.source), at)
+		config, err = state.Replay(config, ident.Revision(i+1), command)
+		if err != nil {
+			return nil, fmt.Errorf("sample config: %w", err)
+		}
+	}
+	return config, nil
+}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -23,7 +23,7 @@
 // Document adds a document.
 func (b *ConfigBuilder) Document(d Document) {
 	if d.document == nil {
-		b.err = fmt.Errorf("build config: document without content at revision %d", d.revision)
+		b.err = fmt.Errorf("document without content at revision %d", d.revision)
 		return
 	}
 	c := &b.config
@@ -58,7 +58,7 @@
 // Build returns the Config, or the first error of the records.
 func (b *ConfigBuilder) Build() (*Config, error) {
 	if b.err != nil {
-		return nil, b.err
+		return nil, fmt.Errorf("build: %w", b.err)
 	}
 	config := b.config
 	return &config, nil
@@ -105,7 +105,7 @@
 	m.revision, m.config = revision, config
 	b := &MachineBuilder{machine: m, options: options}
 	if config == nil || config.revision > revision {
-		b.err = fmt.Errorf("build machine: revision %d is below that of its configuration", revision)
+		b.err = fmt.Errorf("machine: revision %d is below that of its configuration", revision)
 	}
 	return b
 }
@@ -114,7 +114,7 @@
 func (b *MachineBuilder) Claims(records []once.Record) {
 	claims, err := once.Restore(records, b.options...)
 	if err != nil {
-		b.err = fmt.Errorf("build machine: %w", err)
+		b.err = fmt.Errorf("machine: %w", err)
 		return
 	}
 	b.machine.claims = claims
@@ -123,7 +123,7 @@
 // Request adds a kept outcome. Requests are added oldest first.
 func (b *MachineBuilder) Request(r Request) {
 	if _, double := b.machine.requests.byID[r.id]; double || r.id == "" {
-		b.err = fmt.Errorf("build machine: request id %q is empty or occurs twice", r.id)
+		b.err = fmt.Errorf("machine: request id %q is empty or occurs twice", r.id)
 		return
 	}
 	b.machine.requests.add(r)
@@ -132,7 +132,7 @@
 // History adds the history of a document.
 func (b *MachineBuilder) History(h History) {
 	if len(h.versions) == 0 {
-		b.err = fmt.Errorf("build machine: history of %s %q is empty", h.kind, h.name)
+		b.err = fmt.Errorf("machine: history of %s %q is empty", h.kind, h.name)
 		return
 	}
 	b.machine.history.documents = b.machine.history.documents.set(documentKey(h.kind, h.name), trim(h.versions))
@@ -144,7 +144,7 @@
 // Build returns the Machine, or the last error of the records.
 func (b *MachineBuilder) Build() (*Machine, error) {
 	if b.err != nil {
-		return nil, b.err
+		return nil, fmt.Errorf("build: %w", b.err)
 	}
 	return b.machine, nil
 }
