--- /dev/null
+++ b/entry/raterecord.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/limit"
+)
+
+const (
+	methodGrant    = "Rates.Grant"
+	methodHoldings = "Rates.Holdings"
+)
+
+// RateRequest is the argument of the call Rates.Grant.
+type RateRequest struct {
+	Shard       int
+	Host        string
+	Incarnation uint64
+	Epoch       uint64
+	Sequence    uint64
+	Holding     RateHolding
+	Burst       float64
+	Need        int64
+	Ahead       int64
+}
+
+// RateAnswer is the result of the call Rates.Grant.
+type RateAnswer struct {
+	Status     string
+	Tokens     int64
+	Burst      float64
+	RetryAfter time.Duration
+}
+
+// RateHolding is the part of a report that is about one team.
+type RateHolding struct {
+	Team  string
+	Spent int64
+	Held  int64
+	Open  uint64
+}
+
+// RateReportRequest is the argument of the call Rates.Holdings. GiveBack names
+// the team whose unspent tokens are asked back; when it is empty, all teams of
+// the shard are to be reported.
+type RateReportRequest struct {
+	Shard    int
+	Shards   int
+	Epoch    uint64
+	GiveBack string
+}
+
+// RateReport is the result of the call Rates.Holdings. Fenced means that the
+// holder knows a later epoch, or another number of shards, and reports
+// nothing.
+type RateReport struct {
+	Fenced      bool
+	Host        string
+	Incarnation uint64
+	Sequence    uint64
+	Teams       []RateHolding
+}
+
+func requestRecord(r limit.Request, shard int) RateRequest {
+	return RateRequest{
+		Shard:       shard,
+		Host:        string(r.Holder().Host()),
+		Incarnation: uint64(r.Holder().Incarnation()),
+		Epoch:       uint64(r.Epoch()),
+		Sequence:    r.Sequence(),
+		Holding:     holdingRecord(r.Holding()),
+		Burst:       r.Burst(),
+		Need:        r.Need(),
+		Ahead:       r.Ahead(),
+	}
+}
+
+func (r *RateRequest) request() limit.Request {
+	return limit.NewRequest(limit.NewHolderID(ident.Host(r.Host), ident.Incarnation(r.Incarnation)),
+		ident.Epoch(r.Epoch), r.Sequence, r.Holding.holding(), r.Burst, r.Need, r.Ahead)
+}
+
+func holdingRecord(h limit.Holding) RateHolding {
+	return RateHolding{Team: string(h.Team()), Spent: h.Spent(), Held: h.Held(), Open: h.Open()}
+}
+
+func (r RateHolding) holding() limit.Holding {
+	return limit.NewHolding(ident.Team(r.Team), r.Spent, r.Held, r.Open)
+}
+
+func answerRecord(a limit.Answer) RateAnswer {
+	return RateAnswer{Status: string(a.Status()), Tokens: a.Tokens(), Burst: a.Burst(), RetryAfter: a.RetryAfter()}
+}
+
+func (r RateAnswer) answer(q limit.Request) limit.Answer {
+	return limit.NewAnswer(q.Team(), q.Epoch(), q.Sequence(), limit.Status(r.Status), r.Tokens, r.Burst, r.RetryAfter)
+}
+
+func reportRecord(h limit.Holdings) RateReport {
+	r := RateReport{
+		Host:        string(h.Holder().Host()),
+		Incarnation: uint64(h.Holder().Incarnation()),
+		Sequence:    h.Sequence(),
+		Teams:       make([]RateHolding, len(h.Teams())),
+	}
+	for i, t := range h.Teams() {
+		r.Teams[i] = holdingRecord(t)
+	}
+	return r
+}
+
+func (r *RateReport) holdings(e ident.Epoch) limit.Holdings {
+	list := make([]limit.Holding, len(r.Teams))
+	for i, t := range r.Teams {
+		list[i] = t.holding()
+	}
+	id := limit.NewHolderID(ident.Host(r.Host), ident.Incarnation(r.Incarnation))
+	return limit.NewHoldings(id, e, r.Sequence, list)
+}
