--- /dev/null
+++ b/steer/decision.go
@@ -0,0 +1,185 @@
+package steer
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// Reason tells why an ask was refused.
+type Reason string
+
+// Reasons of refusals. In each case nothing was sent to a target.
+const (
+	// ReasonDeadline means that no slot came free before the deadline.
+	ReasonDeadline Reason = "deadline"
+	// ReasonLongestWait means that the ask waited as long as its class
+	// allows.
+	ReasonLongestWait Reason = "longest-wait"
+	// ReasonQueueFull means that the team has too many asks waiting.
+	ReasonQueueFull Reason = "queue-full"
+	// ReasonEstimatedWait means that a slot is not expected in time.
+	ReasonEstimatedWait Reason = "estimated-wait"
+	// ReasonNoTarget means that no target of the service can be used.
+	ReasonNoTarget Reason = "no-target"
+	// ReasonBanned means that the request crashed targets before.
+	ReasonBanned Reason = "banned"
+	// ReasonAbandoned means that the holder has given the ask up.
+	ReasonAbandoned Reason = "abandoned"
+	// ReasonEnded means that the holder's process counts as ended.
+	ReasonEnded Reason = "ended"
+)
+
+// Decision is what a pool decided on one ask: Granted, Queued or Refused.
+type Decision interface {
+	// ID returns the ask that the decision answers.
+	ID() AskID
+}
+
+// Granted gives a slot of a target to an ask.
+type Granted struct {
+	id      AskID
+	target  ident.Target
+	address string
+}
+
+// Queued tells that an ask waits. Its decision comes from a later call.
+type Queued struct{ id AskID }
+
+// Refused tells that an ask gets no slot. The request was not run.
+type Refused struct {
+	id         AskID
+	reason     Reason
+	retryAfter time.Duration
+}
+
+var (
+	_ Decision = Granted{}
+	_ Decision = Queued{}
+	_ Decision = Refused{}
+)
+
+// ID implements Decision.
+func (g Granted) ID() AskID { return g.id }
+
+// Target returns the target that has the slot.
+func (g Granted) Target() ident.Target { return g.target }
+
+// Address returns the address of the target.
+func (g Granted) Address() string { return g.address }
+
+// ID implements Decision.
+func (q Queued) ID() AskID { return q.id }
+
+// ID implements Decision.
+func (r Refused) ID() AskID { return r.id }
+
+// Reason returns why the ask was refused.
+func (r Refused) Reason() Reason { return r.reason }
+
+// RetryAfter returns when a new attempt is worthwhile.
+func (r Refused) RetryAfter() time.Duration { return r.retryAfter }
+
+// Ending is how a grant was used.
+type Ending string
+
+// Endings of a grant.
+const (
+	// EndingOK means that the target answered.
+	EndingOK Ending = "ok"
+	// EndingFailed means that the target answered with a server error.
+	EndingFailed Ending = "failed"
+	// EndingTimeout means that the target did not answer in time.
+	EndingTimeout Ending = "timeout"
+	// EndingCrashed means that the connection was lost before the response.
+	EndingCrashed Ending = "crashed"
+	// EndingUnreachable means that no connection could be made.
+	EndingUnreachable Ending = "unreachable"
+	// EndingShed means that the target refused the request as too much load.
+	EndingShed Ending = "shed"
+	// EndingLeaving means that the target answered that it is leaving.
+	EndingLeaving Ending = "leaving"
+	// EndingCancelled means that the caller gave up or never used the grant.
+	EndingCancelled Ending = "cancelled"
+)
+
+// survived reports whether the target has answered the request, if only with
+// a server error.
+func (e Ending) survived() bool { return e == EndingOK || e == EndingFailed }
+
+// Result is what a holder observed while it used a grant.
+type Result struct {
+	ending  Ending
+	latency time.Duration
+}
+
+// NewResult returns a result. The latency is the time to the first byte of
+// the response; zero means that there was none.
+func NewResult(e Ending, latency time.Duration) Result { return Result{ending: e, latency: latency} }
+
+// Ending returns how the grant was used.
+func (r Result) Ending() Ending { return r.ending }
+
+// Latency returns the time to the first byte, or zero.
+func (r Result) Latency() time.Duration { return r.latency }
+
+// OpenGrant is a grant that a holder has in use.
+type OpenGrant struct {
+	number      uint64
+	service     ident.Service
+	target      ident.Target
+	fingerprint ident.Fingerprint
+	age         time.Duration
+}
+
+// NewOpenGrant returns a grant that is in use for the given time.
+func NewOpenGrant(number uint64, s ident.Service, t ident.Target, f ident.Fingerprint, age time.Duration) OpenGrant {
+	return OpenGrant{number: number, service: s, target: t, fingerprint: f, age: age}
+}
+
+// Number returns the number of the ask behind the grant.
+func (g OpenGrant) Number() uint64 { return g.number }
+
+// Service returns the service that answers.
+func (g OpenGrant) Service() ident.Service { return g.service }
+
+// Target returns the target whose slot is in use.
+func (g OpenGrant) Target() ident.Target { return g.target }
+
+// Fingerprint returns the fingerprint of the request, or zero.
+func (g OpenGrant) Fingerprint() ident.Fingerprint { return g.fingerprint }
+
+// Age returns how long the grant is in use.
+func (g OpenGrant) Age() time.Duration { return g.age }
+
+// Holdings is a complete report of what one holder knows of a region. The
+// sequence number orders the reports; asks above last are newer than the
+// report.
+type Holdings struct {
+	holder   Holder
+	sequence uint64
+	last     uint64
+	open     []OpenGrant
+	waiting  []uint64
+}
+
+// NewHoldings returns a report: the grants in use, the numbers of the asks
+// that still wait, and the last number that the holder has used.
+func NewHoldings(h Holder, sequence, last uint64, open []OpenGrant, waiting []uint64) Holdings {
+	return Holdings{holder: h, sequence: sequence, last: last, open: open, waiting: waiting}
+}
+
+// Holder returns the process that reports.
+func (h Holdings) Holder() Holder { return h.holder }
+
+// Sequence returns the number of the report.
+func (h Holdings) Sequence() uint64 { return h.sequence }
+
+// Last returns the last ask number that the report covers.
+func (h Holdings) Last() uint64 { return h.last }
+
+// Open returns the grants in use.
+func (h Holdings) Open() []OpenGrant { return h.open }
+
+// Waiting returns the numbers of the asks that wait.
+func (h Holdings) Waiting() []uint64 { return h.waiting }
--- /dev/null
+++ b/steer/recover.go
@@ -0,0 +1,177 @@
+package steer
+
+import (
+	"slices"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// holder is what the pool knows of one process of an entry host.
+type holder struct {
+	grants   map[uint64]*grant
+	waiting  map[uint64]*waiter
+	reported bool
+	sequence uint64
+	last     uint64
+	known    map[uint64]struct{}
+	// closed holds the released numbers that a report may still name or that
+	// no report has covered yet.
+	closed map[uint64]struct{}
+}
+
+func (h *holder) close(number uint64) {
+	if _, known := h.known[number]; number > h.last || known {
+		h.closed[number] = struct{}{}
+	}
+}
+
+// gaveUp reports whether the holder does not wait for the number any more. A
+// call that arrives late must not take a slot that nobody will release.
+func (h *holder) gaveUp(number uint64) bool {
+	if _, ok := h.closed[number]; ok {
+		return true
+	}
+	_, known := h.known[number]
+	return number <= h.last && !known
+}
+
+// holderOf returns the holder of an ask, or the refusal when its process has
+// ended or it has given the ask up.
+func (p *Pool) holderOf(id AskID) (*holder, Refused, bool) {
+	if p.hasEnded(id.holder) {
+		return nil, Refused{id: id, reason: ReasonEnded}, false
+	}
+	h := p.holder(id.holder)
+	if h.gaveUp(id.number) {
+		return nil, Refused{id: id, reason: ReasonAbandoned}, false
+	}
+	return h, Refused{}, true
+}
+
+func (p *Pool) hasEnded(h Holder) bool {
+	ended, ok := p.ended[h.host]
+	return ok && h.incarnation <= ended
+}
+
+func (p *Pool) holder(id Holder) *holder {
+	h, ok := p.holders[id]
+	if !ok {
+		h = &holder{
+			grants: map[uint64]*grant{}, waiting: map[uint64]*waiter{},
+			known: map[uint64]struct{}{}, closed: map[uint64]struct{}{},
+		}
+		p.holders[id] = h
+	}
+	return h
+}
+
+// Expect sets the holders that must report before a new pool opens.
+func (p *Pool) Expect(holders []Holder) { p.expected = slices.Clone(holders) }
+
+// Missing returns the expected holders that have not reported.
+func (p *Pool) Missing() []Holder {
+	var out []Holder
+	for _, id := range p.expected {
+		if h, ok := p.holders[id]; !p.hasEnded(id) && (!ok || !h.reported) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Complete opens the pool when every expected holder has reported or has
+// lapsed, and grants to the asks that wait.
+func (p *Pool) Complete(now time.Time) []Decision {
+	if !p.open && len(p.Missing()) == 0 {
+		p.open = true
+	}
+	return p.settle(now)
+}
+
+// Recover takes a holder's report into account: it counts the grants that the
+// holder uses, and frees those that it does not know. Reports that arrive out
+// of order are ignored.
+func (p *Pool) Recover(now time.Time, r Holdings) []Decision {
+	if p.hasEnded(r.holder) {
+		return nil
+	}
+	h := p.holder(r.holder)
+	if h.reported && r.sequence <= h.sequence {
+		return nil
+	}
+	h.reported, h.sequence, h.last = true, r.sequence, max(h.last, r.last)
+	h.known = make(map[uint64]struct{}, len(r.open)+len(r.waiting))
+	for _, g := range r.open {
+		h.known[g.number] = struct{}{}
+	}
+	for _, n := range r.waiting {
+		h.known[n] = struct{}{}
+	}
+	p.freeUnknown(now, h)
+	for _, g := range r.open {
+		p.adopt(now, r.holder, h, g)
+	}
+	return p.settle(now)
+}
+
+// freeUnknown ends the grants and asks that the holder does not name.
+func (p *Pool) freeUnknown(now time.Time, h *holder) {
+	for n, g := range h.grants {
+		if h.gaveUp(n) {
+			p.end(now, g, NewResult(EndingCancelled, 0))
+		}
+	}
+	for n, w := range h.waiting {
+		if h.gaveUp(n) {
+			p.dequeue(w)
+		}
+	}
+	for n := range h.closed {
+		if _, known := h.known[n]; n <= h.last && !known {
+			delete(h.closed, n)
+		}
+	}
+}
+
+// adopt counts a grant that an earlier owner gave. The holder knows what
+// runs, so it counts even above the slots of its target.
+func (p *Pool) adopt(now time.Time, id Holder, h *holder, o OpenGrant) {
+	if _, ok := h.grants[o.number]; ok || h.gaveUp(o.number) {
+		return
+	}
+	if w, ok := h.waiting[o.number]; ok {
+		p.dequeue(w)
+	}
+	t, ok := p.targets[o.target]
+	if !ok {
+		t = &target{entry: Target{id: o.target, service: o.service}, service: p.service(o.service)}
+		p.targets[o.target] = t
+		p.relist(now, t.service)
+	}
+	p.runs++
+	g := &grant{id: NewAskID(id, o.number), run: p.runs, target: t, since: now.Add(-o.age)}
+	h.grants[o.number] = g
+	p.count(now, g, o.fingerprint)
+}
+
+// Lapse ends a process of a host: its grants are freed and its asks dropped,
+// as are those of the host's earlier processes.
+func (p *Pool) Lapse(now time.Time, host ident.Host, incarnation ident.Incarnation) []Decision {
+	if ended, ok := p.ended[host]; !ok || incarnation > ended {
+		p.ended[host] = incarnation
+	}
+	for id, h := range p.holders {
+		if id.host != host || id.incarnation > incarnation {
+			continue
+		}
+		for _, g := range h.grants {
+			p.end(now, g, NewResult(EndingCancelled, 0))
+		}
+		for _, w := range h.waiting {
+			p.dequeue(w)
+		}
+		delete(p.holders, id)
+	}
+	return p.settle(now)
+}
--- /dev/null
+++ b/steer/target.go
@@ -0,0 +1,146 @@
+package steer
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// State is what the platform says of a target.
+type State string
+
+// States of a target.
+const (
+	// StateLive means that the target may get new work.
+	StateLive State = "live"
+	// StateLeaving means that the target must get no new work.
+	StateLeaving State = "leaving"
+)
+
+// Target is an entry of the platform's list.
+type Target struct {
+	id      ident.Target
+	service ident.Service
+	address string
+	zone    ident.Zone
+	slots   int
+	state   State
+	cold    time.Time
+}
+
+// TargetOption sets an optional property of a target.
+type TargetOption func(*Target)
+
+// WithColdSince states that the target began with an empty cache at the given
+// time, so that its concurrency is ramped up from then on.
+func WithColdSince(t time.Time) TargetOption { return func(g *Target) { g.cold = t } }
+
+// NewTarget returns a target with the given number of slots.
+func NewTarget(id ident.Target, s ident.Service, address string, z ident.Zone, slots int, state State,
+	list ...TargetOption,
+) Target {
+	t := Target{id: id, service: s, address: address, zone: z, slots: slots, state: state}
+	for _, apply := range list {
+		apply(&t)
+	}
+	return t
+}
+
+// ID returns the name of the target.
+func (t Target) ID() ident.Target { return t.id }
+
+// Service returns the service that the target offers.
+func (t Target) Service() ident.Service { return t.service }
+
+// Address returns the IP address and port.
+func (t Target) Address() string { return t.address }
+
+// Zone returns the availability zone.
+func (t Target) Zone() ident.Zone { return t.zone }
+
+// Slots returns how many requests the target may run at a time.
+func (t Target) Slots() int { return t.slots }
+
+// State returns what the platform says of the target.
+func (t Target) State() State { return t.state }
+
+// Report is what a probe of a target found. Only the word that the target is
+// leaving is binding; health and load narrow the choice while they are fresh.
+type Report struct {
+	target  ident.Target
+	at      time.Time
+	healthy bool
+	load    float64
+	leaving bool
+}
+
+// NewReport returns a report measured at the given time. A load of 1 means
+// that the target is full.
+func NewReport(t ident.Target, at time.Time, healthy bool, load float64, leaving bool) Report {
+	return Report{target: t, at: at, healthy: healthy, load: load, leaving: leaving}
+}
+
+// Target returns the target that was probed.
+func (r Report) Target() ident.Target { return r.target }
+
+// At returns the time of the measurement.
+func (r Report) At() time.Time { return r.at }
+
+// Healthy returns the reported health.
+func (r Report) Healthy() bool { return r.healthy }
+
+// Load returns the reported load.
+func (r Report) Load() float64 { return r.load }
+
+// Leaving reports whether the target says that it is leaving.
+func (r Report) Leaving() bool { return r.leaving }
+
+// Service holds the settings of a service in the pool.
+type Service struct {
+	name     ident.Service
+	headroom float64
+	ramp     time.Duration
+}
+
+// NewService returns the settings of a service: the share of its slots that
+// is kept free for urgent classes, and the duration over which the
+// concurrency of new, recovered and cold targets grows to their slots.
+func NewService(name ident.Service, headroom float64, ramp time.Duration) Service {
+	return Service{name: name, headroom: headroom, ramp: ramp}
+}
+
+// Name returns the name of the service.
+func (s Service) Name() ident.Service { return s.name }
+
+// Headroom returns the share of slots kept free for urgent classes.
+func (s Service) Headroom() float64 { return s.headroom }
+
+// Ramp returns the duration of the slow start.
+func (s Service) Ramp() time.Duration { return s.ramp }
+
+// Screen tells how requests may run that are suspected of crashing targets.
+// A run is a grant that has been given; its number is chosen by the pool.
+type Screen interface {
+	// Banned returns until when requests with the fingerprint are refused.
+	Banned(now time.Time, f ident.Fingerprint) (time.Time, bool)
+	// Suspected reports whether runs of the fingerprint are restricted.
+	Suspected(now time.Time, f ident.Fingerprint) bool
+	// Admits reports whether a suspect may start at the target.
+	Admits(now time.Time, f ident.Fingerprint, t ident.Target) bool
+	// Started records a run.
+	Started(run uint64, f ident.Fingerprint, t ident.Target)
+	// Ended records the end of a run: whether it ended well, and whether the
+	// target crashed.
+	Ended(now time.Time, run uint64, well, crashed bool)
+}
+
+// openScreen suspects nothing.
+type openScreen struct{}
+
+var _ Screen = openScreen{}
+
+func (openScreen) Banned(time.Time, ident.Fingerprint) (time.Time, bool)  { return time.Time{}, false }
+func (openScreen) Suspected(time.Time, ident.Fingerprint) bool            { return false }
+func (openScreen) Admits(time.Time, ident.Fingerprint, ident.Target) bool { return true }
+func (openScreen) Started(uint64, ident.Fingerprint, ident.Target)        {}
+func (openScreen) Ended(_ time.Time, _ uint64, _, _ bool)                 {}
