--- /dev/null
+++ b/load/course.go
@@ -0,0 +1,87 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rhubarbrack/tasks"
+)
+
+// course is one request of a team from its scheduled arrival to its end.
+type course struct {
+	*runner
+	team   Team
+	route  Route
+	bucket *bucket
+	due    time.Time
+	id     string
+
+	avoid   []string
+	resends int
+	within  bool
+}
+
+// run makes attempts until an answer arrives, or no further attempt is
+// allowed.
+func (c *course) run(ctx context.Context) ended {
+	started := c.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.due.Add(c.plan.timeout).Sub(started))
+	defer cancel()
+	v := c.attempt(ctx)
+	for c.again(ctx, v) {
+		v = c.attempt(ctx)
+	}
+	fate := fateOf(v)
+	if fate == unsent && c.resends > 0 {
+		// An earlier attempt may have run.
+		fate = unknown
+	}
+	return ended{
+		team: c.team.name, class: c.route.class, fate: fate, status: v.status, reason: v.reason,
+		wrongful: fate == refused && v.reason == reasonRate && c.within, resends: c.resends,
+		lateness: started.Sub(c.due), latency: c.clock.Now().Sub(c.due),
+	}
+}
+
+// attempt sends the request to one host.
+func (c *course) attempt(ctx context.Context) verdict {
+	p, err := tasks.Ask(ctx, c.finder, func(reply tasks.Reply[picked]) any {
+		return pick{service: c.route.service, avoid: c.avoid, reply: reply}
+	})
+	if err == nil {
+		err = p.err
+	}
+	if err != nil {
+		return verdict{err: errors.Join(errUnsent, err)}
+	}
+	c.within = c.bucket.offer(c.clock.Now())
+	v := send(ctx, c.http, p.address, c.team.key, c.id, c.route)
+	if errors.Is(v.err, errUnsent) {
+		c.bucket.refund()
+	}
+	if v.err != nil {
+		c.avoid = append(c.avoid, p.address)
+	}
+	return v
+}
+
+// again reports whether another attempt follows: at once on another host when
+// nothing was sent, and after a pause, with the same Idempotency-Key, when
+// the answer was lost or the first attempt still runs.
+func (c *course) again(ctx context.Context, v verdict) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if errors.Is(v.err, errUnsent) {
+		return len(c.avoid) > 0 && len(c.avoid) <= maxUnsent
+	}
+	if (v.err == nil && v.reason != reasonRunning) || !c.route.keyed || c.resends >= c.plan.resends {
+		return false
+	}
+	c.resends++
+	return c.await(ctx, c.clock.Now().Add(c.plan.pause))
+}
+
+// maxUnsent bounds the hosts that are tried in vain.
+const maxUnsent = 8
--- /dev/null
+++ b/load/record.go
@@ -0,0 +1,126 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"rhubarbrack/ident"
+)
+
+// maxPlanBytes bounds a plan file.
+const maxPlanBytes = 1 << 20
+
+// planRecord is the YAML form of a Plan.
+type planRecord struct {
+	Entry       string        `yaml:"entry"`
+	Client      string        `yaml:"client"`
+	Duration    time.Duration `yaml:"duration"`
+	Timeout     time.Duration `yaml:"timeout"`
+	DoubleEvery time.Duration `yaml:"double-every"`
+	MostFactor  float64       `yaml:"most-factor"`
+	Seed        uint64        `yaml:"seed"`
+	InFlight    int           `yaml:"in-flight"`
+	Resends     *int          `yaml:"resends"`
+	Pause       time.Duration `yaml:"resend-pause"`
+	Teams       []teamRecord  `yaml:"teams"`
+	Direct      *directRecord `yaml:"direct"`
+}
+
+type teamRecord struct {
+	Name    string        `yaml:"name"`
+	Key     string        `yaml:"key"`
+	Rate    float64       `yaml:"rate"`
+	Burst   float64       `yaml:"burst"`
+	Offered float64       `yaml:"offered"`
+	Mix     []routeRecord `yaml:"mix"`
+}
+
+type routeRecord struct {
+	Service        string  `yaml:"service"`
+	Host           string  `yaml:"host"`
+	Method         string  `yaml:"method"`
+	Path           string  `yaml:"path"`
+	Class          string  `yaml:"class"`
+	Weight         float64 `yaml:"weight"`
+	BodyBytes      int     `yaml:"body-bytes"`
+	IdempotencyKey bool    `yaml:"idempotency-key"`
+}
+
+type directRecord struct {
+	Addresses []string    `yaml:"addresses"`
+	Rate      float64     `yaml:"rate"`
+	Route     routeRecord `yaml:"route"`
+}
+
+// ReadPlan reads a plan in YAML. Unknown fields are errors. Fields that are
+// absent keep their defaults. The options are applied last.
+func ReadPlan(r io.Reader, options ...PlanOption) (Plan, error) {
+	var record planRecord
+	decoder := yaml.NewDecoder(io.LimitReader(r, maxPlanBytes), yaml.Strict())
+	if err := decoder.Decode(&record); err != nil {
+		return Plan{}, fmt.Errorf("read plan: %w", err)
+	}
+	converted, err := record.options()
+	if err != nil {
+		return Plan{}, fmt.Errorf("read plan: %w", err)
+	}
+	return NewPlan(record.Entry, append(converted, options...)...)
+}
+
+func (r planRecord) options() ([]PlanOption, error) {
+	var list []PlanOption
+	if r.Client != "" {
+		client, err := netip.ParseAddr(r.Client)
+		if err != nil {
+			return nil, fmt.Errorf("client: %w", err)
+		}
+		list = append(list, WithClient(client))
+	}
+	list = append(list, func(p *Plan) {
+		p.duration, p.timeout = or(r.Duration, p.duration), or(r.Timeout, p.timeout)
+		p.doubleEvery, p.mostFactor = r.DoubleEvery, or(r.MostFactor, p.mostFactor)
+		p.seed, p.inFlight, p.pause = or(r.Seed, p.seed), or(r.InFlight, p.inFlight), or(r.Pause, p.pause)
+		if r.Resends != nil {
+			p.resends = *r.Resends
+		}
+	})
+	for _, t := range r.Teams {
+		list = append(list, WithTeams(t.team()))
+	}
+	if r.Direct != nil {
+		list = append(list, WithDirect(r.Direct.Rate, r.Direct.Route.route(), r.Direct.Addresses...))
+	}
+	return list, nil
+}
+
+// or returns the value, or the fallback for a zero value.
+func or[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+func (t teamRecord) team() Team {
+	routes := make([]Route, 0, len(t.Mix))
+	for _, r := range t.Mix {
+		routes = append(routes, r.route())
+	}
+	return NewTeam(ident.Team(t.Name), t.Key, t.Rate, t.Burst, t.Offered, routes...)
+}
+
+func (r routeRecord) route() Route {
+	list := []RouteOption{
+		WithHost(or(r.Host, r.Service)), WithClass(ident.Class(or(r.Class, "default"))),
+		WithWeight(or(r.Weight, 1)), WithBodyBytes(r.BodyBytes),
+	}
+	if r.IdempotencyKey {
+		list = append(list, WithIdempotencyKey())
+	}
+	return NewRoute(ident.Service(r.Service), or(r.Method, "GET"), r.Path, list...)
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,169 @@
+package load
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Report is the result of a run, in JSON form.
+type Report struct {
+	Seed          uint64       `json:"seed"`
+	Seconds       float64      `json:"seconds"`
+	Lookups       int          `json:"lookups"`
+	FailedLookups int          `json:"failed-lookups"`
+	Teams         []Figures    `json:"teams"`
+	Classes       []Figures    `json:"classes"`
+	Direct        *Figures     `json:"direct,omitempty"`
+	Worst         *WorstRecord `json:"worst-served,omitempty"`
+}
+
+// Figures are the counts and percentiles of one team, one class or the direct
+// calls. Latencies are those of requests that ran, from the scheduled
+// arrival. Lateness is the tool's own delay before the first attempt.
+type Figures struct {
+	Name          string         `json:"name"`
+	Sent          int            `json:"sent"`
+	Ran           int            `json:"ran"`
+	Failed        int            `json:"failed"`
+	Refused       map[string]int `json:"refused"`
+	Wrongful      int            `json:"wrongful-refusals"`
+	Unknown       int            `json:"unknown"`
+	Unsent        int            `json:"unsent"`
+	Skipped       int            `json:"skipped"`
+	Resends       int            `json:"resends"`
+	P50MS         float64        `json:"p50-ms"`
+	P99MS         float64        `json:"p99-ms"`
+	MaxMS         float64        `json:"max-ms"`
+	LatenessP50MS float64        `json:"lateness-p50-ms"`
+	LatenessP99MS float64        `json:"lateness-p99-ms"`
+}
+
+// WorstRecord compares the team with the greatest p99 with the team in the
+// middle, and names the team of whose requests the smallest share ran.
+type WorstRecord struct {
+	Team        string  `json:"team"`
+	P99MS       float64 `json:"p99-ms"`
+	MedianP99MS float64 `json:"median-p99-ms"`
+	Ratio       float64 `json:"ratio"`
+	LeastRan    string  `json:"least-ran-team"`
+	LeastShare  float64 `json:"least-ran-share"`
+}
+
+func (t *tally) report() Report {
+	r := Report{Teams: []Figures{}, Classes: []Figures{}}
+	for name, s := range t.teams {
+		r.Teams = append(r.Teams, s.figures(string(name)))
+	}
+	for name, s := range t.classes {
+		r.Classes = append(r.Classes, s.figures(string(name)))
+	}
+	byName := func(a, b Figures) int { return cmp.Compare(a.Name, b.Name) }
+	slices.SortFunc(r.Teams, byName)
+	slices.SortFunc(r.Classes, byName)
+	if t.direct != nil {
+		f := t.direct.figures("direct")
+		r.Direct = &f
+	}
+	r.Worst = worst(r.Teams)
+	return r
+}
+
+func (s *sums) figures(name string) Figures {
+	f := Figures{
+		Name: name, Sent: s.sent, Ran: s.ran, Failed: s.failed, Refused: make(map[string]int, len(s.refused)),
+		Wrongful: s.wrongful, Unknown: s.unknown, Unsent: s.unsent, Skipped: s.skipped, Resends: s.resends,
+		MaxMS: millis(float64(s.latency.Max())),
+	}
+	for reason, n := range s.refused {
+		f.Refused[reason] = n
+	}
+	f.P50MS, f.P99MS = percentiles(s.latency)
+	f.LatenessP50MS, f.LatenessP99MS = percentiles(s.lateness)
+	return f
+}
+
+func percentiles(h metrics.Histogram) (p50, p99 float64) {
+	p := h.Percentiles([]float64{0.5, 0.99})
+	return millis(p[0]), millis(p[1])
+}
+
+func millis(nanoseconds float64) float64 { return nanoseconds / float64(time.Millisecond) }
+
+// worst returns nil unless a team has requests that ran.
+func worst(teams []Figures) *WorstRecord {
+	var served []Figures
+	least := WorstRecord{LeastShare: 2}
+	for _, f := range teams {
+		if f.Ran > 0 {
+			served = append(served, f)
+		}
+		if share := float64(f.Ran) / float64(max(f.Sent, 1)); f.Sent > 0 && share < least.LeastShare {
+			least.LeastRan, least.LeastShare = f.Name, share
+		}
+	}
+	if len(served) == 0 {
+		return nil
+	}
+	slices.SortFunc(served, func(a, b Figures) int { return cmp.Compare(a.P99MS, b.P99MS) })
+	last := served[len(served)-1]
+	least.Team, least.P99MS = last.Name, last.P99MS
+	// Of an even number, the lower of the two in the middle is taken.
+	least.MedianP99MS = served[(len(served)-1)/2].P99MS
+	if least.MedianP99MS > 0 {
+		least.Ratio = least.P99MS / least.MedianP99MS
+	}
+	return &least
+}
+
+// WriteJSON writes the report in JSON.
+func (r Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	if err := e.Encode(r); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+// WriteText writes the report as a table.
+func (r Report) WriteText(w io.Writer) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d, %.1f s, %d look-ups, %d of them failed\n", r.Seed, r.Seconds, r.Lookups, r.FailedLookups)
+	fmt.Fprintf(&b, "%-16s %8s %8s %8s %8s %8s %8s %8s %9s %9s  %s\n",
+		"team", "sent", "ran", "wrongful", "unknown", "unsent", "skipped", "resends", "p50-ms", "p99-ms", "refused")
+	for _, f := range r.Teams {
+		f.write(&b, f.Name)
+	}
+	for _, f := range r.Classes {
+		f.write(&b, "class "+f.Name)
+	}
+	if r.Direct != nil {
+		r.Direct.write(&b, r.Direct.Name)
+	}
+	if r.Worst != nil {
+		fmt.Fprintf(&b, "worst-served team: %s, p99 %.3f ms, %.2f times the median team's %.3f ms\n",
+			r.Worst.Team, r.Worst.P99MS, r.Worst.Ratio, r.Worst.MedianP99MS)
+		fmt.Fprintf(&b, "least served share: %s, %.4f of its requests ran\n", r.Worst.LeastRan, r.Worst.LeastShare)
+	}
+	if _, err := io.WriteString(w, b.String()); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+func (f Figures) write(b *strings.Builder, name string) {
+	reasons := make([]string, 0, len(f.Refused))
+	for reason, n := range f.Refused {
+		reasons = append(reasons, fmt.Sprintf("%s=%d", reason, n))
+	}
+	slices.Sort(reasons)
+	fmt.Fprintf(b, "%-16s %8d %8d %8d %8d %8d %8d %8d %9.3f %9.3f  %s\n", name, f.Sent, f.Ran, f.Wrongful, f.Unknown,
+		f.Unsent, f.Skipped, f.Resends, f.P50MS, f.P99MS, strings.Join(reasons, " "))
+}
