--- /dev/null
+++ b/caller/exchange.go
@@ -0,0 +1,219 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/once"
+	"rhubarbrack/route"
+	"rhubarbrack/steer"
+	"rhubarbrack/target"
+)
+
+// Dispatcher sends requests to targets.
+type Dispatcher interface {
+	// Dispatch sends the request once and streams the answer to the sink.
+	Dispatch(ctx context.Context, address string, r *target.Request, sink target.Sink) target.Result
+	// Resume continues a broken download from another target.
+	Resume(ctx context.Context, address string, r *target.Request, broken target.Partial, w io.Writer) target.Result
+}
+
+var _ Dispatcher = (*target.Client)(nil)
+
+// exchange is one HTTP request on its way through the router. It belongs to
+// the goroutine of the request.
+type exchange struct {
+	writer     http.ResponseWriter
+	request    *http.Request
+	dispatcher Dispatcher
+	id         ident.RequestID
+	body       []byte
+	status     int
+	started    bool
+	chunked    bool
+	partial    target.Partial
+	resumable  bool
+	kept       bytes.Buffer
+	overflow   bool
+}
+
+var (
+	_ route.Exchange = (*exchange)(nil)
+	_ target.Sink    = (*exchange)(nil)
+)
+
+// Body implements route.Exchange.
+func (x *exchange) Body(_ context.Context, limit int64) ([32]byte, error) {
+	if x.request.ContentLength > limit {
+		return [32]byte{}, fmt.Errorf("%d bytes: %w", x.request.ContentLength, route.ErrBodyTooLarge)
+	}
+	body, err := io.ReadAll(io.LimitReader(x.request.Body, limit+1))
+	if err != nil {
+		return [32]byte{}, fmt.Errorf("read request body: %w", err)
+	}
+	if int64(len(body)) > limit {
+		return [32]byte{}, fmt.Errorf("more than %d bytes: %w", limit, route.ErrBodyTooLarge)
+	}
+	x.body = body
+	return sha256.Sum256(body), nil
+}
+
+// Send implements route.Exchange.
+func (x *exchange) Send(ctx context.Context, address string) route.Sent {
+	request, err := x.outgoing()
+	if err != nil {
+		return route.NewSent(steer.EndingCancelled, route.SentProvedNotRun())
+	}
+	var out target.Result
+	if x.started {
+		out = x.dispatcher.Resume(ctx, address, request, x.partial, x)
+	} else {
+		out = x.dispatcher.Dispatch(ctx, address, request, x)
+	}
+	x.partial, x.resumable = out.Partial()
+	return x.sent(ctx, out)
+}
+
+func (x *exchange) outgoing() (*target.Request, error) {
+	header := x.request.Header.Clone()
+	header.Del(HeaderTimeout)
+	header.Set(HeaderRequest, string(x.id))
+	list := []target.RequestOption{target.WithHeader(header), target.WithHost(x.request.Host)}
+	if len(x.body) > 0 {
+		list = append(list, target.WithBody(bytes.NewReader(x.body), int64(len(x.body))))
+	}
+	request, err := target.NewRequest(x.request.Method, x.request.URL.RequestURI(), list...)
+	if err != nil {
+		return nil, fmt.Errorf("forward request: %w", err)
+	}
+	return request, nil
+}
+
+// sent translates the end of a dispatch.
+func (x *exchange) sent(ctx context.Context, out target.Result) route.Sent {
+	var list []route.SentOption
+	if x.started {
+		list = append(list, route.SentStarted(x.resumable))
+	}
+	if out.RetryAfter() > 0 {
+		list = append(list, route.SentRetryAfter(out.RetryAfter()))
+	}
+	switch out.Outcome() {
+	case target.Ran:
+		list = append(list, route.SentComplete())
+		if out.Status() >= http.StatusInternalServerError {
+			return route.NewSent(steer.EndingFailed, list...)
+		}
+		return route.NewSent(steer.EndingOK, list...)
+	case target.NotRun:
+		list = append(list, route.SentProvedNotRun())
+		if ctx.Err() != nil || errors.Is(out.Err(), target.ErrRequest) {
+			return route.NewSent(steer.EndingCancelled, list...)
+		}
+		return route.NewSent(steer.EndingUnreachable, list...)
+	case target.Shed:
+		return route.NewSent(steer.EndingShed, append(list, route.SentProvedNotRun())...)
+	}
+	return route.NewSent(brokenEnding(ctx, out), list...)
+}
+
+// brokenEnding tells what a target is to blame for when no whole answer came.
+func brokenEnding(ctx context.Context, out target.Result) steer.Ending {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return steer.EndingTimeout
+	case ctx.Err() != nil || errors.Is(out.Err(), target.ErrSink):
+		return steer.EndingCancelled
+	case out.Outcome() == target.Crashed:
+		return steer.EndingCrashed
+	default:
+		return steer.EndingFailed
+	}
+}
+
+// Start implements target.Sink.
+func (x *exchange) Start(status int, header http.Header) error {
+	out := x.writer.Header()
+	for name, values := range header {
+		out[name] = values
+	}
+	out.Set(HeaderOutcome, string(route.Ran))
+	out.Set(HeaderRequest, string(x.id))
+	x.started, x.status = true, status
+	x.chunked = header.Get("Content-Length") == ""
+	x.writer.WriteHeader(status)
+	return nil
+}
+
+// Write implements target.Sink.
+func (x *exchange) Write(p []byte) (int, error) {
+	x.keep(p)
+	n, err := x.writer.Write(p)
+	if err != nil {
+		return n, fmt.Errorf("write to caller: %w", err)
+	}
+	if x.chunked {
+		// An answer of unknown length may be a stream whose reader waits for
+		// each part.
+		if err := http.NewResponseController(x.writer).Flush(); err != nil {
+			return n, fmt.Errorf("flush to caller: %w", err)
+		}
+	}
+	return n, nil
+}
+
+// keep copies the answer to a request with an id, which may have to be
+// recorded.
+func (x *exchange) keep(p []byte) {
+	if x.overflow || x.request.Header.Get(HeaderIdempotencyKey) == "" {
+		return
+	}
+	if x.kept.Len()+len(p) > once.DefaultBody {
+		x.overflow = true
+		x.kept.Reset()
+		return
+	}
+	x.kept.Write(p)
+}
+
+// Recorded implements route.Exchange.
+func (x *exchange) Recorded() once.Result {
+	if x.overflow {
+		return once.TooLarge(x.status)
+	}
+	var headers []once.Header
+	for _, name := range recordedHeaders {
+		if value := x.writer.Header().Get(name); value != "" {
+			headers = append(headers, once.NewHeader(name, value))
+		}
+	}
+	return once.NewResult(x.status, headers, bytes.Clone(x.kept.Bytes()))
+}
+
+// recordedHeaders are the headers of an answer that a replay repeats.
+var recordedHeaders = []string{"Content-Type", "Content-Encoding", "Content-Language", "Location", "Etag", "Last-Modified"}
+
+// Replay implements route.Exchange.
+func (x *exchange) Replay(_ context.Context, result once.Result) error {
+	header := x.writer.Header()
+	for _, h := range result.Headers() {
+		header.Set(h.Name(), h.Value())
+	}
+	header.Set(HeaderOutcome, string(route.Ran))
+	header.Set(HeaderReason, string(route.ReasonReplayed))
+	header.Set(HeaderRequest, string(x.id))
+	header.Set("Content-Length", strconv.Itoa(len(result.Body())))
+	x.writer.WriteHeader(result.Status())
+	if _, err := x.writer.Write(result.Body()); err != nil {
+		return fmt.Errorf("write recorded answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/caller/refusal.go
@@ -0,0 +1,76 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/route"
+)
+
+// RefusalRecord is the JSON form of an answer that comes from the system and
+// not from a target.
+type RefusalRecord struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Detail  string `json:"detail,omitempty"`
+	Request string `json:"request,omitempty"`
+}
+
+// ReasonBusy means that the entry host has too many requests under way.
+const ReasonBusy route.Reason = "host-busy"
+
+// ReasonBadTimeout means that the timeout header is malformed.
+const ReasonBadTimeout route.Reason = "timeout-invalid"
+
+// statuses maps reasons to HTTP statuses. Reasons that are not listed mean
+// that the system cannot serve the request now.
+var statuses = map[route.Reason]int{
+	route.ReasonNoRoute:        http.StatusNotFound,
+	route.ReasonMethod:         http.StatusMethodNotAllowed,
+	route.ReasonNoKey:          http.StatusUnauthorized,
+	route.ReasonBadKey:         http.StatusUnauthorized,
+	route.ReasonWithdrawnKey:   http.StatusUnauthorized,
+	route.ReasonRate:           http.StatusTooManyRequests,
+	route.ReasonBody:           http.StatusBadRequest,
+	route.ReasonBodyTooLarge:   http.StatusRequestEntityTooLarge,
+	route.ReasonIdempotencyKey: http.StatusBadRequest,
+	route.ReasonBanned:         http.StatusUnprocessableEntity,
+	route.ReasonRunning:        http.StatusConflict,
+	route.ReasonNotRepeated:    http.StatusConflict,
+	route.ReasonMismatch:       http.StatusUnprocessableEntity,
+	route.ReasonTooLarge:       http.StatusConflict,
+	route.ReasonLost:           http.StatusBadGateway,
+	route.ReasonCrashed:        http.StatusBadGateway,
+	route.ReasonDeadline:       http.StatusGatewayTimeout,
+	ReasonBadTimeout:           http.StatusBadRequest,
+}
+
+func statusOf(reason route.Reason) int {
+	if status, ok := statuses[reason]; ok {
+		return status
+	}
+	return http.StatusServiceUnavailable
+}
+
+// refuse answers a request that no target answered.
+func refuse(w http.ResponseWriter, id ident.RequestID, out route.Result) {
+	header := w.Header()
+	header.Set(HeaderOutcome, string(out.Outcome()))
+	header.Set(HeaderReason, string(out.Reason()))
+	header.Set(HeaderRequest, string(id))
+	header.Set("Content-Type", "application/json")
+	if out.RetryAfter() > 0 {
+		header.Set(headerRetryAfter, retryAfter(out.RetryAfter()))
+	}
+	status := statusOf(out.Reason())
+	if status == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
+	w.WriteHeader(status)
+	// The caller may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(w).Encode(RefusalRecord{
+		Outcome: string(out.Outcome()), Reason: string(out.Reason()),
+		Detail: out.Detail(), Request: string(id),
+	})
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,130 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Limits bounds what one caller can make an entry host keep.
+type Limits struct {
+	headerBytes int
+	headerTime  time.Duration
+	idleTime    time.Duration
+	connections int
+}
+
+// NewLimits returns limits: the size of a request's header, the time to send
+// it, the time that an idle connection is kept, and the number of open
+// connections, beyond which new ones wait.
+func NewLimits(headerBytes int, headerTime, idleTime time.Duration, connections int) Limits {
+	return Limits{headerBytes: headerBytes, headerTime: headerTime, idleTime: idleTime, connections: connections}
+}
+
+// Server serves callers on one listener.
+type Server struct {
+	server *http.Server
+	done   chan struct{}
+	err    error
+}
+
+// Serve starts to serve the listener. Log lines of the HTTP server go to log.
+func Serve(listener net.Listener, handler http.Handler, limits Limits, log *slog.Logger) *Server {
+	s := &Server{
+		server: &http.Server{
+			Handler:           handler,
+			MaxHeaderBytes:    limits.headerBytes,
+			ReadHeaderTimeout: limits.headerTime,
+			IdleTimeout:       limits.idleTime,
+			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		},
+		done: make(chan struct{}),
+	}
+	go func() {
+		defer close(s.done)
+		s.err = s.server.Serve(newBoundedListener(listener, limits.connections))
+	}()
+	return s
+}
+
+// Done returns a channel that is closed when the server accepts no more.
+func (s *Server) Done() <-chan struct{} { return s.done }
+
+// Err returns why the server ended. It is valid once Done is closed.
+func (s *Server) Err() error { return s.err }
+
+// Shutdown accepts no more connections and returns when every request has
+// been answered, or with the error of ctx when that ends first. In that case
+// it closes the remaining connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.server.Shutdown(ctx); err != nil {
+		_ = s.server.Close()
+		return fmt.Errorf("shut down server for callers: %w", err)
+	}
+	return nil
+}
+
+// boundedListener keeps the number of open connections within a bound by not
+// accepting more.
+type boundedListener struct {
+	net.Listener
+	slots  chan struct{}
+	closed chan struct{}
+}
+
+func newBoundedListener(l net.Listener, connections int) net.Listener {
+	if connections <= 0 {
+		return l
+	}
+	return &boundedListener{Listener: l, slots: make(chan struct{}, connections), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (b *boundedListener) Accept() (net.Conn, error) {
+	select {
+	case b.slots <- struct{}{}:
+	case <-b.closed:
+		return nil, fmt.Errorf("accept: %w", net.ErrClosed)
+	}
+	conn, err := b.Listener.Accept()
+	if err != nil {
+		<-b.slots
+		return nil, fmt.Errorf("accept: %w", err)
+	}
+	return &boundedConn{Conn: conn, slots: b.slots, open: make(chan struct{}, 1)}, nil
+}
+
+// Close implements net.Listener. It is called once, by the server.
+func (b *boundedListener) Close() error {
+	select {
+	case <-b.closed:
+	default:
+		close(b.closed)
+	}
+	if err := b.Listener.Close(); err != nil {
+		return fmt.Errorf("close listener: %w", err)
+	}
+	return nil
+}
+
+type boundedConn struct {
+	net.Conn
+	slots chan struct{}
+	open  chan struct{}
+}
+
+// Close implements net.Conn. Only the first call frees the place.
+func (c *boundedConn) Close() error {
+	select {
+	case c.open <- struct{}{}:
+		<-c.slots
+	default:
+	}
+	if err := c.Conn.Close(); err != nil {
+		return fmt.Errorf("close connection: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/ctrl/client.go
@@ -0,0 +1,231 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/codec"
+	"rhubarbrack/ident"
+	"rhubarbrack/state"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+const (
+	// callTimeout bounds one call to a control host. It exceeds the time that
+	// the leader holds a poll, and leaves a second try within a lease.
+	callTimeout = 1200 * time.Millisecond
+	// proposeTimeout bounds the wait of a control host for one commit.
+	proposeTimeout = time.Second
+	// retryPause keeps clients from asking in a loop while there is no
+	// leader.
+	retryPause = 50 * time.Millisecond
+)
+
+// Client calls the control hosts from an entry host. Its task owns one
+// connection to each of them and remembers which one leads. It is safe for
+// concurrent use.
+type Client struct {
+	ref   *tasks.Ref
+	clock clock.Clock
+}
+
+// StartClient starts the task of a client of the given control hosts.
+func StartClient(ctx context.Context, system *tasks.System, c clock.Clock, hosts []Peer, list ...wire.Option) (*Client, error) {
+	if len(hosts) == 0 {
+		return nil, errors.New("start control client: no control hosts")
+	}
+	t := &guide{}
+	for _, p := range hosts {
+		w, err := wire.Dial(ctx, system, "ctrl-client-"+string(p.Host()), p.Address(), list...)
+		if err != nil {
+			return nil, fmt.Errorf("control host %s: %w", p.Host(), err)
+		}
+		t.hosts = append(t.hosts, p.Host())
+		t.clients = append(t.clients, w)
+	}
+	ref, err := tasks.Spawn(ctx, system, "ctrl-client", t)
+	if err != nil {
+		return nil, fmt.Errorf("start control client: %w", err)
+	}
+	return &Client{ref: ref, clock: c}, nil
+}
+
+// Done returns a channel that is closed when the client has ended.
+func (c *Client) Done() <-chan struct{} { return c.ref.Done() }
+
+type (
+	// candidate is the control host to call next.
+	candidate struct {
+		number int
+		client *wire.Client
+	}
+	candidateOf struct{ reply tasks.Reply[candidate] }
+	// called tells the task how a call to a candidate ended.
+	called struct {
+		number int
+		served bool
+		leader ident.Host
+	}
+)
+
+// guide is the task behind Client.
+type guide struct {
+	hosts   []ident.Host
+	clients []*wire.Client
+	current int
+}
+
+var _ tasks.Task = (*guide)(nil)
+
+// Handle implements tasks.Task.
+func (g *guide) Handle(message any) {
+	switch m := message.(type) {
+	case candidateOf:
+		m.reply.Send(candidate{number: g.current, client: g.clients[g.current]})
+	case called:
+		if !m.served && m.number == g.current {
+			g.current = g.next(m.leader)
+		}
+	}
+}
+
+// next returns the host that was named as the leader, or else the following
+// one.
+func (g *guide) next(leader ident.Host) int {
+	for i, h := range g.hosts {
+		if h == leader && i != g.current {
+			return i
+		}
+	}
+	return (g.current + 1) % len(g.hosts)
+}
+
+func (c *Client) candidate(ctx context.Context) (candidate, error) {
+	found, err := tasks.Ask(ctx, c.ref, func(r tasks.Reply[candidate]) any { return candidateOf{reply: r} })
+	if err != nil {
+		return candidate{}, fmt.Errorf("choose control host: %w", err)
+	}
+	return found, nil
+}
+
+// poll calls one control host. The caller repeats it.
+func (c *Client) poll(ctx context.Context, args PollArgs) (PollReply, error) {
+	to, err := c.candidate(ctx)
+	if err != nil {
+		return PollReply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply PollReply
+	err = to.client.Call(ctx, pollService+".Poll", &args, &reply)
+	c.ref.Tell(called{number: to.number, served: err == nil && reply.Verdict == VerdictServed, leader: reply.Leader})
+	if err != nil {
+		return PollReply{}, fmt.Errorf("poll control host: %w", err)
+	}
+	if reply.Verdict != VerdictServed {
+		return PollReply{}, fmt.Errorf("poll control host: %w", ErrNotLeader)
+	}
+	return reply, nil
+}
+
+// Propose commits a command through the leader, whichever it is, and tries
+// again until ctx ends. It repeats a proposal whose answer was lost, so the
+// command must be one that has no further effect when it is applied twice. An
+// error that matches ErrUnknown means that it may still be committed; after
+// any other error it had no effect.
+func (c *Client) Propose(ctx context.Context, command state.Command) (state.Outcome, error) {
+	data, err := codec.EncodeCommand(command)
+	if err != nil {
+		return state.Outcome{}, fmt.Errorf("encode %s: %w", command.Kind(), err)
+	}
+	unknown := false
+	for {
+		reply, err := c.proposeOnce(ctx, data)
+		if err == nil && reply.Verdict == VerdictServed {
+			return decodeOutcome(command, reply.Outcome)
+		}
+		if err == nil && reply.Verdict == VerdictInvalid {
+			return state.Outcome{}, fmt.Errorf("propose %s: %s", command.Kind(), reply.Error)
+		}
+		unknown = unknown || errors.Is(err, wire.ErrLost) || reply.Verdict == VerdictUnknown
+		if wait(ctx, c.clock, retryPause) != nil {
+			return state.Outcome{}, proposeError(ctx, command, unknown)
+		}
+	}
+}
+
+func decodeOutcome(command state.Command, data []byte) (state.Outcome, error) {
+	outcome, err := codec.DecodeOutcome(data)
+	if err != nil {
+		return state.Outcome{}, fmt.Errorf("propose %s: %w: %w", command.Kind(), ErrUnknown, err)
+	}
+	return outcome, nil
+}
+
+func proposeError(ctx context.Context, command state.Command, unknown bool) error {
+	if unknown {
+		return fmt.Errorf("propose %s: %w: %w", command.Kind(), ErrUnknown, ctx.Err())
+	}
+	return fmt.Errorf("propose %s: no control host leads: %w", command.Kind(), ctx.Err())
+}
+
+// InForce waits until every entry host with a lease has applied the revision.
+// It returns the error of ctx when that ends first.
+func (c *Client) InForce(ctx context.Context, revision ident.Revision) error {
+	for {
+		to, err := c.candidate(ctx)
+		if err != nil {
+			return err
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		var reply InForceReply
+		err = to.client.Call(callCtx, pollService+".InForce", &InForceArgs{Revision: revision, Wait: maxPollWait}, &reply)
+		cancel()
+		served := err == nil && reply.Verdict == VerdictServed
+		c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader})
+		if served && reply.Reached {
+			return nil
+		}
+		if served {
+			continue
+		}
+		if err := wait(ctx, c.clock, retryPause); err != nil {
+			return fmt.Errorf("wait until revision %d is in force: %w", revision, err)
+		}
+	}
+}
+
+func (c *Client) proposeOnce(ctx context.Context, data []byte) (ProposeReply, error) {
+	to, err := c.candidate(ctx)
+	if err != nil {
+		return ProposeReply{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var reply ProposeReply
+	args := ProposeArgs{Command: data, Timeout: proposeTimeout}
+	err = to.client.Call(ctx, pollService+".Propose", &args, &reply)
+	served := err == nil && reply.Verdict != VerdictNotLeader
+	c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader})
+	if err != nil {
+		return ProposeReply{}, fmt.Errorf("call control host: %w", err)
+	}
+	return reply, nil
+}
+
+// wait returns after d, or the error of ctx when that ends first.
+func wait(ctx context.Context, c clock.Clock, d time.Duration) error {
+	t := c.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C():
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("wait: %w", ctx.Err())
+	}
+}
--- /dev/null
+++ b/ctrl/feed.go
@@ -0,0 +1,229 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+
+	"rhubarbrack/codec"
+	"rhubarbrack/ident"
+	"rhubarbrack/state"
+	"rhubarbrack/tasks"
+)
+
+// maxDeltas is the number of shared commands that a control host keeps for
+// entry hosts that are behind. At 14,000 changes a day it covers the better
+// part of an hour; older followers get a snapshot.
+const maxDeltas = 512
+
+// Feed is the task that hands changes of the configuration to entry hosts and
+// to the tasks of the control host. The engine of the replica feeds it.
+type Feed struct {
+	ref *tasks.Ref
+}
+
+// ConfigSink learns of every change of the configuration, in order.
+type ConfigSink interface {
+	// ConfigChanged receives the latest configuration. It must not block.
+	ConfigChanged(config *state.Config)
+}
+
+// StartFeed starts the task. The sinks hear of each change.
+func StartFeed(ctx context.Context, system *tasks.System, sinks ...ConfigSink) (*Feed, error) {
+	ref, err := tasks.Spawn(ctx, system, "ctrl-feed", &feed{config: state.NewConfig(), sinks: sinks})
+	if err != nil {
+		return nil, fmt.Errorf("start feed: %w", err)
+	}
+	return &Feed{ref: ref}, nil
+}
+
+// Done returns a channel that is closed when the task has ended.
+func (f *Feed) Done() <-chan struct{} { return f.ref.Done() }
+
+// Config returns the latest configuration.
+func (f *Feed) Config(ctx context.Context) (*state.Config, error) {
+	config, err := tasks.Ask(ctx, f.ref, func(r tasks.Reply[*state.Config]) any { return configOf{reply: r} })
+	if err != nil {
+		return nil, fmt.Errorf("read configuration: %w", err)
+	}
+	return config, nil
+}
+
+// Wait returns when the configuration is newer than the revision, or when ctx
+// ends.
+func (f *Feed) Wait(ctx context.Context, revision ident.Revision) {
+	number, err := tasks.Ask(ctx, f.ref, func(r tasks.Reply[ident.Revision]) any {
+		return waitFor{revision: revision, ctx: ctx, reply: r}
+	})
+	_, _ = number, err
+}
+
+// Since returns what changed after the revision.
+func (f *Feed) Since(ctx context.Context, revision ident.Revision) (Changes, error) {
+	changes, err := tasks.Ask(ctx, f.ref, func(r tasks.Reply[Changes]) any {
+		return changesSince{revision: revision, reply: r}
+	})
+	if err != nil {
+		return Changes{}, fmt.Errorf("read changes since revision %d: %w", revision, err)
+	}
+	return changes, nil
+}
+
+// Changes is what an entry host needs to reach a revision.
+type Changes struct {
+	revision ident.Revision
+	deltas   []Delta
+	config   *state.Config
+}
+
+// Revision returns the revision that the changes lead to.
+func (c Changes) Revision() ident.Revision { return c.revision }
+
+// Deltas returns the shared commands in order.
+func (c Changes) Deltas() []Delta { return c.deltas }
+
+// Snapshot returns the whole configuration when the deltas do not reach back
+// far enough.
+func (c Changes) Snapshot() (*state.Config, bool) { return c.config, c.config != nil }
+
+type (
+	// changed carries an applied shared command.
+	changed struct {
+		revision ident.Revision
+		command  []byte
+		config   *state.Config
+	}
+	// restored replaces the configuration by that of a snapshot.
+	restored struct{ config *state.Config }
+	configOf struct {
+		reply tasks.Reply[*state.Config]
+	}
+	waitFor struct {
+		revision ident.Revision
+		ctx      context.Context
+		reply    tasks.Reply[ident.Revision]
+	}
+	changesSince struct {
+		revision ident.Revision
+		reply    tasks.Reply[Changes]
+	}
+)
+
+// feed is the task behind Feed.
+type feed struct {
+	config *state.Config
+	// deltas lead from revision base to the latest one.
+	deltas  []Delta
+	base    ident.Revision
+	waiting []waitFor
+	sinks   []ConfigSink
+}
+
+var _ tasks.Task = (*feed)(nil)
+
+// Handle implements tasks.Task.
+func (f *feed) Handle(message any) {
+	switch m := message.(type) {
+	case changed:
+		f.deltas = append(f.deltas, Delta{Revision: m.revision, Command: m.command})
+		if over := len(f.deltas) - maxDeltas; over > 0 {
+			f.base = f.deltas[over-1].Revision
+			f.deltas = append([]Delta(nil), f.deltas[over:]...)
+		}
+		f.publish(m.config)
+	case restored:
+		f.deltas, f.base = nil, m.config.Revision()
+		f.publish(m.config)
+	case configOf:
+		m.reply.Send(f.config)
+	case waitFor:
+		if f.config.Revision() > m.revision {
+			m.reply.Send(f.config.Revision())
+			return
+		}
+		f.waiting = append(f.waiting, m)
+	case changesSince:
+		m.reply.Send(f.since(m.revision))
+	}
+}
+
+func (f *feed) publish(config *state.Config) {
+	f.config = config
+	kept := f.waiting[:0]
+	for _, w := range f.waiting {
+		switch {
+		case w.ctx.Err() != nil:
+		case config.Revision() > w.revision:
+			w.reply.Send(config.Revision())
+		default:
+			kept = append(kept, w)
+		}
+	}
+	f.waiting = kept
+	for _, s := range f.sinks {
+		s.ConfigChanged(config)
+	}
+}
+
+func (f *feed) since(revision ident.Revision) Changes {
+	latest := f.config.Revision()
+	switch {
+	case revision >= latest:
+		return Changes{revision: latest}
+	case revision < f.base || revision == 0:
+		return Changes{revision: latest, config: f.config}
+	}
+	for i, d := range f.deltas {
+		if d.Revision > revision {
+			return Changes{revision: latest, deltas: f.deltas[i:len(f.deltas):len(f.deltas)]}
+		}
+	}
+	return Changes{revision: latest, config: f.config}
+}
+
+// Engine applies committed commands to the replicated state and passes the
+// shared ones on to the feed. The replica's task owns it.
+type Engine struct {
+	machine *state.Machine
+	feed    *Feed
+}
+
+var _ Machine = (*Engine)(nil)
+
+// NewEngine returns an engine with an empty state.
+func NewEngine(feed *Feed) *Engine {
+	return &Engine{machine: state.NewMachine(), feed: feed}
+}
+
+// Apply implements Machine. The result is a state.Outcome.
+func (e *Engine) Apply(revision ident.Revision, data []byte) any {
+	command, err := codec.DecodeCommand(data)
+	if err != nil {
+		// Every replica fails in the same way, so the states stay equal.
+		return state.NewOutcome(state.Refused, revision, state.WithReason(state.ReasonInvalid, err.Error()))
+	}
+	outcome := e.machine.Apply(revision, command)
+	if command.Shared() && outcome.Changed() && !outcome.Resent() {
+		e.feed.ref.Tell(changed{revision: revision, command: data, config: e.machine.Config()})
+	}
+	return outcome
+}
+
+// Snapshot implements Machine.
+func (e *Engine) Snapshot() ([]byte, error) {
+	data, err := codec.EncodeMachine(e.machine)
+	if err != nil {
+		return nil, fmt.Errorf("encode state: %w", err)
+	}
+	return data, nil
+}
+
+// Restore implements Machine.
+func (e *Engine) Restore(revision ident.Revision, data []byte) error {
+	machine, err := codec.DecodeMachine(data)
+	if err != nil {
+		return fmt.Errorf("decode state at revision %d: %w", revision, err)
+	}
+	e.machine = machine
+	e.feed.ref.Tell(restored{config: machine.Config()})
+	return nil
+}
--- /dev/null
+++ b/ctrl/record.go
@@ -0,0 +1,95 @@
+package ctrl
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// pollService is the name of the RPC service that control hosts offer to
+// entry hosts.
+const pollService = "Follow"
+
+// Verdict tells whether a control host could serve a call.
+type Verdict int
+
+// The verdicts of an answer.
+const (
+	// VerdictServed means that the leader served the call.
+	VerdictServed Verdict = iota + 1
+	// VerdictNotLeader means that the call must go to the leader. Nothing was
+	// done.
+	VerdictNotLeader
+	// VerdictUnknown means that a proposal may still be committed.
+	VerdictUnknown
+	// VerdictInvalid means that the call is malformed.
+	VerdictInvalid
+)
+
+// PollArgs are the arguments of Follow.Poll: who asks, what it has applied
+// and what it has observed.
+type PollArgs struct {
+	Host        ident.Host
+	Incarnation ident.Incarnation
+	Zone        ident.Zone
+	Region      ident.Region
+	Caller      string
+	Peer        string
+	// Leaving is true once the process has begun a planned stop.
+	Leaving bool
+	// Revision is the revision that the process has applied, 0 for none.
+	Revision ident.Revision
+	// Wait is how long the leader may hold the call for a newer revision.
+	Wait time.Duration
+	// Demand counts the requests per second of each service that came in at
+	// this host.
+	Demand map[ident.Service]float64
+}
+
+// Delta is one shared command in its encoded form.
+type Delta struct {
+	Revision ident.Revision
+	Command  []byte
+}
+
+// PollReply is the answer of Follow.Poll: either the deltas after the asked
+// revision or a snapshot.
+type PollReply struct {
+	Verdict  Verdict
+	Leader   ident.Host
+	Revision ident.Revision
+	Snapshot []byte
+	Deltas   []Delta
+	// Lease is counted by the asking process from when it sent the call.
+	Lease time.Duration
+}
+
+// ProposeArgs are the arguments of Follow.Propose.
+type ProposeArgs struct {
+	Command []byte
+	// Timeout bounds the wait for the commit.
+	Timeout time.Duration
+}
+
+// ProposeReply is the answer of Follow.Propose.
+type ProposeReply struct {
+	Verdict  Verdict
+	Leader   ident.Host
+	Revision ident.Revision
+	Outcome  []byte
+	Error    string
+}
+
+// InForceArgs are the arguments of Follow.InForce.
+type InForceArgs struct {
+	Revision ident.Revision
+	Wait     time.Duration
+}
+
+// InForceReply is the answer of Follow.InForce.
+type InForceReply struct {
+	Verdict Verdict
+	Leader  ident.Host
+	Reached bool
+	Behind  []ident.Host
+}
--- /dev/null
+++ b/ctrl/service.go
@@ -0,0 +1,176 @@
+package ctrl
+
+import (
+	"context"
+	"fmt"
+	"net/rpc"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/codec"
+	"rhubarbrack/ident"
+	"rhubarbrack/state"
+)
+
+const (
+	// maxPollWait bounds how long the leader holds a poll. It must leave
+	// several polls within a lease.
+	maxPollWait = 500 * time.Millisecond
+	// barrierTimeout bounds the confirmation of leadership for one poll.
+	barrierTimeout = time.Second
+	// maxProposeTimeout bounds the wait for a commit.
+	maxProposeTimeout = 10 * time.Second
+)
+
+// Log commits changes and confirms leadership. A Replica is one.
+type Log interface {
+	// Propose commits a change and returns the result of applying it.
+	Propose(ctx context.Context, data []byte) (ident.Revision, any, error)
+	// Barrier returns a revision that holds every change acknowledged before
+	// the call.
+	Barrier(ctx context.Context) (ident.Revision, error)
+}
+
+var _ Log = (*Replica)(nil)
+
+// Proposer stamps commands with the time of this host and commits them. It is
+// safe for concurrent use.
+type Proposer struct {
+	log   Log
+	clock clock.Clock
+}
+
+// NewProposer returns a proposer on top of a log.
+func NewProposer(log Log, c clock.Clock) *Proposer { return &Proposer{log: log, clock: c} }
+
+// Propose commits a command. The error matches ErrNotLeader or ErrUnknown as
+// that of Replica.Propose does; refusals and conflicts are outcomes.
+func (p *Proposer) Propose(ctx context.Context, command state.Command) (state.Outcome, error) {
+	data, err := codec.EncodeCommand(state.Stamp(command, p.clock.Now()))
+	if err != nil {
+		return state.Outcome{}, fmt.Errorf("encode %s: %w", command.Kind(), err)
+	}
+	_, result, err := p.log.Propose(ctx, data)
+	if err != nil {
+		return state.Outcome{}, fmt.Errorf("commit %s: %w", command.Kind(), err)
+	}
+	outcome, ok := result.(state.Outcome)
+	if !ok {
+		return state.Outcome{}, fmt.Errorf("commit %s: result has type %T", command.Kind(), result)
+	}
+	return outcome, nil
+}
+
+// Service answers the calls of entry hosts on a control host.
+type Service struct {
+	ctx      context.Context
+	log      Log
+	proposer *Proposer
+	feed     *Feed
+	leader   *Leader
+	clock    clock.Clock
+}
+
+// Register adds the service to an RPC server. Calls end with ctx.
+func Register(ctx context.Context, server *rpc.Server, log Log, feed *Feed, leader *Leader, c clock.Clock) error {
+	s := &Service{ctx: ctx, log: log, proposer: NewProposer(log, c), feed: feed, leader: leader, clock: c}
+	if err := server.RegisterName(pollService, s); err != nil {
+		return fmt.Errorf("register %s: %w", pollService, err)
+	}
+	return nil
+}
+
+// Poll is an RPC method. It waits for a newer revision, confirms leadership
+// with a majority, and answers with what changed and a lease.
+func (s *Service) Poll(args *PollArgs, reply *PollReply) error {
+	arrived := s.clock.Now()
+	wait := min(max(args.Wait, 0), maxPollWait)
+	ctx, cancel := context.WithTimeout(s.ctx, wait)
+	s.feed.Wait(ctx, args.Revision)
+	cancel()
+	ctx, cancel = context.WithTimeout(s.ctx, barrierTimeout)
+	defer cancel()
+	if _, err := s.log.Barrier(ctx); err != nil {
+		reply.Verdict, reply.Leader = VerdictNotLeader, leaderOf(err)
+		return nil
+	}
+	changes, err := s.feed.Since(ctx, args.Revision)
+	if err != nil || changes.Revision() < args.Revision {
+		reply.Verdict = VerdictNotLeader
+		return nil
+	}
+	lease, leads := s.leader.renew(ctx, *args, arrived)
+	if !leads {
+		reply.Verdict = VerdictNotLeader
+		return nil
+	}
+	return s.fill(changes, lease, reply)
+}
+
+func (s *Service) fill(changes Changes, lease time.Duration, reply *PollReply) error {
+	if config, ok := changes.Snapshot(); ok {
+		data, err := codec.EncodeConfig(config)
+		if err != nil {
+			return fmt.Errorf("encode snapshot: %w", err)
+		}
+		reply.Snapshot = data
+	}
+	reply.Verdict, reply.Lease = VerdictServed, lease
+	reply.Revision, reply.Deltas = changes.Revision(), changes.Deltas()
+	return nil
+}
+
+// Propose is an RPC method. It commits a command when this host leads.
+func (s *Service) Propose(args *ProposeArgs, reply *ProposeReply) error {
+	command, err := codec.DecodeCommand(args.Command)
+	if err != nil {
+		reply.Verdict, reply.Error = VerdictInvalid, err.Error()
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, min(max(args.Timeout, 0), maxProposeTimeout))
+	defer cancel()
+	outcome, err := s.proposer.Propose(ctx, command)
+	if err != nil {
+		reply.Verdict, reply.Leader, reply.Error = verdictOf(err), leaderOf(err), err.Error()
+		return nil
+	}
+	data, err := codec.EncodeOutcome(outcome)
+	if err != nil {
+		return fmt.Errorf("encode outcome: %w", err)
+	}
+	reply.Verdict, reply.Revision, reply.Outcome = VerdictServed, outcome.Revision(), data
+	return nil
+}
+
+// InForce is an RPC method. It returns when every entry host with a lease has
+// applied the revision, or which ones have not when the wait ends.
+func (s *Service) InForce(args *InForceArgs, reply *InForceReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, min(max(args.Wait, 0), maxProposeTimeout))
+	defer cancel()
+	progress, err := s.leader.InForce(ctx, args.Revision)
+	if err != nil {
+		reply.Verdict = VerdictNotLeader
+		return nil
+	}
+	reply.Verdict, reply.Reached, reply.Behind = VerdictServed, progress.Reached(), progress.Behind()
+	return nil
+}
+
+// verdictOf maps the error of a proposal. Everything that is not certainly
+// without effect is unknown.
+func verdictOf(err error) Verdict {
+	if errors.Is(err, ErrNotLeader) || errors.Is(err, ErrNotCommitted) {
+		return VerdictNotLeader
+	}
+	return VerdictUnknown
+}
+
+func leaderOf(err error) ident.Host {
+	var refused *NotLeaderError
+	if errors.As(err, &refused) {
+		return refused.Leader()
+	}
+	return ""
+}
--- /dev/null
+++ b/ctrl/session.go
@@ -0,0 +1,108 @@
+package ctrl
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/state"
+)
+
+const (
+	// Lease is how long an entry host may act on its view, counted from when
+	// it sent the poll that confirmed it.
+	Lease = 3 * time.Second
+	// sessionMargin covers the difference in rate between the clocks of the
+	// leader and of an entry host during one lease.
+	sessionMargin = 200 * time.Millisecond
+)
+
+// session is what the leader knows of one process of an entry host.
+type session struct {
+	incarnation ident.Incarnation
+	renewed     time.Time
+	revision    ident.Revision
+	demand      map[ident.Service]float64
+}
+
+// sessions tracks the leases of entry hosts on the control leader. It is
+// owned by the leader task.
+type sessions struct {
+	began time.Time
+	known map[ident.Host]session
+}
+
+// begin starts a leadership. The former leader may have confirmed a lease
+// until this moment, so every process counts as just renewed.
+func (s *sessions) begin(now time.Time) {
+	s.began = now
+	s.known = make(map[ident.Host]session)
+}
+
+// renew records a poll that arrived at the given time.
+func (s *sessions) renew(h ident.Host, e session) {
+	old, ok := s.known[h]
+	if ok && (old.incarnation > e.incarnation || old.incarnation == e.incarnation && old.renewed.After(e.renewed)) {
+		return
+	}
+	s.known[h] = e
+}
+
+// last returns until when the process of a member may still hold a lease.
+func (s *sessions) last(m state.Member) time.Time {
+	renewed := s.began
+	if e, ok := s.known[m.Host()]; ok && e.incarnation == m.Incarnation() && e.renewed.After(renewed) {
+		renewed = e.renewed
+	}
+	return renewed.Add(Lease + sessionMargin)
+}
+
+// expired returns the members whose lease has certainly ended.
+func (s *sessions) expired(members []state.Member, now time.Time) []state.Member {
+	var out []state.Member
+	for _, m := range members {
+		if now.After(s.last(m)) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// inForce returns the revision that every process with a lease has applied.
+// A member that has not polled this leader yet counts as behind.
+func (s *sessions) inForce(members []state.Member, latest ident.Revision) ident.Revision {
+	lowest := latest
+	for _, m := range members {
+		e, ok := s.known[m.Host()]
+		if !ok || e.incarnation != m.Incarnation() {
+			return 0
+		}
+		lowest = min(lowest, e.revision)
+	}
+	return lowest
+}
+
+// behind lists the members that have not applied the revision.
+func (s *sessions) behind(members []state.Member, revision ident.Revision) []ident.Host {
+	var out []ident.Host
+	for _, m := range members {
+		e, ok := s.known[m.Host()]
+		if !ok || e.incarnation != m.Incarnation() || e.revision < revision {
+			out = append(out, m.Host())
+		}
+	}
+	return out
+}
+
+// demand sums the requests per second of each service by origin region.
+func (s *sessions) demand(members []state.Member) map[ident.Service]map[ident.Region]float64 {
+	out := make(map[ident.Service]map[ident.Region]float64)
+	for _, m := range members {
+		for service, rate := range s.known[m.Host()].demand {
+			if out[service] == nil {
+				out[service] = make(map[ident.Region]float64)
+			}
+			out[service][m.Region()] += rate
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/route/ports.go
@@ -0,0 +1,201 @@
+package route
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/once"
+	"rhubarbrack/state"
+	"rhubarbrack/steer"
+)
+
+const (
+	// ErrBodyTooLarge is returned by Exchange.Body for a body over the limit.
+	ErrBodyTooLarge = errors.ConstError("request body exceeds the limit")
+	// ErrMismatch is returned by Claims.Claim when the id was used before for
+	// a different request.
+	ErrMismatch = errors.ConstError("request id was used for a different request")
+	// ErrClaimsFull is returned by Claims.Claim when there is no room for
+	// another claim.
+	ErrClaimsFull = errors.ConstError("no room for another claim")
+)
+
+// Refusal is an error of a part that refused a request for a stated reason.
+type Refusal interface {
+	error
+	// Reason returns the reason in kebab case.
+	Reason() string
+	// RetryAfter returns when a new attempt is worthwhile, or zero.
+	RetryAfter() time.Duration
+}
+
+// View is the configuration that an entry host acts on and until when its
+// lease lasts.
+type View struct {
+	config *state.Config
+	fresh  time.Time
+}
+
+// NewView returns a view whose lease ends at fresh, by the local clock.
+func NewView(config *state.Config, fresh time.Time) View {
+	return View{config: config, fresh: fresh}
+}
+
+// Config returns the configuration.
+func (v View) Config() *state.Config { return v.config }
+
+// FreshUntil returns the end of the lease.
+func (v View) FreshUntil() time.Time { return v.fresh }
+
+// Fresh reports whether the lease lasts at now.
+func (v View) Fresh(now time.Time) bool { return now.Before(v.fresh) }
+
+// Views gives the current view.
+type Views interface {
+	// View returns the latest view. It returns an error when there is none
+	// yet.
+	View(ctx context.Context) (View, error)
+}
+
+// Rates takes requests from the rates of teams.
+type Rates interface {
+	// Take admits one request of the team or returns a Refusal.
+	Take(ctx context.Context, team ident.Team) error
+}
+
+// Regions realises the planned shares.
+type Regions interface {
+	// Pick returns the region that takes the next request of the service, or
+	// a Refusal when the plan lets no region take it.
+	Pick(ctx context.Context, service ident.Service, class ident.Class) (ident.Region, error)
+}
+
+// Slots grants slots of targets.
+type Slots interface {
+	// Acquire waits for a slot in the region, at most until the deadline of
+	// ctx. It returns a Refusal when there is none.
+	Acquire(ctx context.Context, region ident.Region, need Need) (Slot, error)
+	// Release gives the slot back. After EndingCrashed it returns only when
+	// the suspicion against the request is in force everywhere, or when ctx
+	// ends.
+	Release(ctx context.Context, slot Slot, ending steer.Ending, latency time.Duration)
+}
+
+// Claims keeps non-idempotent requests from running twice.
+type Claims interface {
+	// Claim commits a claim. An error that matches ErrMismatch or
+	// ErrClaimsFull is final; after any other error the implementation sees
+	// to it that a claim which was committed all the same is freed.
+	Claim(ctx context.Context, key once.Key, fingerprint ident.Fingerprint, attempt uint64) (once.Answer, error)
+	// Resolve commits the end of a claim. It goes on trying in the
+	// background when ctx ends first.
+	Resolve(ctx context.Context, key once.Key, attempt uint64, resolution once.Resolution)
+}
+
+// Budgets bounds the retries of each service.
+type Budgets interface {
+	// Allow counts a retry against the budget and reports whether it may be
+	// made. Share is the greatest share of requests that may be retried.
+	Allow(ctx context.Context, service ident.Service, share float64) bool
+}
+
+// Exchange is one request as the front end holds it.
+type Exchange interface {
+	// Body reads the whole body, which may have up to limit bytes, keeps it
+	// for Send and returns its SHA-256 digest. It returns ErrBodyTooLarge for
+	// a longer one.
+	Body(ctx context.Context, limit int64) ([32]byte, error)
+	// Send sends the request to the target at address and passes the answer
+	// on to the caller. When a part of an earlier answer has been passed on,
+	// it continues that answer or changes nothing.
+	Send(ctx context.Context, address string) Sent
+	// Replay passes a recorded answer on.
+	Replay(ctx context.Context, result once.Result) error
+	// Recorded returns the answer that was passed on, for the claim.
+	Recorded() once.Result
+}
+
+// Sent is the end of one Send.
+type Sent struct {
+	ending    steer.Ending
+	whole     bool
+	proved    bool
+	started   bool
+	resumable bool
+	retry     time.Duration
+}
+
+// SentOption sets a property of Sent.
+type SentOption func(*Sent)
+
+// SentProvedNotRun states that the request certainly did not run.
+func SentProvedNotRun() SentOption { return func(s *Sent) { s.proved = true } }
+
+// SentComplete states that the whole answer was passed on.
+func SentComplete() SentOption { return func(s *Sent) { s.whole = true } }
+
+// SentStarted states that a part of the answer was passed on, and whether
+// another target can continue it.
+func SentStarted(resumable bool) SentOption {
+	return func(s *Sent) { s.started, s.resumable = true, resumable }
+}
+
+// SentRetryAfter states when the target asks to be tried again.
+func SentRetryAfter(d time.Duration) SentOption { return func(s *Sent) { s.retry = d } }
+
+// NewSent returns the end of a dispatch. The ending is what the target is held
+// responsible for.
+func NewSent(ending steer.Ending, list ...SentOption) Sent {
+	s := Sent{ending: ending}
+	for _, apply := range list {
+		apply(&s)
+	}
+	return s
+}
+
+// Need is what a request needs of a slot.
+type Need struct {
+	service     ident.Service
+	team        ident.Team
+	class       steer.Class
+	weight      float64
+	fingerprint ident.Fingerprint
+	zone        ident.Zone
+	avoid       []ident.Target
+	deadline    time.Time
+}
+
+// Service returns the service whose target is needed.
+func (n Need) Service() ident.Service { return n.service }
+
+// Team returns the team, or nothing on open routes.
+func (n Need) Team() ident.Team { return n.team }
+
+// Class returns the request class.
+func (n Need) Class() steer.Class { return n.class }
+
+// Weight returns the weight of the team for fair queuing.
+func (n Need) Weight() float64 { return n.weight }
+
+// Fingerprint returns the digest of the request.
+func (n Need) Fingerprint() ident.Fingerprint { return n.fingerprint }
+
+// Zone returns the caller's zone.
+func (n Need) Zone() ident.Zone { return n.zone }
+
+// Avoid returns the targets that earlier attempts used.
+func (n Need) Avoid() []ident.Target { return n.avoid }
+
+// Deadline returns until when the request may wait.
+func (n Need) Deadline() time.Time { return n.deadline }
+
+// Slot is a granted slot.
+type Slot interface {
+	// Target returns the target of the slot.
+	Target() ident.Target
+	// Address returns the IP address and port of the target.
+	Address() string
+}
