Name the records of reads from the control leader

Cause: operators need the configuration, its history and the state of the hosts as of a confirmed revision. Change: records of the call Follow.Read.

--- a/ctrl/record.go
+++ b/ctrl/record.go
@@ -93,3 +93,52 @@
 	Reached bool
 	Behind  []ident.Host
 }
+
+// ReadArgs are the arguments of Follow.Read. Kind and Name ask for the history
+// of a document besides.
+type ReadArgs struct {
+	Kind string
+	Name string
+}
+
+// VersionRecord is one version of a document on the wire.
+type VersionRecord struct {
+	Revision ident.Revision
+	At       time.Time
+	Source   string
+	Deleted  bool
+	Request  ident.RequestID
+}
+
+// EventRecord is an Event on the wire.
+type EventRecord struct {
+	At     time.Time
+	Kind   string
+	Detail string
+	Reason string
+	Error  string
+}
+
+// ControlRecord is what the leader knows of one control host.
+type ControlRecord struct {
+	Host     ident.Host
+	Address  string
+	Voter    bool
+	Match    ident.Revision
+	Contact  time.Time
+	IsLeader bool
+}
+
+// ReadReply is the answer of Follow.Read: the state as of a revision that a
+// majority confirmed after the call.
+type ReadReply struct {
+	Verdict  Verdict
+	Leader   ident.Host
+	Config   []byte
+	History  []VersionRecord
+	InForce  ident.Revision
+	Applied  map[ident.Host]ident.Revision
+	Events   []EventRecord
+	Term     uint64
+	Controls []ControlRecord
+}
