Read the settings of a process strictly from YAML

A process that starts under a wrong name, with an address that nobody can reach or in plain text by oversight does harm that shows late. conf decodes settings as strictly as documents, keeps tokens as digests only, and accepts plain text beyond loopback only in words.

--- a/codec/yaml.go
+++ b/codec/yaml.go
@@ -87,25 +87,35 @@
 }
 
 // Explain gives the *prof.FieldError values in an error their lines and
-// columns and returns them as a *DocumentError. Other errors are returned
-// unchanged.
+// columns and returns them as a *DocumentError. An error without such values
+// is returned unchanged.
 func (s *Source) Explain(err error) error {
-	var fields []*prof.FieldError
-	var invalid *prof.ValidationError
-	var field *prof.FieldError
-	switch {
-	case errors.As(err, &invalid):
-		fields = invalid.Fields()
-	case errors.As(err, &field):
-		fields = []*prof.FieldError{field}
-	default:
+	fields := fieldErrors(err)
+	if len(fields) == 0 {
 		return err
 	}
 	faults := make([]Fault, 0, len(fields))
-	for _, f := range fields {
+	for _, f := range fields[:min(len(fields), maxFaults)] {
 		line, column := locate(s.root, f.Field())
 		faults = append(faults, Fault{line: line, column: column, field: f.Field(), value: short(f.Value()),
 			allowed: f.Allowed()})
 	}
 	return &DocumentError{faults: faults}
 }
+
+// fieldErrors collects the field errors in the tree of an error.
+func fieldErrors(err error) []*prof.FieldError {
+	switch e := err.(type) { //nolint:errorlint // the switch walks the tree itself
+	case *prof.FieldError:
+		return []*prof.FieldError{e}
+	case interface{ Unwrap() error }:
+		return fieldErrors(e.Unwrap())
+	case interface{ Unwrap() []error }:
+		var out []*prof.FieldError
+		for _, inner := range e.Unwrap() {
+			out = append(out, fieldErrors(inner)...)
+		}
+		return out
+	}
+	return nil
+}
--- /dev/null
+++ b/conf/decode.go
@@ -0,0 +1,241 @@
+package conf
+
+import (
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"rhubarbrack/codec"
+	"rhubarbrack/ident"
+	"rhubarbrack/prof"
+)
+
+// maxSettings bounds the text of settings in bytes.
+const maxSettings = 1 << 20
+
+// The values of the field plain-text. Words, as a flag is set too easily.
+const (
+	plainTextLoopback = "loopback-only"
+	plainTextAllowed  = "allowed-beyond-loopback"
+)
+
+type record struct {
+	Role      string           `yaml:"role"`
+	Host      string           `yaml:"host"`
+	Zone      string           `yaml:"zone"`
+	Region    string           `yaml:"region"`
+	Data      string           `yaml:"data-directory"`
+	Listen    listenRecord     `yaml:"listen"`
+	Controls  []controlRecord  `yaml:"control-hosts"`
+	Platform  string           `yaml:"platform-list"`
+	TLS       tlsRecord        `yaml:"tls"`
+	Tokens    []operatorRecord `yaml:"operator-tokens"`
+	Limits    limitsRecord     `yaml:"limits"`
+	PlainText string           `yaml:"plain-text"`
+}
+
+type listenRecord struct {
+	Callers   string `yaml:"callers"`
+	Peers     string `yaml:"peers"`
+	Operators string `yaml:"operators"`
+	Metrics   string `yaml:"metrics"`
+}
+
+type controlRecord struct {
+	Host    string `yaml:"host"`
+	Address string `yaml:"address"`
+}
+
+type tlsRecord struct {
+	Callers   *filesRecord `yaml:"callers"`
+	Peers     *filesRecord `yaml:"peers"`
+	Operators *filesRecord `yaml:"operators"`
+	Metrics   *filesRecord `yaml:"metrics"`
+}
+
+type filesRecord struct {
+	Certificate string `yaml:"certificate"`
+	Key         string `yaml:"key"`
+	Authorities string `yaml:"authorities"`
+}
+
+type operatorRecord struct {
+	Name   string `yaml:"name"`
+	SHA256 string `yaml:"sha256"`
+}
+
+type limitsRecord struct {
+	Header      *int64 `yaml:"header-bytes"`
+	Body        *int64 `yaml:"body-bytes"`
+	Connections *int64 `yaml:"connections"`
+	Idle        string `yaml:"idle-time"`
+	HeaderTime  string `yaml:"header-time"`
+}
+
+// Load reads settings from a file.
+func Load(path string) (settings *Settings, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("load settings: %w", err)
+	}
+	defer func() {
+		if closing := file.Close(); closing != nil && err == nil {
+			settings, err = nil, fmt.Errorf("load settings: %w", closing)
+		}
+	}()
+	data, err := io.ReadAll(io.LimitReader(file, maxSettings+1))
+	if err != nil {
+		return nil, fmt.Errorf("load settings: %w", err)
+	}
+	settings, err = Decode(data)
+	if err != nil {
+		return nil, fmt.Errorf("load settings from %s: %w", path, err)
+	}
+	return settings, nil
+}
+
+// Decode reads settings from YAML. The error is a *codec.DocumentError.
+func Decode(data []byte) (*Settings, error) {
+	var r record
+	source, err := codec.ReadYAML(data, maxSettings, &r)
+	if err != nil {
+		return nil, fmt.Errorf("decode settings: %w", err)
+	}
+	options, err := r.options()
+	if err != nil {
+		return nil, fmt.Errorf("decode settings: %w", source.Explain(err))
+	}
+	s, err := New(Role(r.Role), ident.Host(r.Host), options...)
+	if err != nil {
+		return nil, fmt.Errorf("decode settings: %w", source.Explain(err))
+	}
+	return s, nil
+}
+
+func (r *record) options() ([]Option, error) {
+	out := []Option{
+		WithPlace(ident.Zone(r.Zone), ident.Region(r.Region)), WithData(r.Data), WithPlatformList(r.Platform),
+	}
+	var faults []error
+	for _, part := range []func() ([]Option, error){
+		r.listeners, r.controlHosts, r.tokens, r.limits, r.plainText, r.tlsFiles,
+	} {
+		options, err := part()
+		out = append(out, options...)
+		faults = append(faults, err)
+	}
+	if err := errors.Join(faults...); err != nil {
+		return nil, fmt.Errorf("fields: %w", err)
+	}
+	return out, nil
+}
+
+func (r *record) listeners() ([]Option, error) {
+	var out []Option
+	var faults []error
+	texts := map[Listener]string{Callers: r.Listen.Callers, Peers: r.Listen.Peers,
+		Operators: r.Listen.Operators, Metrics: r.Listen.Metrics}
+	for _, party := range Listeners() {
+		text := texts[party]
+		if text == "" {
+			continue
+		}
+		address, err := netip.ParseAddrPort(text)
+		if err != nil {
+			faults = append(faults, prof.NewFieldError("listen."+string(party), text, "an IP:port"))
+			continue
+		}
+		out = append(out, WithListen(party, address))
+	}
+	return out, errors.Join(faults...)
+}
+
+func (r *record) controlHosts() ([]Option, error) {
+	var out []Option
+	var faults []error
+	for i, h := range r.Controls {
+		address, err := netip.ParseAddrPort(h.Address)
+		if err != nil {
+			faults = append(faults, prof.NewFieldError(fmt.Sprintf("control-hosts[%d].address", i), h.Address, "an IP:port"))
+			continue
+		}
+		out = append(out, WithControlHosts(NewControlHost(ident.Host(h.Host), address)))
+	}
+	return out, errors.Join(faults...)
+}
+
+func (r *record) tlsFiles() ([]Option, error) {
+	var out []Option
+	records := map[Listener]*filesRecord{Callers: r.TLS.Callers, Peers: r.TLS.Peers,
+		Operators: r.TLS.Operators, Metrics: r.TLS.Metrics}
+	for _, party := range Listeners() {
+		if f := records[party]; f != nil {
+			out = append(out, WithTLS(party, NewFiles(f.Certificate, f.Key, f.Authorities)))
+		}
+	}
+	return out, nil
+}
+
+func (r *record) tokens() ([]Option, error) {
+	var out []Option
+	var faults []error
+	for i, t := range r.Tokens {
+		var hash [32]byte
+		data, err := hex.DecodeString(t.SHA256)
+		if err != nil || len(data) != len(hash) {
+			// The value is not shown: it may be the token itself, put here by mistake.
+			faults = append(faults, prof.NewFieldError(fmt.Sprintf("operator-tokens[%d].sha256", i), "(hidden)",
+				"a SHA-256 digest in 64 hexadecimal digits"))
+			continue
+		}
+		copy(hash[:], data)
+		out = append(out, WithTokens(NewToken(t.Name, hash)))
+	}
+	return out, errors.Join(faults...)
+}
+
+func (r *record) limits() ([]Option, error) {
+	var options []LimitOption
+	var faults []error
+	for _, l := range []struct {
+		value  *int64
+		option func(int64) LimitOption
+	}{
+		{r.Limits.Header, LimitHeaders}, {r.Limits.Body, LimitBodies}, {r.Limits.Connections, LimitConnections},
+	} {
+		if l.value != nil {
+			options = append(options, l.option(*l.value))
+		}
+	}
+	for _, l := range []struct {
+		field, text string
+		option      func(time.Duration) LimitOption
+	}{
+		{"limits.idle-time", r.Limits.Idle, LimitIdle}, {"limits.header-time", r.Limits.HeaderTime, LimitHeaderTime},
+	} {
+		if l.text == "" {
+			continue
+		}
+		d, err := time.ParseDuration(l.text)
+		if err != nil {
+			faults = append(faults, prof.NewFieldError(l.field, l.text, "a duration with a unit, such as 30s"))
+			continue
+		}
+		options = append(options, l.option(d))
+	}
+	return []Option{WithLimits(NewLimits(options...))}, errors.Join(faults...)
+}
+
+func (r *record) plainText() ([]Option, error) {
+	switch r.PlainText {
+	case "", plainTextLoopback:
+		return nil, nil
+	case plainTextAllowed:
+		return []Option{WithPlainText(true)}, nil
+	}
+	return nil, prof.NewFieldError("plain-text", r.PlainText, plainTextLoopback+" or "+plainTextAllowed)
+}
