--- /dev/null
+++ b/state/machine_test.go
@@ -0,0 +1,265 @@
+package state_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rhubarbrack/codec"
+	"rhubarbrack/ident"
+	"rhubarbrack/once"
+	"rhubarbrack/prof"
+	"rhubarbrack/state"
+)
+
+var start = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+// bench is a Machine that numbers and stamps commands like a leader.
+type bench struct {
+	t       testing.TB
+	machine *state.Machine
+	now     time.Time
+}
+
+// newBench returns a Machine with the sample documents.
+func newBench(t testing.TB) *bench {
+	t.Helper()
+	b := &bench{t: t, machine: state.NewMachine(), now: start}
+	samples, err := codec.Samples()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, s := range samples {
+		b.must(state.NewPutDocument(ident.RequestID(fmt.Sprint("sample-", i)), 0, s.Document(), s.Source()))
+	}
+	return b
+}
+
+func (b *bench) apply(c state.Command) state.Outcome {
+	b.now = b.now.Add(time.Second)
+	return b.machine.Apply(b.machine.Revision()+1, state.Stamp(c, b.now))
+}
+
+func (b *bench) must(c state.Command) state.Outcome {
+	b.t.Helper()
+	o := b.apply(c)
+	if err := o.Err(); err != nil {
+		b.t.Fatalf("%s: %v", c.Kind(), err)
+	}
+	return o
+}
+
+func (b *bench) document(text string) prof.Document {
+	b.t.Helper()
+	d, err := codec.DecodeDocument([]byte(text))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return d
+}
+
+func (b *bench) put(request string, text string) state.Outcome {
+	b.t.Helper()
+	d := b.document(text)
+	old, _ := b.machine.Config().Document(d.Kind(), d.Name())
+	return b.apply(state.NewPutDocument(ident.RequestID(request), old.Revision(), d, text))
+}
+
+func member(host string, incarnation ident.Incarnation) state.Member {
+	return state.NewMember(ident.Host(host), incarnation, "gulf-a", "gulf", "10.0.0.1:443", "10.0.0.1:7000")
+}
+
+const (
+	smallFleet = "kind: fleet\nname: fleet\nregions:\n  - name: gulf\n    zones: [gulf-a]\n"
+	lateText   = "kind: service\nname: late\nprofile: signals\nhosts: [%s]\nroutes:\n  - prefix: /\n    methods: [GET]\n    class: %s\n"
+)
+
+// A change that breaks what another document relies on would stop requests
+// that worked before.
+func TestCrossChecks(t *testing.T) {
+	del := func(kind prof.Kind, name string) func(*bench) state.Outcome {
+		return func(b *bench) state.Outcome {
+			d, _ := b.machine.Config().Document(kind, name)
+			return b.apply(state.NewDeleteDocument("x", d.Revision(), kind, name))
+		}
+	}
+	put := func(text string) func(*bench) state.Outcome {
+		return func(b *bench) state.Outcome { return b.put("x", text) }
+	}
+	do := func(c state.Command) func(*bench) state.Outcome {
+		return func(b *bench) state.Outcome { return b.apply(c) }
+	}
+	cases := []struct {
+		name string
+		do   func(*bench) state.Outcome
+		want state.Reason
+	}{
+		{"region of a profile leaves the fleet", put(smallFleet), state.ReasonInUse},
+		{"fleet of a profile deleted", del(prof.KindFleet, "fleet"), state.ReasonInUse},
+		{"profile of a service deleted", del(prof.KindProfile, "signals"), state.ReasonInUse},
+		{"team of a profile deleted", del(prof.KindTeam, "pilots"), ""},
+		{"treated team deleted", del(prof.KindTeam, "captains"), state.ReasonInUse},
+		{"service deleted", del(prof.KindService, "bells"), ""},
+		{"missing document deleted", del(prof.KindService, "none"), state.ReasonUnknownDocument},
+		{"profile with an unknown region", put("kind: profile\nname: p\nregions: [mars]\nclasses:\n  - name: a\n"), state.ReasonUnknownRegion},
+		{"profile with an unknown team", put("kind: profile\nname: p\nregions: [gulf]\nclasses:\n  - name: a\nteams:\n  - team: nobody\n    weight: 1\n    class: a\n"),
+			state.ReasonUnknownTeam},
+		{"class of a service leaves the profile", put("kind: profile\nname: signals\nregions: [gulf]\nclasses:\n  - name: a\n"), state.ReasonInUse},
+		{"service with an unknown profile", put("kind: service\nname: late\nprofile: p\nhosts: [late.test]\nroutes:\n  - prefix: /\n    methods: [GET]\n"),
+			state.ReasonUnknownProfile},
+		{"service with an unknown class", put(fmt.Sprintf(lateText, "late.test", "none")), state.ReasonUnknownClass},
+		{"service with the host of another", put(fmt.Sprintf(lateText, "bells.test", "bulk")), state.ReasonHostTaken},
+		{"new service", put(fmt.Sprintf(lateText, "late.test", "bulk")), ""},
+		{"key of an unknown team", do(state.NewIssueKey("x", "k", "nobody", [32]byte{})), state.ReasonUnknownTeam},
+		{"unknown key withdrawn", do(state.NewWithdrawKey("x", 0, "k")), state.ReasonUnknownKey},
+		{"drain of an unknown zone", do(state.NewPlanDrain("x", 0, "d", state.ZoneScope("mars-a"), start, time.Time{})), state.ReasonUnknownZone},
+		{"drain of an unknown region", do(state.NewPlanDrain("x", 0, "d", state.RegionScope("mars"), start, time.Time{})), state.ReasonUnknownRegion},
+		{"drain that ends before it starts", do(state.NewPlanDrain("x", 0, "d", state.ZoneScope("gulf-a"), start, start)), state.ReasonInvalid},
+		{"drain of a target", do(state.NewPlanDrain("x", 0, "d", state.TargetScope("t"), start, time.Time{})), ""},
+		{"shares of an unknown service", do(state.NewSetShares("none", "gulf", nil)), state.ReasonUnknownService},
+		{"shares to an unknown region", do(state.NewSetShares("bells", "gulf", []state.Share{state.NewShare("mars", 1)})), state.ReasonUnknownRegion},
+		{"shares below 1", do(state.NewSetShares("bells", "gulf", []state.Share{state.NewShare("gulf", 0.9)})), state.ReasonInvalid},
+		{"one region twice", do(state.NewSetShares("bells", "gulf", []state.Share{state.NewShare("gulf", 0.5), state.NewShare("gulf", 0.5)})), state.ReasonInvalid},
+		{"role for no member", do(state.NewAssignRole("slots/gulf", "edge-9", 1)), state.ReasonUnknownHost},
+		{"suspicion that has ended", do(state.NewMarkSuspect(ident.Fingerprint{1}, 1, start)), state.ReasonInvalid},
+		{"claim by no member", do(state.NewClaim(once.NewKey("pilots", "r"), ident.Fingerprint{}, once.NewHolder("edge-9", 1, 1))), state.ReasonUnknownHost},
+	}
+	for _, c := range cases {
+		b := newBench(t)
+		before := b.machine.Config()
+		o := c.do(b)
+		if o.Reason() != c.want || (c.want == "") != o.Changed() || (c.want == "") != (o.Status() == state.Accepted) {
+			t.Errorf("%s: got %s %q %s, want reason %q", c.name, o.Status(), o.Reason(), o.Detail(), c.want)
+		}
+		if c.want != "" && b.machine.Config() != before {
+			t.Errorf("%s: a refused command changed the configuration", c.name)
+		}
+	}
+}
+
+const pilots = "kind: team\nname: pilots\nrate: %d\nburst: 10\n"
+
+// Two operators who edit the same version, and one who resends after a lost
+// answer, must not overwrite each other or apply a change twice.
+func TestOperatorCommands(t *testing.T) {
+	b := newBench(t)
+	old, _ := b.machine.Config().Document(prof.KindTeam, "pilots")
+	edit := func(request string, rate int) state.Outcome {
+		text := fmt.Sprintf(pilots, rate)
+		return b.apply(state.NewPutDocument(ident.RequestID(request), old.Revision(), b.document(text), text))
+	}
+	first := edit("a", 1)
+	second := edit("b", 2)
+	if first.Status() != state.Accepted || second.Status() != state.Conflict ||
+		second.Current() != first.Revision() || second.CurrentSource() != fmt.Sprintf(pilots, 1) {
+		t.Fatalf("got %+v and %+v, want the second in conflict with the first", first, second)
+	}
+	third := b.put("c", fmt.Sprintf(pilots, 3))
+	cases := []struct {
+		name    string
+		request string
+		rate    int
+		want    state.Outcome
+	}{
+		{"accepted command resent", "a", 1, first},
+		{"conflict resent", "b", 2, second},
+		{"other command under the id", "a", 4, state.NewOutcome(state.Refused, first.Revision(), state.WithReason(state.ReasonRequestReused, ""))},
+	}
+	for _, c := range cases {
+		got := edit(c.request, c.rate)
+		if got.Status() != c.want.Status() || got.Revision() != c.want.Revision() || got.Current() != c.want.Current() ||
+			got.CurrentSource() != c.want.CurrentSource() || got.Reason() != c.want.Reason() || got.Changed() {
+			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
+		}
+	}
+	team, _ := b.machine.Config().Team("pilots")
+	if team.Rate() != 3 || b.machine.Config().Revision() != third.Revision() {
+		t.Errorf("got rate %v at revision %d, want 3 at %d", team.Rate(), b.machine.Config().Revision(), third.Revision())
+	}
+	b.now = b.now.Add(24 * time.Hour)
+	if o := edit("a", 1); o.Status() != state.Conflict {
+		t.Errorf("resend after 24 h: got %+v, want a conflict", o)
+	}
+}
+
+// A key that was withdrawn must not be valid again, under its own or any id.
+func TestKeys(t *testing.T) {
+	b := newBench(t)
+	b.must(state.NewIssueKey("a", "k1", "pilots", [32]byte{1}))
+	b.must(state.NewWithdrawKey("b", state.AnyRevision, "k1"))
+	key, _ := b.machine.Config().Key("k1")
+	if key.Valid() || !key.Withdrawn().Equal(b.now) {
+		t.Errorf("got %+v, want a withdrawn key", key)
+	}
+	if o := b.apply(state.NewWithdrawKey("c", state.AnyRevision, "k1")); o.Err() != nil || o.Changed() {
+		t.Errorf("second withdrawal: got %+v, want accepted without a change", o)
+	}
+	if o := b.apply(state.NewIssueKey("d", "k1", "pilots", [32]byte{2})); o.Status() != state.Conflict {
+		t.Errorf("same id issued again: got %+v, want a conflict", o)
+	}
+	b.now = b.now.Add(30 * 24 * time.Hour)
+	b.must(state.NewIssueKey("e", "k2", "pilots", [32]byte{3}))
+	if _, ok := b.machine.Config().Key("k1"); ok {
+		t.Error("a key withdrawn 30 days ago is still on record")
+	}
+}
+
+// The loss of a process must free its roles, settle its claims and keep it
+// from coming back under its old number.
+func TestProcessEnds(t *testing.T) {
+	key, holder := once.NewKey("pilots", "r1"), once.NewHolder("edge-1", 5, 1)
+	cases := []struct {
+		name  string
+		end   state.Command
+		claim once.State
+		role  ident.Host
+		again state.Reason // of a join of the old incarnation
+	}{
+		{"leaves", state.NewLeave("edge-1", 5), once.Running, "edge-1", ""},
+		{"expires", state.NewExpire("edge-1", 5), once.Lost, "", state.ReasonStaleIncarnation},
+		{"restarts", state.NewJoin(member("edge-1", 6)), once.Lost, "", state.ReasonStaleIncarnation},
+		{"joins again", state.NewJoin(member("edge-1", 5)), once.Running, "edge-1", ""},
+		{"late expiry of an earlier process", state.NewExpire("edge-1", 4), once.Running, "edge-1", ""},
+	}
+	for _, c := range cases {
+		b := newBench(t)
+		b.must(state.NewJoin(member("edge-1", 5)))
+		b.must(state.NewAssignRole("slots/gulf", "edge-1", 3))
+		b.must(state.NewClaim(key, ident.Fingerprint{1}, holder))
+		b.apply(c.end)
+		answer, _ := b.machine.Claims().Lookup(key)
+		role, _ := b.machine.Config().Role("slots/gulf")
+		if answer.State() != c.claim || role.Host() != c.role || role.Epoch() != 3 {
+			t.Errorf("%s: got claim %s and role %+v", c.name, answer.State(), role)
+		}
+		if o := b.apply(state.NewJoin(member("edge-1", 5))); o.Reason() != c.again {
+			t.Errorf("%s: old process joins: got %+v, want reason %q", c.name, o, c.again)
+		}
+	}
+}
+
+// Two holders of one role would grant the same capacity twice.
+func TestRoleEpochs(t *testing.T) {
+	b := newBench(t)
+	b.must(state.NewJoin(member("edge-1", 1)))
+	b.must(state.NewJoin(member("edge-2", 1)))
+	b.must(state.NewAssignRole("rates/0", "edge-1", 4))
+	b.must(state.NewLeave("edge-2", 1))
+	cases := []struct {
+		name  string
+		host  ident.Host
+		epoch ident.Epoch
+		want  state.Reason
+	}{
+		{"same epoch", "edge-1", 4, state.ReasonStaleEpoch},
+		{"earlier epoch", "edge-1", 3, state.ReasonStaleEpoch},
+		{"leaving host", "edge-2", 5, state.ReasonUnknownHost},
+		{"made vacant", "", 5, ""},
+		{"next", "edge-1", 6, ""},
+	}
+	for _, c := range cases {
+		if o := b.apply(state.NewAssignRole("rates/0", c.host, c.epoch)); o.Reason() != c.want {
+			t.Errorf("%s: got %+v, want reason %q", c.name, o, c.want)
+		}
+	}
+}
