--- /dev/null
+++ b/state/tree_test.go
@@ -0,0 +1,74 @@
+package state
+
+import (
+	"fmt"
+	"maps"
+	"math/bits"
+	"slices"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+const treeSeed = 20260302
+
+func (n *node[K, V]) valid() bool {
+	if n == nil {
+		return true
+	}
+	gap := n.left.depth() - n.right.depth()
+	return gap >= -1 && gap <= 1 && n.height == 1+max(n.left.depth(), n.right.depth()) &&
+		n.count == 1+n.left.size()+n.right.size() && n.left.valid() && n.right.valid()
+}
+
+// A tree that loses an entry or changes an earlier version would lose a
+// member or a key on some hosts only.
+func TestTreeIsAnImmutableMap(t *testing.T) {
+	t.Logf("seed %d", treeSeed)
+	p := gopter.DefaultTestParametersWithSeed(treeSeed)
+	p.MinSuccessfulTests = 300
+	p.MaxSize = 300
+	properties := gopter.NewProperties(p)
+	properties.Property("tree equals map", prop.ForAll(func(steps []int) (bool, error) {
+		tr, want := tree[int, int]{}, map[int]int{}
+		for i, s := range steps {
+			earlier, copied := tr, maps.Clone(want)
+			if key := s / 2 % 64; s%2 == 0 {
+				tr, want[key] = tr.set(key, i), i
+			} else {
+				tr = tr.remove(key)
+				delete(want, key)
+			}
+			if err := compare(tr, want); err != nil {
+				return false, err
+			}
+			if err := compare(earlier, copied); err != nil {
+				return false, fmt.Errorf("earlier version: %w", err)
+			}
+		}
+		return true, nil
+	}, gen.SliceOf(gen.IntRange(0, 1<<20))))
+	properties.TestingRun(t)
+}
+
+func compare(tr tree[int, int], want map[int]int) error {
+	if !tr.root.valid() {
+		return fmt.Errorf("tree is out of balance")
+	}
+	if tr.root.depth() > 2*bits.Len(uint(len(want)))+1 {
+		return fmt.Errorf("height %d for %d entries", tr.root.depth(), len(want))
+	}
+	var keys []int
+	tr.each(func(k, v int) bool {
+		if want[k] == v {
+			keys = append(keys, k)
+		}
+		return true
+	})
+	if sorted := slices.Sorted(maps.Keys(want)); !slices.Equal(keys, sorted) || tr.len() != len(want) {
+		return fmt.Errorf("keys %v, want %v", keys, sorted)
+	}
+	return nil
+}
