--- a/ctrl/replica_test.go
+++ b/ctrl/replica_test.go
@@ -8,7 +8,9 @@
 	"log/slog"
 	"net"
 	"net/rpc"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 
 	"rhubarbrack/agree"
@@ -19,31 +21,60 @@
 
 // journal is a machine that keeps every change. Its result is the number of
 // changes so far.
-type journal struct{ changes []string }
+type journal struct {
+	mutex   sync.Mutex
+	grown   *sync.Cond
+	changes []string
+}
+
+func newJournal() *journal {
+	j := &journal{}
+	j.grown = sync.NewCond(&j.mutex)
+	return j
+}
 
 func (j *journal) Apply(_ ident.Revision, data []byte) any {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
 	j.changes = append(j.changes, string(data))
+	j.grown.Broadcast()
 	return len(j.changes)
 }
 
 func (j *journal) Snapshot() ([]byte, error) { return []byte(strings.Join(j.changes, "\n")), nil }
 
 func (j *journal) Restore(_ ident.Revision, data []byte) error {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
 	j.changes = strings.Split(string(data), "\n")
+	j.grown.Broadcast()
 	return nil
 }
 
+// wait returns the changes once there are n of them.
+func (j *journal) wait(n int) []string {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	for len(j.changes) < n {
+		j.grown.Wait()
+	}
+	return slices.Clone(j.changes)
+}
+
 // terms passes the leaderships of a replica to a test.
-type terms struct{ began, ended chan agree.Term }
+type terms struct {
+	host  ident.Host
+	began chan<- ident.Host
+	ended chan<- ident.Host
+}
 
-func (s terms) LeadershipBegan(term agree.Term) { s.began <- term }
-func (s terms) LeadershipEnded(term agree.Term) { s.ended <- term }
+func (s terms) LeadershipBegan(agree.Term) { s.began <- s.host }
+func (s terms) LeadershipEnded(agree.Term) { s.ended <- s.host }
 
 // process is a replica with its listener, as a control host runs it.
 type process struct {
 	replica *Replica
 	machine *journal
-	terms   terms
 	stop    func()
 }
 
@@ -54,12 +85,15 @@
 	addresses map[ident.Host]string
 	folders   map[ident.Host]string
 	running   map[ident.Host]*process
+	began     chan ident.Host
+	ended     chan ident.Host
 }
 
 func newLab(t testing.TB) *lab {
 	l := &lab{
 		t: t, system: tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil))),
 		addresses: map[ident.Host]string{}, folders: map[ident.Host]string{}, running: map[ident.Host]*process{},
+		began: make(chan ident.Host, 1024), ended: make(chan ident.Host, 1024),
 	}
 	t.Cleanup(func() {
 		for _, p := range l.running {
@@ -94,9 +128,9 @@
 		l.t.Fatal(err)
 	}
 	server := rpc.NewServer()
-	p := &process{machine: &journal{}, terms: terms{began: make(chan agree.Term, 64), ended: make(chan agree.Term, 64)}}
+	p := &process{machine: newJournal()}
 	list = append([]ReplicaOption{
-		WithObserver(p.terms), WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
+		WithObserver(terms{host: h, began: l.began, ended: l.ended}), WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
 	}, list...)
 	p.replica, err = StartReplica(ctx, l.system, server, h, l.folders[h], p.machine, list...)
 	if err != nil {
@@ -113,6 +147,25 @@
 	return p
 }
 
+// leader waits for the next host that begins to lead.
+func (l *lab) leader() *process {
+	for {
+		if p := l.running[<-l.began]; p != nil {
+			return p
+		}
+	}
+}
+
+// commit proposes n changes and fails the test if one is refused.
+func (l *lab) commit(p *process, prefix string, n int) {
+	l.t.Helper()
+	for i := range n {
+		if _, _, err := p.replica.Propose(context.Background(), fmt.Appendf(nil, "%s%d", prefix, i)); err != nil {
+			l.t.Fatalf("Propose %s%d: %v", prefix, i, err)
+		}
+	}
+}
+
 // Guards against a single voter that does not lead at once, or that loses
 // what it acknowledged when its process ends.
 func TestSingleVoter(t *testing.T) {
@@ -130,7 +183,7 @@
 			options := append(tc.options, WithFormation(l.place("a")...))
 			for run := range 3 {
 				p := l.start("a", options...)
-				<-p.terms.began
+				<-l.began
 				for i := range 5 {
 					_, value, err := p.replica.Propose(ctx, fmt.Appendf(nil, "%d-%d", run, i))
 					if want := run*5 + i + 1; err != nil || value != want {
@@ -160,3 +213,83 @@
 		t.Errorf("Barrier error = %v, want ErrNotLeader", err)
 	}
 }
+
+// trio starts three hosts that form a cluster.
+func trio(t testing.TB, list ...ReplicaOption) (*lab, []ReplicaOption) {
+	l := newLab(t)
+	options := append(list, WithFormation(l.place("a", "b", "c")...))
+	for _, h := range []ident.Host{"a", "b", "c"} {
+		l.start(h, options...)
+	}
+	return l, options
+}
+
+// Guards against a cluster that loses changes or cannot go on when its hosts
+// fail, return, or are replaced.
+func TestThreeVoters(t *testing.T) {
+	compact := []ReplicaOption{WithSnapshots(10, 1<<20), WithChunkBytes(7), WithNode(agree.WithRetained(4))}
+	cases := []struct {
+		name    string
+		options []ReplicaOption
+		act     func(l *lab, leader *process, options []ReplicaOption) *process
+	}{
+		{name: "nothing happens", act: func(_ *lab, p *process, _ []ReplicaOption) *process { return p }},
+		{name: "leader dies and returns", act: restartLeader},
+		{name: "leader returns far behind", options: compact, act: restartLeader},
+		{name: "transfer", act: func(l *lab, p *process, _ []ReplicaOption) *process {
+			if err := p.replica.Transfer(context.Background(), ""); err != nil {
+				l.t.Fatal(err)
+			}
+			return l.leader()
+		}},
+		{name: "member replaced", act: replaceFollower},
+		{name: "member replaced by snapshot", options: compact, act: replaceFollower},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l, options := trio(t, tc.options...)
+			p := l.leader()
+			l.commit(p, "first", 25)
+			p = tc.act(l, p, options)
+			l.commit(p, "last", 25)
+			want := p.machine.wait(50)
+			for h, other := range l.running {
+				if got := other.machine.wait(len(want)); !slices.Equal(got, want) {
+					t.Errorf("host %s has %q, want %q", h, got, want)
+				}
+			}
+		})
+	}
+}
+
+func restartLeader(l *lab, p *process, options []ReplicaOption) *process {
+	host := p.replica.Host()
+	p.stop()
+	next := l.leader()
+	l.commit(next, "between", 25)
+	l.start(host, options...)
+	return next
+}
+
+// replaceFollower replaces a host that lost its disk, and stops another host
+// right after.
+func replaceFollower(l *lab, p *process, options []ReplicaOption) *process {
+	var others []ident.Host
+	for h := range l.running {
+		if h != p.replica.Host() {
+			others = append(others, h)
+		}
+	}
+	ctx := context.Background()
+	l.running[others[0]].stop()
+	l.place("d")
+	l.start("d", options[:len(options)-1]...)
+	if err := p.replica.AddMember(ctx, "d", l.addresses["d"]); err != nil {
+		l.t.Fatal(err)
+	}
+	if err := p.replica.RemoveMember(ctx, others[0]); err != nil {
+		l.t.Fatal(err)
+	}
+	l.running[others[1]].stop()
+	return p
+}
