--- a/steer/decision.go
+++ b/steer/decision.go
@@ -24,6 +24,9 @@
 	ReasonNoTarget Reason = "no-target"
 	// ReasonBanned means that the request crashed targets before.
 	ReasonBanned Reason = "banned"
+	// ReasonTargetLeft means that the answer to the ask was lost, and that
+	// the target it named is leaving by now. A new ask may succeed at once.
+	ReasonTargetLeft Reason = "target-left"
 	// ReasonAbandoned means that the holder has given the ask up.
 	ReasonAbandoned Reason = "abandoned"
 	// ReasonEnded means that the holder's process counts as ended.
--- a/steer/pool.go
+++ b/steer/pool.go
@@ -46,7 +46,6 @@
 	id     AskID
 	run    uint64
 	target *target
-	urgent bool
 	since  time.Time
 }
 
@@ -121,7 +120,8 @@
 }
 
 // Acquire decides on an ask: it is granted at once, queued or refused. An ask
-// that was granted or queued before gets the same outcome again.
+// that was granted or queued before gets the same outcome again, unless the
+// target of its grant is leaving by now.
 func (p *Pool) Acquire(now time.Time, a Ask) Decision {
 	p.refreshIfDue(now)
 	h, refused, ok := p.holderOf(a.id)
@@ -129,6 +129,11 @@
 		return refused
 	}
 	if g, ok := h.grants[a.id.number]; ok {
+		if g.target.leaving() {
+			// The slot stays counted until a report shows that the holder
+			// did not get the first answer.
+			return Refused{id: a.id, reason: ReasonTargetLeft, retryAfter: leastRetryAfter}
+		}
 		return granted(g)
 	}
 	if _, ok := h.waiting[a.id.number]; ok {
@@ -209,7 +214,7 @@
 
 func (p *Pool) grant(now time.Time, h *holder, a Ask, t *target) *grant {
 	p.runs++
-	g := &grant{id: a.id, run: p.runs, target: t, urgent: a.class.urgent, since: now}
+	g := &grant{id: a.id, run: p.runs, target: t, since: now}
 	if t.ejected {
 		t.trial = g.run
 	}
--- a/steer/recover.go
+++ b/steer/recover.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -117,14 +118,14 @@
 
 // freeUnknown ends the grants and asks that the holder does not name.
 func (p *Pool) freeUnknown(now time.Time, h *holder) {
-	for n, g := range h.grants {
+	for _, n := range slices.Sorted(maps.Keys(h.grants)) {
 		if h.gaveUp(n) {
-			p.end(now, g, NewResult(EndingCancelled, 0))
+			p.end(now, h.grants[n], NewResult(EndingCancelled, 0))
 		}
 	}
-	for n, w := range h.waiting {
+	for _, n := range slices.Sorted(maps.Keys(h.waiting)) {
 		if h.gaveUp(n) {
-			p.dequeue(w)
+			p.dequeue(h.waiting[n])
 		}
 	}
 	for n := range h.closed {
@@ -165,11 +166,11 @@
 		if id.host != host || id.incarnation > incarnation {
 			continue
 		}
-		for _, g := range h.grants {
-			p.end(now, g, NewResult(EndingCancelled, 0))
+		for _, n := range slices.Sorted(maps.Keys(h.grants)) {
+			p.end(now, h.grants[n], NewResult(EndingCancelled, 0))
 		}
-		for _, w := range h.waiting {
-			p.dequeue(w)
+		for _, n := range slices.Sorted(maps.Keys(h.waiting)) {
+			p.dequeue(h.waiting[n])
 		}
 		delete(p.holders, id)
 	}
