Test each rule of the slot pool

Cause: the properties cover bounds, not the choice of targets. The new cases found that a target which sheds load was passed over only from the next refresh on. Change: a shed or leaving answer refreshes the service at once; 17 cases for choice and queues, 24 for health, one for the single trial, one for outliers.

--- a/steer/pool.go
+++ b/steer/pool.go
@@ -299,7 +299,7 @@
 	delete(p.holders[g.id.holder].grants, g.id.number)
 	p.inFlight--
 	t.inFlight--
-	wasEjected, wasLeaving := t.ejected, t.leaving()
+	wasEjected := t.ejected
 	t.observe(now, g, r, p.options)
 	if r.ending == EndingOK {
 		t.service.observeHold(now.Sub(g.since))
@@ -309,7 +309,7 @@
 		p.forget(now, t)
 		return
 	}
-	if t.ejected != wasEjected || t.leaving() != wasLeaving {
+	if t.ejected != wasEjected || r.ending == EndingShed || r.ending == EndingLeaving {
 		t.service.refresh(now, p.options)
 		return
 	}
