--- /dev/null
+++ b/target/probe_test.go
@@ -0,0 +1,199 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/ident"
+	"rhubarbrack/tasks"
+)
+
+// reports is a sink that hands on each report.
+type reports chan Report
+
+func (r reports) Tell(message any) { r <- message.(Report) }
+
+// reporter answers health and load as a test sets them.
+type reporter struct {
+	health, load atomic.Pointer[string]
+}
+
+func (r *reporter) set(health, load string) {
+	r.health.Store(&health)
+	r.load.Store(&load)
+}
+
+func (r *reporter) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	body := *r.health.Load()
+	if request.URL.Path == PathLoad {
+		body = *r.load.Load()
+	}
+	if body == "" {
+		http.Error(w, "no report", http.StatusInternalServerError)
+		return
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+func startProbe(t *testing.T, c clock.Clock, sink ReportSink, options ...ProbeOption) *Probe {
+	t.Helper()
+	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
+	options = append([]ProbeOption{WithProbeClock(c), WithProbeLog(slog.New(slog.DiscardHandler)), WithProbeInterval(time.Second),
+		WithProbeTimeout(time.Minute)}, options...)
+	p, err := StartProbe(context.Background(), system, sink, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		p.Stop()
+		<-p.Done()
+		system.Shutdown()
+	})
+	return p
+}
+
+// Guards against reports that stop or mislead and then look fresh: each step
+// is one round, a second after the one before.
+func TestProbeAges(t *testing.T) {
+	const ready, load = `{"state":"ready"}`, `{"slots":4,"busy":2,"queued":1,"age-ms":0}`
+	steps := []struct {
+		name         string
+		health, load string
+		want         State
+		busy         int
+		healthAge    time.Duration
+		loadAge      time.Duration
+		wantErr      error
+	}{
+		{name: "both", health: ready, load: load, want: Ready, busy: 2},
+		{name: "load fails", health: `{"state":"leaving"}`, want: Leaving, busy: 2, loadAge: time.Second, wantErr: ErrReport},
+		{name: "both fail", want: Leaving, busy: 2, healthAge: time.Second, loadAge: 2 * time.Second, wantErr: ErrReport},
+		{name: "unknown state", health: `{"state":"fine"}`, load: load, want: Leaving, busy: 2, healthAge: 2 * time.Second,
+			loadAge: 3 * time.Second, wantErr: ErrReport},
+		{name: "negative load", health: ready, load: `{"slots":4,"busy":-1}`, want: Ready, busy: 2, loadAge: 4 * time.Second, wantErr: ErrReport},
+		{name: "not JSON", health: ready, load: "busy", want: Ready, busy: 2, loadAge: 5 * time.Second, wantErr: ErrReport},
+		{name: "too large", health: ready, load: fmt.Sprintf(`{"slots":4,"pad":%q}`, make([]byte, reportBytes)), want: Ready, busy: 2,
+			loadAge: 6 * time.Second, wantErr: ErrReport},
+		{name: "stale by its own statement", health: ready, load: `{"slots":4,"busy":3,"age-ms":1500}`, want: Ready, busy: 3,
+			loadAge: 1500 * time.Millisecond},
+	}
+	r := &reporter{}
+	server := httptest.NewServer(r)
+	t.Cleanup(server.Close)
+	c := newWatchedClock()
+	sink := make(reports, 1)
+	p := startProbe(t, c, sink)
+	for i, s := range steps {
+		r.set(s.health, s.load)
+		if i == 0 {
+			p.SetEndpoints([]Endpoint{NewEndpoint("target-1", server.Listener.Addr().String())})
+		} else {
+			c.advance(time.Second)
+		}
+		got := <-sink
+		state, _ := got.Health()
+		_, busy, _, _ := got.Load()
+		if got.Target() != "target-1" || state != s.want || busy != s.busy || !errors.Is(got.Err(), s.wantErr) {
+			t.Errorf("%s: %s %s, busy %d, %v; want %s, %d, %v", s.name, got.Target(), state, busy, got.Err(), s.want, s.busy, s.wantErr)
+		}
+		if got.HealthAge(c.Now()) != s.healthAge || got.LoadAge(c.Now()) != s.loadAge {
+			t.Errorf("%s: ages %v, %v; want %v, %v", s.name, got.HealthAge(c.Now()), got.LoadAge(c.Now()), s.healthAge, s.loadAge)
+		}
+	}
+}
+
+// watchedClock tells when a timer has been set.
+type watchedClock struct {
+	*clock.Manual
+	set chan struct{}
+}
+
+func newWatchedClock() watchedClock {
+	return watchedClock{Manual: clock.NewManual(time.Unix(1000, 0)), set: make(chan struct{}, 64)}
+}
+
+func (c watchedClock) NewTimer(d time.Duration) clock.Timer {
+	defer func() { c.set <- struct{}{} }()
+	return c.Manual.NewTimer(d)
+}
+
+// advance moves the clock once the next timer has been set.
+func (c watchedClock) advance(d time.Duration) {
+	<-c.set
+	c.Advance(d)
+}
+
+// Guards against more probes at a time than the bound, and against one silent
+// target that keeps the others from being probed.
+func TestProbeIsBounded(t *testing.T) {
+	const parallel, silent = 3, 2
+	var running, peak atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		now := running.Add(1)
+		defer running.Add(-1)
+		for old := peak.Load(); now > old && !peak.CompareAndSwap(old, now); old = peak.Load() {
+		}
+		_, _ = io.WriteString(w, `{"state":"ready"}`)
+	}))
+	t.Cleanup(server.Close)
+	mute := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+	t.Cleanup(mute.Close)
+	var endpoints []Endpoint
+	for i := range 20 {
+		address := server.Listener.Addr().String()
+		if i < silent {
+			address = mute.Listener.Addr().String()
+		}
+		endpoints = append(endpoints, NewEndpoint(ident.Target(fmt.Sprintf("target-%d", i)), address))
+	}
+	sink := make(reports, len(endpoints))
+	p := startProbe(t, clock.NewManual(time.Unix(1000, 0)), sink, WithProbes(parallel))
+	p.SetEndpoints(endpoints)
+	seen := ident.NewSet[ident.Target]()
+	for range len(endpoints) - silent {
+		seen.Add((<-sink).Target())
+	}
+	if seen.Len() != len(endpoints)-silent {
+		t.Errorf("%d targets reported, want %d", seen.Len(), len(endpoints)-silent)
+	}
+	if got := peak.Load(); got > parallel {
+		t.Errorf("%d probes at a time, want at most %d", got, parallel)
+	}
+}
+
+// Guards against a report about a target under an address that it has left.
+func TestProbeDropsReplaced(t *testing.T) {
+	asked, release := make(chan struct{}, 1), make(chan struct{})
+	old := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case asked <- struct{}{}:
+		default:
+		}
+		<-release
+		_, _ = io.WriteString(w, `{"state":"broken"}`)
+	}))
+	t.Cleanup(old.Close)
+	r := &reporter{}
+	r.set(`{"state":"ready"}`, `{}`)
+	fresh := httptest.NewServer(r)
+	t.Cleanup(fresh.Close)
+	c := clock.NewManual(time.Unix(1000, 0))
+	sink := make(reports, 4)
+	p := startProbe(t, c, sink, WithProbes(1))
+	p.SetEndpoints([]Endpoint{NewEndpoint("target-1", old.Listener.Addr().String())})
+	<-asked
+	p.SetEndpoints([]Endpoint{NewEndpoint("target-1", fresh.Listener.Addr().String())})
+	close(release)
+	if got := <-sink; got.Address() != fresh.Listener.Addr().String() {
+		t.Errorf("first report from %s, want %s", got.Address(), fresh.Listener.Addr())
+	}
+}
