--- /dev/null
+++ b/cmds/check.go
@@ -0,0 +1,88 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"rhubarbrack/codec"
+	"rhubarbrack/conf"
+)
+
+// checkCommand checks files without applying them.
+type checkCommand struct {
+	console console
+}
+
+var _ subcommands.Command = (*checkCommand)(nil)
+
+// Name implements subcommands.Command.
+func (c *checkCommand) Name() string { return "check" }
+
+// Synopsis implements subcommands.Command.
+func (c *checkCommand) Synopsis() string { return "check settings or documents without applying them" }
+
+// Usage implements subcommands.Command.
+func (c *checkCommand) Usage() string { return "check FILE...\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *checkCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	status := subcommands.ExitSuccess
+	if f.NArg() == 0 {
+		_, _ = fmt.Fprintln(c.console.errs, "check: want a file")
+		return subcommands.ExitUsageError
+	}
+	for _, name := range f.Args() {
+		what, err := checkFile(name)
+		if err != nil {
+			_, _ = fmt.Fprintf(c.console.errs, "check: %s: %v\n", name, err)
+			status = exitRefused
+			continue
+		}
+		_, _ = fmt.Fprintf(c.console.out, "%s: valid (%s)\n", name, what)
+	}
+	return status
+}
+
+// checkFile tells settings from documents by their first field: settings have
+// a role, documents a kind.
+func checkFile(name string) (string, error) {
+	data, err := readFile(name)
+	if err != nil {
+		return "", err
+	}
+	if isSettings(string(data)) {
+		s, err := conf.Decode(data)
+		if err != nil {
+			return "", fmt.Errorf("settings: %w", err)
+		}
+		return "settings of the " + string(s.Role()) + " role", nil
+	}
+	documents, err := codec.DecodeDocuments(data)
+	if err != nil {
+		return "", fmt.Errorf("documents: %w", err)
+	}
+	var names []string
+	for _, d := range documents {
+		names = append(names, string(d.Document().Kind())+"/"+d.Document().Name())
+	}
+	return strings.Join(names, ", "), nil
+}
+
+func isSettings(text string) bool {
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, "role:") {
+			return true
+		}
+		if strings.HasPrefix(line, "kind:") {
+			return false
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmds/explain.go
@@ -0,0 +1,92 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+
+	"github.com/google/subcommands"
+
+	"rhubarbrack/oper"
+)
+
+// defaultExplain are the addresses of the entry hosts in a trial process.
+const defaultExplain = "http://127.0.0.1:7312,http://127.0.0.1:7322"
+
+// explainCommand shows the decisions on the way of one request.
+type explainCommand struct {
+	operator
+	entries string
+}
+
+var _ subcommands.Command = (*explainCommand)(nil)
+
+// Name implements subcommands.Command.
+func (c *explainCommand) Name() string { return "explain" }
+
+// Synopsis implements subcommands.Command.
+func (c *explainCommand) Synopsis() string { return "show the decisions on the way of one request" }
+
+// Usage implements subcommands.Command.
+func (c *explainCommand) Usage() string {
+	return "explain [flags] REQUEST-ID\n  The id is in the header Rhubarbrack-Request of the answer.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *explainCommand) SetFlags(f *flag.FlagSet) {
+	c.setFlags(f)
+	f.StringVar(&c.entries, "entries", environment("RHUBARBRACK_ENTRIES", defaultExplain),
+		"base URLs of the entry hosts' API, separated by commas (RHUBARBRACK_ENTRIES)")
+}
+
+// Execute implements subcommands.Command.
+func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := need(f.Args(), "REQUEST-ID"); err != nil {
+		return c.fail("explain", err)
+	}
+	return c.do(ctx, "explain", func(ctx context.Context, _ *oper.Client) error {
+		record, err := c.find(ctx, f.Arg(0))
+		if err != nil {
+			return err
+		}
+		if c.json {
+			return c.printJSON(record)
+		}
+		c.show(record)
+		return nil
+	})
+}
+
+// find asks one entry host after the other.
+func (c *explainCommand) find(ctx context.Context, id string) (oper.ExplainRecord, error) {
+	var last error
+	for _, base := range splitList(c.entries) {
+		client, err := c.client(base)
+		if err != nil {
+			return oper.ExplainRecord{}, err
+		}
+		one, cancel := context.WithTimeout(ctx, waitStep)
+		record, err := client.Explain(one, id)
+		cancel()
+		if err == nil {
+			return record, nil
+		}
+		last = err
+	}
+	return oper.ExplainRecord{}, fmt.Errorf("no entry host explains %s: %w", id, last)
+}
+
+func (c *explainCommand) show(r oper.ExplainRecord) {
+	c.printf("%s %s, service %s, team %s, class %s\n", r.Method, r.Path, orNone(r.Service), orNone(r.Team), orNone(r.Class))
+	c.printf("outcome %s", r.Outcome)
+	if r.Reason != "" {
+		c.printf(", reason %s", r.Reason)
+	}
+	if r.Detail != "" {
+		c.printf(" (%s)", r.Detail)
+	}
+	c.printf(", %.3f ms, began %s\n", r.LatencyMS, r.Began.Format("2006-01-02 15:04:05.000 MST"))
+	for _, s := range r.Steps {
+		c.printf("  %9.3f ms  %-10s %s\n", s.AfterMS, s.Step, s.Detail)
+	}
+}
--- /dev/null
+++ b/cmds/key.go
@@ -0,0 +1,118 @@
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/oper"
+	"rhubarbrack/route"
+)
+
+// keyCommand issues, withdraws and lists keys.
+type keyCommand struct {
+	operator
+	id string
+}
+
+var _ subcommands.Command = (*keyCommand)(nil)
+
+// Name implements subcommands.Command.
+func (c *keyCommand) Name() string { return "key" }
+
+// Synopsis implements subcommands.Command.
+func (c *keyCommand) Synopsis() string { return "issue, withdraw and list the keys of teams" }
+
+// Usage implements subcommands.Command.
+func (c *keyCommand) Usage() string {
+	return `key [flags] issue TEAM
+key [flags] withdraw ID
+key [flags] list
+  issue prints the key once. Only its digest leaves this machine.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *keyCommand) SetFlags(f *flag.FlagSet) {
+	c.setChangeFlags(f)
+	f.StringVar(&c.id, "id", "", "public id of the key to issue; the default is the team and a random part")
+}
+
+// Execute implements subcommands.Command.
+func (c *keyCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.do(ctx, "key", func(ctx context.Context, client *oper.Client) error {
+		action, args, err := verb(f, "issue", "withdraw", "list")
+		if err != nil {
+			return err
+		}
+		if action == "list" {
+			return c.list(ctx, client)
+		}
+		if action == "issue" {
+			if err := need(args, "TEAM"); err != nil {
+				return err
+			}
+			return c.issue(ctx, client, args[0])
+		}
+		if err := need(args, "ID"); err != nil {
+			return err
+		}
+		return c.withdraw(ctx, client, args[0])
+	})
+}
+
+// idLength is the number of random characters in a generated key id.
+const idLength = 6
+
+func (c *keyCommand) issue(ctx context.Context, client *oper.Client, team string) error {
+	id := c.id
+	if id == "" {
+		id = team + "-" + strings.ToLower(rand.Text()[:idLength])
+	}
+	text := route.KeyText(ident.KeyID(id), rand.Text())
+	hash := route.KeyHash(text)
+	out, err := client.IssueKey(ctx, c.requestID(), oper.KeyRecord{ID: id, Team: team, SHA256: hex.EncodeToString(hash[:])})
+	if err != nil {
+		return fmt.Errorf("key %s: %w", id, explainRefusal(err, out))
+	}
+	if !c.json {
+		c.printf("key %s of team %s, shown this once:\n%s\n", id, team, text)
+		return c.finish(ctx, client, "key "+id, out)
+	}
+	if err := c.printJSON(map[string]string{"id": id, "team": team, "key": text}); err != nil {
+		return err
+	}
+	return c.finish(ctx, client, "key "+id, out)
+}
+
+func (c *keyCommand) withdraw(ctx context.Context, client *oper.Client, id string) error {
+	out, err := client.WithdrawKey(ctx, c.requestID(), id)
+	if err != nil {
+		return fmt.Errorf("key %s: %w", id, explainRefusal(err, out))
+	}
+	return c.finish(ctx, client, "key "+id, out)
+}
+
+func (c *keyCommand) list(ctx context.Context, client *oper.Client) error {
+	keys, err := client.Keys(ctx)
+	if err != nil {
+		return fmt.Errorf("list keys: %w", err)
+	}
+	if c.json {
+		return c.printJSON(keys)
+	}
+	for _, k := range keys {
+		state := "valid"
+		if k.Withdrawn != nil {
+			state = "withdrawn " + k.Withdrawn.Format("2006-01-02 15:04:05 MST")
+		}
+		c.printf("%-24s team %-16s %s\n", k.ID, k.Team, state)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmds/profile.go
@@ -0,0 +1,248 @@
+package cmds
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+
+	"rhubarbrack/codec"
+	"rhubarbrack/oper"
+	"rhubarbrack/prof"
+)
+
+// profileCommand edits documents: profiles and, by their kind, the fleet, the
+// teams and the services.
+type profileCommand struct {
+	operator
+	expected int64
+}
+
+var _ subcommands.Command = (*profileCommand)(nil)
+
+// Name implements subcommands.Command.
+func (c *profileCommand) Name() string { return "profile" }
+
+// Synopsis implements subcommands.Command.
+func (c *profileCommand) Synopsis() string {
+	return "put, get, list, delete documents and show their history"
+}
+
+// Usage implements subcommands.Command.
+func (c *profileCommand) Usage() string {
+	return `profile [flags] put FILE...
+profile [flags] get|history|delete [KIND/]NAME
+profile [flags] list [KIND]
+  The kind of a document is fleet, profile, team or service; without one, a
+  name means a profile. A file may hold several documents between lines of
+  "---". put replaces the version given by -expected, or else the current one
+  as it was read just before.
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *profileCommand) SetFlags(f *flag.FlagSet) {
+	c.setChangeFlags(f)
+	f.Int64Var(&c.expected, "expected", -1, "revision that the change replaces, 0 for none")
+}
+
+// Execute implements subcommands.Command.
+func (c *profileCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return c.do(ctx, "profile", func(ctx context.Context, client *oper.Client) error {
+		action, args, err := verb(f, "put", "get", "list", "history", "delete")
+		if err != nil {
+			return err
+		}
+		switch action {
+		case "put":
+			return c.put(ctx, client, args)
+		case "list":
+			return c.list(ctx, client, args)
+		}
+		if err := need(args, "[KIND/]NAME"); err != nil {
+			return err
+		}
+		kind, name := documentName(args[0])
+		switch action {
+		case "get":
+			return c.get(ctx, client, kind, name)
+		case "history":
+			return c.history(ctx, client, kind, name)
+		}
+		return c.remove(ctx, client, kind, name)
+	})
+}
+
+func documentName(text string) (kind, name string) {
+	if kind, name, ok := strings.Cut(text, "/"); ok {
+		return kind, name
+	}
+	return string(prof.KindProfile), text
+}
+
+// put puts every document of the files. All of them are checked before the
+// first one is sent.
+func (c *profileCommand) put(ctx context.Context, client *oper.Client, files []string) error {
+	documents, err := readDocuments(files)
+	if err != nil {
+		return err
+	}
+	request := c.requestID()
+	for i, d := range documents {
+		what := string(d.Document().Kind()) + "/" + d.Document().Name()
+		id := request
+		if len(documents) > 1 {
+			id = fmt.Sprintf("%s-%d", request, i+1)
+		}
+		expected, err := c.expectedRevision(ctx, client, d.Document())
+		if err != nil {
+			return err
+		}
+		out, err := client.PutDocument(ctx, id, []byte(d.Source()), expected)
+		if errors.Is(err, oper.ErrConflict) {
+			c.showConflict(what, d.Source(), out)
+		}
+		if err != nil {
+			return fmt.Errorf("%s: %w", what, explainRefusal(err, out))
+		}
+		if err := c.finish(ctx, client, what, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func explainRefusal(err error, out oper.OutcomeRecord) error {
+	if out.Reason != "" {
+		return fmt.Errorf("%w: %s: %s", err, out.Reason, out.Detail)
+	}
+	return err
+}
+
+// showConflict prints the current revision and how its text differs.
+func (c *profileCommand) showConflict(what, source string, out oper.OutcomeRecord) {
+	_, _ = fmt.Fprintf(c.console.errs, "%s: the current revision is %d. To replace it, use -expected %d. Differences (- current, + yours):\n%s",
+		what, out.Current, out.Current, difference(out.Source, source))
+}
+
+func (c *profileCommand) expectedRevision(ctx context.Context, client *oper.Client, d prof.Document) (uint64, error) {
+	if c.expected >= 0 {
+		return uint64(c.expected), nil
+	}
+	known, err := client.Documents(ctx, string(d.Kind()))
+	if err != nil {
+		return 0, fmt.Errorf("read current revision: %w", err)
+	}
+	for _, k := range known {
+		if k.Name == d.Name() {
+			return k.Revision, nil
+		}
+	}
+	return 0, nil
+}
+
+func readDocuments(files []string) ([]codec.Sample, error) {
+	if len(files) == 0 {
+		return nil, fmt.Errorf("%w: want a file", errUsage)
+	}
+	var out []codec.Sample
+	for _, name := range files {
+		data, err := readFile(name)
+		if err != nil {
+			return nil, err
+		}
+		documents, err := codec.DecodeDocuments(data)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", name, err)
+		}
+		out = append(out, documents...)
+	}
+	return out, nil
+}
+
+// readFile reads a file, or standard input for "-".
+func readFile(name string) ([]byte, error) {
+	var data []byte
+	var err error
+	if name == "-" {
+		data, err = io.ReadAll(io.LimitReader(os.Stdin, codec.MaxDocument+1))
+	} else {
+		data, err = os.ReadFile(name)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("read documents: %w", err)
+	}
+	return data, nil
+}
+
+func (c *profileCommand) get(ctx context.Context, client *oper.Client, kind, name string) error {
+	d, err := client.Document(ctx, kind, name)
+	if err != nil {
+		return fmt.Errorf("%s/%s: %w", kind, name, err)
+	}
+	if c.json {
+		return c.printJSON(d)
+	}
+	c.printf("# revision %d\n%s", d.Revision, d.Source)
+	return nil
+}
+
+func (c *profileCommand) list(ctx context.Context, client *oper.Client, args []string) error {
+	kind := ""
+	if len(args) > 0 {
+		kind = args[0]
+	}
+	documents, err := client.Documents(ctx, kind)
+	if err != nil {
+		return fmt.Errorf("list documents: %w", err)
+	}
+	if c.json {
+		return c.printJSON(documents)
+	}
+	for _, d := range documents {
+		c.printf("%-32s revision %d\n", d.Kind+"/"+d.Name, d.Revision)
+	}
+	return nil
+}
+
+func (c *profileCommand) history(ctx context.Context, client *oper.Client, kind, name string) error {
+	versions, err := client.History(ctx, kind, name)
+	if err != nil {
+		return fmt.Errorf("history of %s/%s: %w", kind, name, err)
+	}
+	if c.json {
+		return c.printJSON(versions)
+	}
+	former := ""
+	for _, v := range versions {
+		action := "put"
+		if v.Deleted {
+			action = "deleted"
+		}
+		c.printf("revision %d, %s, %s by request %s\n%s", v.Revision, v.At.Format("2006-01-02 15:04:05 MST"), action, v.Request,
+			difference(former, v.Source))
+		former = v.Source
+	}
+	return nil
+}
+
+func (c *profileCommand) remove(ctx context.Context, client *oper.Client, kind, name string) error {
+	expected := uint64(max(c.expected, 0))
+	if c.expected < 0 {
+		d, err := client.Document(ctx, kind, name)
+		if err != nil {
+			return fmt.Errorf("%s/%s: %w", kind, name, err)
+		}
+		expected = d.Revision
+	}
+	out, err := client.DeleteDocument(ctx, c.requestID(), kind, name, expected)
+	if err != nil {
+		return fmt.Errorf("%s/%s: %w", kind, name, explainRefusal(err, out))
+	}
+	return c.finish(ctx, client, kind+"/"+name, out)
+}
--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -153,7 +153,7 @@
 			return state.Outcome{}, fmt.Errorf("propose %s: %s", command.Kind(), reply.Error)
 		}
 		unknown = unknown || errors.Is(err, wire.ErrLost) || reply.Verdict == VerdictUnknown
-		if wait(ctx, c.clock, retryPause) != nil {
+		if pause(ctx, c.clock) != nil {
 			return state.Outcome{}, proposeError(ctx, command, unknown)
 		}
 	}
@@ -194,12 +194,94 @@
 		if served {
 			continue
 		}
-		if err := wait(ctx, c.clock, retryPause); err != nil {
+		if err := pause(ctx, c.clock); err != nil {
 			return fmt.Errorf("wait until revision %d is in force: %w", revision, err)
 		}
 	}
 }
 
+// State is the replicated state as of a revision that a majority confirmed
+// after it was asked for.
+type State struct {
+	config *state.Config
+	record ReadReply
+}
+
+// Config returns the configuration.
+func (s State) Config() *state.Config { return s.config }
+
+// InForce returns the revision that every entry host with a lease has applied.
+func (s State) InForce() ident.Revision { return s.record.InForce }
+
+// Applied returns the revision that an entry host has applied.
+func (s State) Applied(h ident.Host) ident.Revision { return s.record.Applied[h] }
+
+// Events returns the latest changes that the leader made, oldest first.
+func (s State) Events() []EventRecord { return s.record.Events }
+
+// Term returns the term of the leader.
+func (s State) Term() uint64 { return s.record.Term }
+
+// Controls returns the control hosts.
+func (s State) Controls() []ControlRecord { return s.record.Controls }
+
+// History returns the versions of the document that was asked for.
+func (s State) History() []VersionRecord { return s.record.History }
+
+// Read returns the state from the leader, with the history of a document when
+// its kind is not empty. It tries again until ctx ends.
+func (c *Client) Read(ctx context.Context, kind, name string) (State, error) {
+	for {
+		to, err := c.candidate(ctx)
+		if err != nil {
+			return State{}, err
+		}
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		var reply ReadReply
+		err = to.client.Call(callCtx, pollService+".Read", &ReadArgs{Kind: kind, Name: name}, &reply)
+		cancel()
+		served := err == nil && reply.Verdict == VerdictServed
+		c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader})
+		if served {
+			config, err := codec.DecodeConfig(reply.Config)
+			if err != nil {
+				return State{}, fmt.Errorf("decode configuration: %w", err)
+			}
+			return State{config: config, record: reply}, nil
+		}
+		if err := pause(ctx, c.clock); err != nil {
+			return State{}, fmt.Errorf("read state: no control host leads: %w", err)
+		}
+	}
+}
+
+// ChangeMember adds a control host at an address, or removes it when the
+// address is empty. It tries again until the change is made or ctx ends.
+func (c *Client) ChangeMember(ctx context.Context, host ident.Host, address string) error {
+	reason := "no control host leads"
+	for {
+		to, err := c.candidate(ctx)
+		if err != nil {
+			return err
+		}
+		args := MemberArgs{Host: host, Address: address, Remove: address == "", Timeout: callTimeout}
+		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+		var reply MemberReply
+		err = to.client.Call(callCtx, pollService+".Member", &args, &reply)
+		cancel()
+		c.ref.Tell(called{number: to.number, served: err == nil && reply.Verdict != VerdictNotLeader, leader: reply.Leader})
+		if err == nil && reply.Verdict == VerdictServed {
+			return nil
+		}
+		if reply.Error != "" {
+			reason = reply.Error
+		}
+		if err := pause(ctx, c.clock); err != nil {
+			return fmt.Errorf("change control host %s: %s: %w", host, reason, err)
+		}
+	}
+}
+
 func (c *Client) proposeOnce(ctx context.Context, data []byte) (ProposeReply, error) {
 	to, err := c.candidate(ctx)
 	if err != nil {
@@ -218,9 +300,10 @@
 	return reply, nil
 }
 
-// wait returns after d, or the error of ctx when that ends first.
-func wait(ctx context.Context, c clock.Clock, d time.Duration) error {
-	t := c.NewTimer(d)
+// pause returns after the retry pause, or the error of ctx when that ends
+// first.
+func pause(ctx context.Context, c clock.Clock) error {
+	t := c.NewTimer(retryPause)
 	defer t.Stop()
 	select {
 	case <-t.C():
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -6,6 +6,7 @@
 
 	"rhubarbrack/codec"
 	"rhubarbrack/ident"
+	"rhubarbrack/prof"
 	"rhubarbrack/state"
 	"rhubarbrack/tasks"
 )
@@ -29,7 +30,9 @@
 
 // StartFeed starts the task. The sinks hear of each change.
 func StartFeed(ctx context.Context, system *tasks.System, sinks ...ConfigSink) (*Feed, error) {
-	ref, err := tasks.Spawn(ctx, system, "ctrl-feed", &feed{config: state.NewConfig(), sinks: sinks})
+	ref, err := tasks.Spawn(ctx, system, "ctrl-feed", &feed{
+		config: state.NewConfig(), sinks: sinks, history: make(map[documentKey][]state.Version),
+	})
 	if err != nil {
 		return nil, fmt.Errorf("start feed: %w", err)
 	}
@@ -68,6 +71,29 @@
 	return changes, nil
 }
 
+// history returns the versions of a document, oldest first.
+func (f *Feed) history(ctx context.Context, kind prof.Kind, name string) []VersionRecord {
+	versions, err := tasks.Ask(ctx, f.ref, func(r tasks.Reply[[]state.Version]) any {
+		return historyOf{key: documentKey{kind: kind, name: name}, reply: r}
+	})
+	if err != nil {
+		return nil
+	}
+	out := make([]VersionRecord, 0, len(versions))
+	for _, v := range versions {
+		out = append(out, VersionRecord{
+			Revision: v.Revision(), At: v.At(), Source: v.Source(), Deleted: v.Deleted(), Request: v.Request(),
+		})
+	}
+	return out
+}
+
+// documentKey names a document.
+type documentKey struct {
+	kind prof.Kind
+	name string
+}
+
 // Changes is what an entry host needs to reach a revision.
 type Changes struct {
 	revision ident.Revision
@@ -91,9 +117,17 @@
 		revision ident.Revision
 		command  []byte
 		config   *state.Config
+		history  []state.History
 	}
 	// restored replaces the configuration by that of a snapshot.
-	restored struct{ config *state.Config }
+	restored struct {
+		config  *state.Config
+		history []state.History
+	}
+	historyOf struct {
+		key   documentKey
+		reply tasks.Reply[[]state.Version]
+	}
 	configOf struct {
 		reply tasks.Reply[*state.Config]
 	}
@@ -116,6 +150,7 @@
 	base    ident.Revision
 	waiting []waitFor
 	sinks   []ConfigSink
+	history map[documentKey][]state.Version
 }
 
 var _ tasks.Task = (*feed)(nil)
@@ -129,9 +164,14 @@
 			f.base = f.deltas[over-1].Revision
 			f.deltas = append([]Delta(nil), f.deltas[over:]...)
 		}
+		f.keep(m.history)
 		f.publish(m.config)
+	case historyOf:
+		m.reply.Send(f.history[m.key])
 	case restored:
 		f.deltas, f.base = nil, m.config.Revision()
+		f.history = make(map[documentKey][]state.Version)
+		f.keep(m.history)
 		f.publish(m.config)
 	case configOf:
 		m.reply.Send(f.config)
@@ -146,6 +186,12 @@
 	}
 }
 
+func (f *feed) keep(histories []state.History) {
+	for _, h := range histories {
+		f.history[documentKey{kind: h.Kind(), name: h.Name()}] = h.Versions()
+	}
+}
+
 func (f *feed) publish(config *state.Config) {
 	f.config = config
 	kept := f.waiting[:0]
@@ -203,11 +249,27 @@
 	}
 	outcome := e.machine.Apply(revision, command)
 	if command.Shared() && outcome.Changed() && !outcome.Resent() {
-		e.feed.ref.Tell(changed{revision: revision, command: data, config: e.machine.Config()})
+		e.feed.ref.Tell(changed{
+			revision: revision, command: data, config: e.machine.Config(), history: e.historyOf(command),
+		})
 	}
 	return outcome
 }
 
+// historyOf returns the history of the document that a command changed.
+func (e *Engine) historyOf(command state.Command) []state.History {
+	var key documentKey
+	switch c := command.(type) {
+	case state.PutDocument:
+		key = documentKey{kind: c.Document().Kind(), name: c.Document().Name()}
+	case state.DeleteDocument:
+		key = documentKey{kind: c.DocumentKind(), name: c.DocumentName()}
+	default:
+		return nil
+	}
+	return []state.History{state.NewHistory(key.kind, key.name, e.machine.History(key.kind, key.name))}
+}
+
 // Snapshot implements Machine.
 func (e *Engine) Snapshot() ([]byte, error) {
 	data, err := codec.EncodeMachine(e.machine)
@@ -224,6 +286,6 @@
 		return fmt.Errorf("decode state at revision %d: %w", revision, err)
 	}
 	e.machine = machine
-	e.feed.ref.Tell(restored{config: machine.Config()})
+	e.feed.ref.Tell(restored{config: machine.Config(), history: machine.Histories()})
 	return nil
 }
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -197,7 +197,7 @@
 		sent := f.clock.Now()
 		reply, err := f.client.poll(f.ctx, args)
 		if err != nil {
-			_ = wait(f.ctx, f.clock, retryPause)
+			_ = pause(f.ctx, f.clock)
 		}
 		f.ref.Tell(polled{sent: sent, reply: reply, err: err})
 	}()
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -11,6 +11,7 @@
 	"rhubarbrack/agree"
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
+	"rhubarbrack/plan"
 	"rhubarbrack/platf"
 	"rhubarbrack/state"
 	"rhubarbrack/tasks"
@@ -26,61 +27,11 @@
 	maxEvents = 256
 )
 
-// Situation is what a planner decides on.
-type Situation struct {
-	config  *state.Config
-	inForce ident.Revision
-	demand  map[ident.Service]map[ident.Region]float64
-	targets platf.List
-	expired []state.Member
-}
-
-// NewSituation returns a situation: the configuration, the revision that every
-// entry host with a lease has applied, the requests per second by service and
-// origin region, the platform's list, and the members whose lease has ended.
-func NewSituation(config *state.Config, inForce ident.Revision, demand map[ident.Service]map[ident.Region]float64,
-	targets platf.List, expired []state.Member,
-) Situation {
-	return Situation{config: config, inForce: inForce, demand: demand, targets: targets, expired: expired}
-}
-
-// Config returns the configuration.
-func (s Situation) Config() *state.Config { return s.config }
-
-// InForce returns the revision that every entry host with a lease has applied.
-func (s Situation) InForce() ident.Revision { return s.inForce }
-
-// Demand returns the requests per second by service and origin region.
-func (s Situation) Demand() map[ident.Service]map[ident.Region]float64 { return s.demand }
-
-// Targets returns the platform's list.
-func (s Situation) Targets() platf.List { return s.targets }
-
-// Expired returns the members whose lease has certainly ended.
-func (s Situation) Expired() []state.Member { return s.expired }
-
-// Change is a command that a planner wants committed, and why.
-type Change struct {
-	command state.Command
-	reason  string
-}
-
-// NewChange returns a change with its reason in kebab case.
-func NewChange(command state.Command, reason string) Change {
-	return Change{command: command, reason: reason}
-}
-
-// Command returns the command.
-func (c Change) Command() state.Command { return c.command }
-
-// Reason returns why the command is needed.
-func (c Change) Reason() string { return c.reason }
-
 // Planner decides what the leader changes by itself: sessions that expired,
 // roles and shares.
 type Planner interface {
 	// Plan returns the changes that are needed now.
-	Plan(now time.Time, situation Situation) []Change
+	Plan(now time.Time, situation plan.Situation) []plan.Change
 }
 
 // Event is a repair or a step of a plan that the leader made.
@@ -218,6 +169,14 @@
 // Applied returns the revision that the process of a member has applied.
 func (s LeaderStatus) Applied(h ident.Host) ident.Revision { return s.sessions.known[h].revision }
 
+func (s LeaderStatus) applied() map[ident.Host]ident.Revision {
+	out := make(map[ident.Host]ident.Revision, len(s.sessions.known))
+	for h, e := range s.sessions.known {
+		out[h] = e.revision
+	}
+	return out
+}
+
 // Events returns the latest changes that the leader made, oldest first.
 func (s LeaderStatus) Events() []Event { return s.events }
 
@@ -327,7 +286,7 @@
 
 // membership returns the change that a poll implies: a process joins with its
 // first poll and leaves with the first that says so.
-func (l *leader) membership(args PollArgs) []Change {
+func (l *leader) membership(args PollArgs) []plan.Change {
 	member := state.NewMember(args.Host, args.Incarnation, args.Zone, args.Region, args.Caller, args.Peer)
 	known, ok := l.config.Member(args.Host)
 	switch {
@@ -335,9 +294,9 @@
 		if args.Leaving {
 			return nil
 		}
-		return []Change{NewChange(state.NewJoin(member), "first-poll")}
+		return []plan.Change{plan.NewChange(state.NewJoin(member), "first-poll")}
 	case known.Incarnation() == args.Incarnation && args.Leaving && known.Live():
-		return []Change{NewChange(state.NewLeave(args.Host, args.Incarnation), "planned-stop")}
+		return []plan.Change{plan.NewChange(state.NewLeave(args.Host, args.Incarnation), "planned-stop")}
 	}
 	return nil
 }
@@ -383,20 +342,25 @@
 
 // act commits the given changes and those that the planner wants, one batch
 // at a time.
-func (l *leader) act(first ...Change) {
+func (l *leader) act(first ...plan.Change) {
 	if !l.leads || l.busy || l.proposer == nil {
 		return
 	}
 	now := l.clock.Now()
 	members := l.config.Members()
-	situation := NewSituation(l.config, l.sessions.inForce(members, l.config.Revision()),
-		l.sessions.demand(members), l.targets, l.sessions.expired(members, now))
+	list := []plan.SituationOption{
+		plan.WithDemand(l.sessions.demand(members)), plan.WithExpired(l.sessions.expired(members, now)),
+	}
+	if l.targets.Received() {
+		list = append(list, plan.WithTargets(planTargets(l.targets)))
+	}
+	situation := plan.NewSituation(l.config, l.sessions.inForce(members, l.config.Revision()), list...)
 	changes := append(first, l.planner.Plan(now, situation)...)
 	if len(changes) == 0 {
 		return
 	}
 	for _, c := range changes {
-		if e, ok := c.command.(state.Expire); ok {
+		if e, ok := c.Command().(state.Expire); ok {
 			l.expiring[e.Host()] = e.Incarnation()
 		}
 	}
@@ -409,12 +373,21 @@
 	}()
 }
 
+// planTargets converts the platform's list.
+func planTargets(list platf.List) []plan.Target {
+	out := make([]plan.Target, 0, len(list.Targets()))
+	for _, t := range list.Targets() {
+		out = append(out, plan.NewTarget(t.ID(), t.Service(), t.Zone(), t.Region(), t.Slots(), t.State() == platf.Live))
+	}
+	return out
+}
+
 // commit runs in its own goroutine.
-func (l *leader) commit(ctx context.Context, proposer *Proposer, changes []Change) []Event {
+func (l *leader) commit(ctx context.Context, proposer *Proposer, changes []plan.Change) []Event {
 	var events []Event
 	for _, c := range changes {
-		event := Event{kind: c.command.Kind(), detail: detailOf(c.command), reason: c.reason}
-		outcome, err := proposer.Propose(ctx, c.command)
+		event := Event{kind: c.Command().Kind(), detail: detailOf(c.Command()), reason: c.Reason()}
+		outcome, err := proposer.Propose(ctx, c.Command())
 		if err == nil {
 			err = outcome.Err()
 		}
--- a/ctrl/record.go
+++ b/ctrl/record.go
@@ -142,3 +142,19 @@
 	Term     uint64
 	Controls []ControlRecord
 }
+
+// MemberArgs are the arguments of Follow.Member: a control host to add at an
+// address, or to remove.
+type MemberArgs struct {
+	Host    ident.Host
+	Address string
+	Remove  bool
+	Timeout time.Duration
+}
+
+// MemberReply is the answer of Follow.Member.
+type MemberReply struct {
+	Verdict Verdict
+	Leader  ident.Host
+	Error   string
+}
--- a/ctrl/service.go
+++ b/ctrl/service.go
@@ -11,6 +11,7 @@
 	"rhubarbrack/clock"
 	"rhubarbrack/codec"
 	"rhubarbrack/ident"
+	"rhubarbrack/prof"
 	"rhubarbrack/state"
 )
 
@@ -31,6 +32,12 @@
 	// Barrier returns a revision that holds every change acknowledged before
 	// the call.
 	Barrier(ctx context.Context) (ident.Revision, error)
+	// Status returns what the replica knows about the cluster.
+	Status(ctx context.Context) (Status, error)
+	// AddMember adds a control host, first as a learner.
+	AddMember(ctx context.Context, host ident.Host, address string) error
+	// RemoveMember removes a control host.
+	RemoveMember(ctx context.Context, host ident.Host) error
 }
 
 var _ Log = (*Replica)(nil)
@@ -158,6 +165,89 @@
 	return nil
 }
 
+// Read is an RPC method. It returns the state as of a revision that a majority
+// confirmed after the call.
+func (s *Service) Read(args *ReadArgs, reply *ReadReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, barrierTimeout)
+	defer cancel()
+	if _, err := s.log.Barrier(ctx); err != nil {
+		reply.Verdict, reply.Leader = VerdictNotLeader, leaderOf(err)
+		return nil
+	}
+	status, err := s.leader.Status(ctx)
+	if err != nil || !status.Leads() {
+		reply.Verdict = VerdictNotLeader
+		return nil
+	}
+	config, err := s.feed.Config(ctx)
+	if err != nil {
+		reply.Verdict = VerdictNotLeader
+		return nil
+	}
+	data, err := codec.EncodeConfig(config)
+	if err != nil {
+		return fmt.Errorf("encode configuration: %w", err)
+	}
+	reply.Verdict, reply.Config = VerdictServed, data
+	reply.InForce, reply.Applied, reply.Events = status.InForce(), status.applied(), eventRecords(status.Events())
+	reply.History = s.feed.history(ctx, prof.Kind(args.Kind), args.Name)
+	s.controls(ctx, reply)
+	return nil
+}
+
+// Member is an RPC method. It adds or removes a control host. A call that is
+// repeated goes on where an earlier one stopped.
+func (s *Service) Member(args *MemberArgs, reply *MemberReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, min(max(args.Timeout, 0), maxProposeTimeout))
+	defer cancel()
+	err := s.changeMember(ctx, args)
+	switch {
+	case err == nil:
+		reply.Verdict = VerdictServed
+	case errors.Is(err, ErrNotLeader):
+		reply.Verdict, reply.Leader = VerdictNotLeader, leaderOf(err)
+	default:
+		reply.Verdict, reply.Error = VerdictUnknown, err.Error()
+	}
+	return nil
+}
+
+func (s *Service) changeMember(ctx context.Context, args *MemberArgs) error {
+	if args.Remove {
+		if err := s.log.RemoveMember(ctx, args.Host); err != nil {
+			return fmt.Errorf("remove control host %s: %w", args.Host, err)
+		}
+		return nil
+	}
+	if err := s.log.AddMember(ctx, args.Host, args.Address); err != nil {
+		return fmt.Errorf("add control host %s: %w", args.Host, err)
+	}
+	return nil
+}
+
+// controls adds what the replica knows of the control hosts.
+func (s *Service) controls(ctx context.Context, reply *ReadReply) {
+	status, err := s.log.Status(ctx)
+	if err != nil {
+		return
+	}
+	reply.Term = uint64(status.Term())
+	for _, m := range status.Members() {
+		reply.Controls = append(reply.Controls, ControlRecord{
+			Host: m.Member().Host(), Address: m.Member().Address(), Voter: m.Member().IsVoter(),
+			Match: m.Match(), Contact: m.Heard(), IsLeader: m.Member().Host() == status.Leader(),
+		})
+	}
+}
+
+func eventRecords(events []Event) []EventRecord {
+	out := make([]EventRecord, 0, len(events))
+	for _, e := range events {
+		out = append(out, EventRecord{At: e.at, Kind: e.kind, Detail: e.detail, Reason: e.reason, Error: e.err})
+	}
+	return out
+}
+
 // verdictOf maps the error of a proposal. Everything that is not certainly
 // without effect is unknown.
 func verdictOf(err error) Verdict {
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/rpc"
+	"time"
+
+	"rhubarbrack/caller"
+	"rhubarbrack/conf"
+	"rhubarbrack/ctrl"
+	"rhubarbrack/oper"
+	"rhubarbrack/plan"
+	"rhubarbrack/platf"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+// transferTimeout bounds the hand-over of the leadership at a planned stop.
+const transferTimeout = 3 * time.Second
+
+// RunControl runs a control host until ctx ends or its disk fails. A planned
+// stop hands the leadership over first.
+func RunControl(ctx context.Context, s *conf.Settings, list ...Option) error {
+	o := newOptions(list)
+	secure, err := loadSecurity(s, o)
+	if err != nil {
+		return err
+	}
+	peers, err := listen(ctx, s, conf.Peers, nil)
+	if err != nil {
+		return err
+	}
+	operators, err := listen(ctx, s, conf.Operators, secure.operators)
+	if err != nil {
+		_ = peers.Close()
+		return err
+	}
+	// The parts outlive ctx, so that the leadership can be handed over.
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	system := tasks.NewSystem(o.log)
+	defer system.Shutdown()
+	c := &control{settings: s, options: o, secure: secure, system: system}
+	if err := c.start(inner, peers, operators); err != nil {
+		return err
+	}
+	o.ready()
+	return c.wait(ctx, stop)
+}
+
+// control holds the parts of a control host.
+type control struct {
+	settings *conf.Settings
+	options  options
+	secure   security
+	system   *tasks.System
+	replica  *ctrl.Replica
+	feed     *ctrl.Feed
+	leader   *ctrl.Leader
+	served   <-chan struct{}
+	api      *caller.Server
+}
+
+func (c *control) start(ctx context.Context, peers, operators net.Listener) error {
+	s, o := c.settings, c.options
+	var err error
+	c.leader, err = ctrl.StartLeader(ctx, c.system, plan.New(), o.clock, o.log)
+	if err != nil {
+		return fmt.Errorf("start control host: %w", err)
+	}
+	c.feed, err = ctrl.StartFeed(ctx, c.system, c.leader)
+	if err != nil {
+		return fmt.Errorf("start control host: %w", err)
+	}
+	server := rpc.NewServer()
+	c.replica, err = ctrl.StartReplica(ctx, c.system, server, s.Host(), s.DataDirectory(), ctrl.NewEngine(c.feed),
+		ctrl.WithClock(o.clock), ctrl.WithLogger(o.log), ctrl.WithObserver(c.leader),
+		ctrl.WithFormation(controlPeers(s)...), ctrl.WithWire(wire.WithTLS(c.secure.peerDial)))
+	if err != nil {
+		return fmt.Errorf("start control host: %w", err)
+	}
+	c.leader.Use(c.replica)
+	if err := ctrl.Register(ctx, server, c.replica, c.feed, c.leader, o.clock); err != nil {
+		return fmt.Errorf("start control host: %w", err)
+	}
+	c.served = wire.Serve(ctx, peers, server, wire.WithTLS(c.secure.peerServer))
+	if url := s.PlatformList(); url != "" {
+		_, err = platf.StartLister(ctx, c.system, url, c.leader, platf.WithClock(o.clock), platf.WithLog(o.log))
+		if err != nil {
+			return fmt.Errorf("start control host: %w", err)
+		}
+	}
+	return c.startAPI(ctx, operators)
+}
+
+func (c *control) startAPI(ctx context.Context, listener net.Listener) error {
+	if listener == nil {
+		return nil
+	}
+	client, err := ctrl.StartClient(ctx, c.system, c.options.clock, controlPeers(c.settings), wire.WithTLS(c.secure.peerDial))
+	if err != nil {
+		return fmt.Errorf("start API: %w", err)
+	}
+	c.api = caller.Serve(listener, oper.NewHandler(client, operatorTokens(c.settings)), limitsOf(c.settings), c.options.log)
+	return nil
+}
+
+// wait returns when ctx has ended and the host has stopped, or when the
+// replica has failed.
+func (c *control) wait(ctx context.Context, stop func()) error {
+	select {
+	case <-ctx.Done():
+	case <-c.replica.Done():
+		stop()
+		return fmt.Errorf("control replica ended: %w", c.replica.Err())
+	case <-c.leader.Done():
+		stop()
+		return fmt.Errorf("leader task: %w", ErrEnded)
+	case <-c.feed.Done():
+		stop()
+		return fmt.Errorf("feed task: %w", ErrEnded)
+	}
+	c.options.log.Info("node: control host stops", "host", c.settings.Host())
+	c.handOver(ctx)
+	if c.api != nil {
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferTimeout)
+		defer cancel()
+		if err := c.api.Shutdown(closing); err != nil {
+			c.options.log.Warn("node: API closed with calls under way", "error", err)
+		}
+	}
+	stop()
+	<-c.replica.Done()
+	<-c.served
+	if err := c.replica.Err(); err != nil {
+		return fmt.Errorf("stop control replica: %w", err)
+	}
+	return nil
+}
+
+// handOver gives the leadership to another control host, if this one leads and
+// there is another one.
+func (c *control) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferTimeout)
+	defer cancel()
+	status, err := c.replica.Status(ctx)
+	if err != nil || status.Leader() != c.settings.Host() || len(status.Members()) < 2 {
+		return
+	}
+	if err := c.replica.Transfer(ctx, ""); err != nil {
+		c.options.log.Warn("node: leadership was not handed over", "error", err)
+	}
+}
+
+func controlPeers(s *conf.Settings) []ctrl.Peer {
+	var out []ctrl.Peer
+	for _, h := range s.ControlHosts() {
+		out = append(out, ctrl.NewPeer(h.Host(), h.Address().String()))
+	}
+	return out
+}
+
+func operatorTokens(s *conf.Settings) []oper.Token {
+	var out []oper.Token
+	for _, t := range s.Tokens() {
+		out = append(out, oper.NewToken(t.Name(), t.Hash()))
+	}
+	return out
+}
+
+func limitsOf(s *conf.Settings) caller.Limits {
+	l := s.Limits()
+	return caller.NewLimits(int(l.HeaderBytes()), l.HeaderTime(), l.IdleTime(), int(l.Connections()))
+}
+
+// serveHTTP serves a handler on a listener, or nothing without one.
+func serveHTTP(listener net.Listener, handler http.Handler, s *conf.Settings, o options) *caller.Server {
+	if listener == nil {
+		return nil
+	}
+	return caller.Serve(listener, handler, limitsOf(s), o.log)
+}
--- /dev/null
+++ b/node/dev.go
@@ -0,0 +1,388 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"rhubarbrack/codec"
+	"rhubarbrack/conf"
+	"rhubarbrack/ident"
+	"rhubarbrack/oper"
+	"rhubarbrack/platf"
+	"rhubarbrack/prof"
+	"rhubarbrack/route"
+	"rhubarbrack/stand"
+	"rhubarbrack/tasks"
+)
+
+const (
+	// devToken is the operator token of a trial process. It listens on
+	// loopback only.
+	devToken = "dev-operator"
+	// devSlots and devTargets size the stand-in targets of each service in
+	// each region.
+	devSlots   = 4
+	devTargets = 2
+	// devServiceTime is the median time in which a stand-in answers.
+	devServiceTime = 3 * time.Millisecond
+	// devReadyTime bounds the start of the whole process.
+	devReadyTime = 30 * time.Second
+)
+
+// Dev is a whole system in one process, for a first trial: one control host,
+// an entry host in each of the first two regions, and stand-ins of the
+// platform and of targets.
+type Dev struct {
+	out       io.Writer
+	port      int
+	directory string
+	documents []codec.Sample
+	fleet     *prof.Fleet
+	options   []Option
+	targets   []*stand.Target
+	keys      []devKey
+	ready     func(DevAddresses)
+}
+
+// DevAddresses tells where a trial process listens, and a key of each team.
+type DevAddresses struct {
+	control string
+	entries []string
+	explain []string
+	keys    map[ident.Team]string
+}
+
+// Control returns the base URL of the operators' API.
+func (a DevAddresses) Control() string { return a.control }
+
+// Entries returns the base URLs of the entry hosts.
+func (a DevAddresses) Entries() []string { return a.entries }
+
+// Explain returns the base URLs at which the entry hosts explain requests.
+func (a DevAddresses) Explain() []string { return a.explain }
+
+// Key returns a key of a team.
+func (a DevAddresses) Key(team ident.Team) string { return a.keys[team] }
+
+// Token returns the operator token.
+func (a DevAddresses) Token() string { return devToken }
+
+type devKey struct {
+	team ident.Team
+	text string
+}
+
+// DevOption sets a part of a trial process.
+type DevOption func(*Dev)
+
+// DevPort sets the first of the ports that are used. The default is 7300.
+func DevPort(port int) DevOption { return func(d *Dev) { d.port = port } }
+
+// DevDirectory sets the data directory of the control host. The default is a
+// new temporary one, which is removed at the end.
+func DevDirectory(path string) DevOption { return func(d *Dev) { d.directory = path } }
+
+// DevReady sets a function that is called once the process serves.
+func DevReady(ready func(DevAddresses)) DevOption { return func(d *Dev) { d.ready = ready } }
+
+// DevProcess sets options of the hosts in the process.
+func DevProcess(list ...Option) DevOption { return func(d *Dev) { d.options = list } }
+
+const defaultDevPort = 7300
+
+// NewDev returns a trial process with the documents of a sample, separated by
+// lines of "---". It writes what to try to out.
+func NewDev(sample []byte, out io.Writer, list ...DevOption) (*Dev, error) {
+	d := &Dev{out: out, port: defaultDevPort, ready: func(DevAddresses) {}}
+	for _, apply := range list {
+		apply(d)
+	}
+	documents, err := codec.DecodeDocuments(sample)
+	if err != nil {
+		return nil, fmt.Errorf("sample: %w", err)
+	}
+	d.documents = documents
+	for _, s := range documents {
+		if fleet, ok := s.Document().(*prof.Fleet); ok {
+			d.fleet = fleet
+		}
+	}
+	if d.fleet == nil || len(d.fleet.Regions()) < 2 {
+		return nil, fmt.Errorf("sample: want a document of kind %s with two regions or more", prof.KindFleet)
+	}
+	return d, nil
+}
+
+// Run runs the process until ctx ends or a host fails.
+func (d *Dev) Run(ctx context.Context) error {
+	if d.directory == "" {
+		directory, err := os.MkdirTemp("", "rhubarbrack-dev-")
+		if err != nil {
+			return fmt.Errorf("data directory: %w", err)
+		}
+		defer func() { _ = os.RemoveAll(directory) }()
+		d.directory = directory
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o := newOptions(d.options)
+	system := tasks.NewSystem(o.log)
+	defer system.Shutdown()
+	platform, err := d.startStandIns(ctx, system)
+	if err != nil {
+		return err
+	}
+	ended := make(chan error, 1+devEntries)
+	started := d.startHosts(ctx, platform.URL(), ended)
+	setUp := make(chan error, 1)
+	go func() { setUp <- d.setUp(ctx) }()
+	return d.wait(ctx, cancel, started, setUp, ended)
+}
+
+// wait returns when every host has ended.
+func (d *Dev) wait(ctx context.Context, cancel func(), running int, setUp, ended <-chan error) error {
+	var first error
+	for running > 0 {
+		select {
+		case err := <-setUp:
+			setUp = nil
+			if err != nil {
+				first = err
+				cancel()
+			}
+		case err := <-ended:
+			running--
+			if err != nil && first == nil {
+				first = err
+			}
+			if ctx.Err() == nil {
+				cancel()
+			}
+		}
+	}
+	return first
+}
+
+// devEntries is the number of entry hosts.
+const devEntries = 2
+
+func (d *Dev) startStandIns(ctx context.Context, system *tasks.System) (*stand.Platform, error) {
+	var list []platf.Target
+	number := 0
+	for _, s := range d.documents {
+		service, ok := s.Document().(*prof.Service)
+		if !ok {
+			continue
+		}
+		for _, region := range d.fleet.Regions()[:devEntries] {
+			for range devTargets {
+				number++
+				zones := region.Zones()
+				t, err := stand.StartTarget(ctx, system,
+					stand.WithID(ident.Target(fmt.Sprintf("target-%d", number))), stand.WithService(service.Service()),
+					stand.WithPlace(zones[number%len(zones)], region.Name()), stand.WithSlots(devSlots),
+					stand.WithServiceTime(devServiceTime, 0.3), stand.WithSeed(uint64(number)))
+				if err != nil {
+					return nil, fmt.Errorf("stand-in target: %w", err)
+				}
+				entry, err := t.Entry(platf.Live)
+				if err != nil {
+					return nil, fmt.Errorf("stand-in target: %w", err)
+				}
+				d.targets = append(d.targets, t)
+				list = append(list, entry)
+			}
+		}
+	}
+	platform, err := stand.StartPlatform(ctx, system, stand.WithTargets(list...))
+	if err != nil {
+		return nil, fmt.Errorf("stand-in platform: %w", err)
+	}
+	return platform, nil
+}
+
+// startHosts starts the hosts and returns their number.
+func (d *Dev) startHosts(ctx context.Context, platform string, ended chan<- error) int {
+	control, err := d.controlSettings(platform)
+	if err != nil {
+		ended <- err
+		return 1
+	}
+	go func() { ended <- RunControl(ctx, control, d.options...) }()
+	for i := range devEntries {
+		s, err := d.entrySettings(i, platform)
+		if err != nil {
+			ended <- err
+			continue
+		}
+		go func() { ended <- RunEntry(ctx, s, d.options...) }()
+	}
+	return 1 + devEntries
+}
+
+// address returns the loopback address with the n-th port.
+func (d *Dev) address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(d.port+n))
+}
+
+func (d *Dev) controlSettings(platform string) (*conf.Settings, error) {
+	region := d.fleet.Regions()[0]
+	s, err := conf.New(conf.RoleControl, "control-1",
+		conf.WithPlace(region.Zones()[0], region.Name()),
+		conf.WithListen(conf.Peers, d.address(0)), conf.WithListen(conf.Operators, d.address(1)),
+		conf.WithControlHosts(conf.NewControlHost("control-1", d.address(0))),
+		conf.WithData(d.directory), conf.WithPlatformList(platform),
+		conf.WithTokens(conf.NewToken("dev", sha256.Sum256([]byte(devToken)))))
+	if err != nil {
+		return nil, fmt.Errorf("settings of the control host: %w", err)
+	}
+	return s, nil
+}
+
+// devPortsPerEntry is the number of ports between two entry hosts.
+const devPortsPerEntry = 10
+
+func (d *Dev) entrySettings(i int, platform string) (*conf.Settings, error) {
+	region := d.fleet.Regions()[i]
+	first := (i + 1) * devPortsPerEntry
+	s, err := conf.New(conf.RoleEntry, ident.Host(fmt.Sprintf("entry-%d", i+1)),
+		conf.WithPlace(region.Zones()[0], region.Name()),
+		conf.WithListen(conf.Callers, d.address(first)), conf.WithListen(conf.Peers, d.address(first+1)),
+		conf.WithListen(conf.Operators, d.address(first+2)), conf.WithListen(conf.Metrics, d.address(first+3)),
+		conf.WithControlHosts(conf.NewControlHost("control-1", d.address(0))), conf.WithPlatformList(platform),
+		conf.WithTokens(conf.NewToken("dev", sha256.Sum256([]byte(devToken)))))
+	if err != nil {
+		return nil, fmt.Errorf("settings of entry host %d: %w", i+1, err)
+	}
+	return s, nil
+}
+
+// setUp puts the documents, issues a key for each team, and tells what to try
+// once all is in force.
+func (d *Dev) setUp(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, devReadyTime)
+	defer cancel()
+	client := oper.NewClient([]string{"http://" + d.address(1).String()}, devToken)
+	var last uint64
+	for _, s := range d.documents {
+		revision, err := d.put(ctx, client, s)
+		if err != nil {
+			return err
+		}
+		last = max(last, revision)
+		if team, ok := s.Document().(*prof.Team); ok {
+			if revision, err = d.issue(ctx, client, team.Team()); err != nil {
+				return err
+			}
+			last = max(last, revision)
+		}
+	}
+	if err := d.waitReady(ctx, client, last); err != nil {
+		return err
+	}
+	d.tell()
+	d.ready(d.addresses())
+	return nil
+}
+
+// put puts a document unless the same text is in force already, as after a
+// restart on a kept data directory.
+func (d *Dev) put(ctx context.Context, client *oper.Client, s codec.Sample) (uint64, error) {
+	kind, name := string(s.Document().Kind()), s.Document().Name()
+	known, err := client.Documents(ctx, kind)
+	if err != nil {
+		return 0, fmt.Errorf("put %s %s: %w", kind, name, err)
+	}
+	var expected uint64
+	for _, k := range known {
+		if k.Name == name {
+			expected = k.Revision
+		}
+	}
+	out, err := client.PutDocument(ctx, oper.NewRequestID(), []byte(s.Source()), expected)
+	if err != nil {
+		return 0, fmt.Errorf("put %s %s: %w", kind, name, err)
+	}
+	return out.Revision, nil
+}
+
+func (d *Dev) issue(ctx context.Context, client *oper.Client, team ident.Team) (uint64, error) {
+	id := ident.KeyID(string(team) + "-" + strings.ToLower(rand.Text()[:6]))
+	text := route.KeyText(id, rand.Text())
+	hash := route.KeyHash(text)
+	out, err := client.IssueKey(ctx, oper.NewRequestID(), oper.KeyRecord{
+		ID: string(id), Team: string(team), SHA256: hex.EncodeToString(hash[:]),
+	})
+	if err != nil {
+		return 0, fmt.Errorf("issue key of team %s: %w", team, err)
+	}
+	d.keys = append(d.keys, devKey{team: team, text: text})
+	return out.Revision, nil
+}
+
+// waitReady waits until the configuration is in force, every role has a
+// holder, and every service has shares.
+func (d *Dev) waitReady(ctx context.Context, client *oper.Client, revision uint64) error {
+	for {
+		status, err := client.Status(ctx)
+		if err != nil {
+			return fmt.Errorf("wait for the system: %w", err)
+		}
+		if status.InForce >= revision && len(status.Entries) == devEntries && rolesHeld(status) && len(status.Shares) > 0 {
+			return nil
+		}
+		if _, err := client.InForce(ctx, status.Revision+1, devPoll); err != nil {
+			return fmt.Errorf("wait for the system: %w", err)
+		}
+	}
+}
+
+// devPoll is how long one look at the status waits for a change.
+const devPoll = 100 * time.Millisecond
+
+func rolesHeld(status oper.StatusRecord) bool {
+	for _, r := range status.Roles {
+		if r.Host == "" {
+			return false
+		}
+	}
+	return len(status.Roles) > 0
+}
+
+func (d *Dev) addresses() DevAddresses {
+	out := DevAddresses{control: "http://" + d.address(1).String(), keys: make(map[ident.Team]string)}
+	for i := range devEntries {
+		out.entries = append(out.entries, "http://"+d.address((i+1)*devPortsPerEntry).String())
+		out.explain = append(out.explain, "http://"+d.address((i+1)*devPortsPerEntry+2).String())
+	}
+	for _, k := range d.keys {
+		out.keys[k.team] = k.text
+	}
+	return out
+}
+
+// tell writes what to try.
+func (d *Dev) tell() {
+	a := d.addresses()
+	var b strings.Builder
+	fmt.Fprintf(&b, "rhubarbrack is ready: 1 control host, %d entry hosts, %d stand-in targets.\n\n", devEntries, len(d.targets))
+	fmt.Fprintf(&b, "  export RHUBARBRACK_CONTROL=%s RHUBARBRACK_TOKEN=%s\n", a.control, devToken)
+	for _, k := range d.keys {
+		fmt.Fprintf(&b, "  export KEY_%s=%s\n", strings.ToUpper(strings.ReplaceAll(string(k.team), "-", "_")), k.text)
+	}
+	fmt.Fprintf(&b, "\nTry, in another terminal:\n\n")
+	fmt.Fprintf(&b, "  curl '%s/.rhubarbrack/lookup?service=commissions'\n", a.entries[0])
+	fmt.Fprintf(&b, "  curl -i -H 'Host: commissions.test' %s/catalogue\n", a.entries[0])
+	fmt.Fprintf(&b, "  curl -i -H 'Host: commissions.test' -H \"Authorization: Bearer $KEY_CARVERS\" %s/progress\n", a.entries[1])
+	fmt.Fprintf(&b, "  curl -i -H 'Host: commissions.test' -H \"Authorization: Bearer $KEY_CARVERS\" -H 'Idempotency-Key: d-1' -d amount=50 %s/deposits\n", a.entries[0])
+	fmt.Fprintf(&b, "  rhubarbrack status\n\nPress Ctrl-C to stop.\n")
+	_, _ = io.WriteString(d.out, b.String())
+}
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,320 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/rpc"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rhubarbrack/caller"
+	"rhubarbrack/conf"
+	"rhubarbrack/ctrl"
+	"rhubarbrack/entry"
+	"rhubarbrack/ident"
+	"rhubarbrack/ledger"
+	"rhubarbrack/meter"
+	"rhubarbrack/oper"
+	"rhubarbrack/platf"
+	"rhubarbrack/route"
+	"rhubarbrack/state"
+	"rhubarbrack/target"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+// errExpired means that the membership of the process has ended while it was
+// cut off.
+const errExpired = errors.ConstError("membership ended")
+
+// RunEntry runs an entry host until ctx ends, and then stops it without
+// cutting requests: it leaves look-ups, waits until cached answers have run
+// out, finishes what is under way and hands its roles back. When the process
+// was cut off for longer than its lease, it starts again under a new
+// incarnation, since its roles and claims belong to others by then.
+func RunEntry(ctx context.Context, s *conf.Settings, list ...Option) error {
+	o := newOptions(list)
+	for {
+		err := runIncarnation(ctx, s, o)
+		if !errors.Is(err, errExpired) {
+			return err
+		}
+		o.log.Warn("node: entry host starts again under a new incarnation", "host", s.Host())
+	}
+}
+
+func runIncarnation(ctx context.Context, s *conf.Settings, o options) error {
+	e := &entryHost{settings: s, options: o, system: tasks.NewSystem(o.log)}
+	defer e.system.Shutdown()
+	// The parts outlive ctx, so that requests under way are finished.
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	if err := e.open(inner); err != nil {
+		e.close()
+		return err
+	}
+	if err := e.start(inner); err != nil {
+		e.close()
+		return err
+	}
+	o.ready()
+	select {
+	case <-ctx.Done():
+		return e.leave(ctx, stop)
+	case <-e.follower.Expired():
+		e.shutdown(ctx, stop)
+		return errExpired
+	case <-e.ended():
+		stop()
+		e.close()
+		return fmt.Errorf("entry host %s: %w", s.Host(), ErrEnded)
+	}
+}
+
+// entryHost holds the parts of one incarnation of an entry host.
+type entryHost struct {
+	settings  *conf.Settings
+	options   options
+	secure    security
+	system    *tasks.System
+	listeners map[conf.Listener]net.Listener
+
+	self     state.Member
+	control  *ctrl.Client
+	follower *ctrl.Follower
+	claims   *ctrl.Claims
+	peers    *entry.Peers
+	holder   *entry.RateHolder
+	owners   *entry.RateOwners
+	owner    *entry.SlotOwner
+	slots    *entry.SlotClient
+	ledger   *ledger.Ledger
+	picker   *picker
+	hub      *hubRef
+	meter    *meter.Meter
+	targets  *target.Client
+	served   <-chan struct{}
+	servers  []*caller.Server
+	front    *caller.Server
+}
+
+// open opens the listeners, so that the addresses are known.
+func (e *entryHost) open(ctx context.Context) error {
+	var err error
+	if e.secure, err = loadSecurity(e.settings, e.options); err != nil {
+		return err
+	}
+	e.listeners = make(map[conf.Listener]net.Listener)
+	for _, party := range conf.Listeners() {
+		secure := e.secure.callers
+		switch party {
+		case conf.Operators:
+			secure = e.secure.operators
+		case conf.Peers, conf.Metrics:
+			secure = nil
+		}
+		l, err := listen(ctx, e.settings, party, secure)
+		if err != nil {
+			return err
+		}
+		if l != nil {
+			e.listeners[party] = l
+		}
+	}
+	return nil
+}
+
+func (e *entryHost) close() {
+	for _, l := range e.listeners {
+		_ = l.Close()
+	}
+}
+
+func (e *entryHost) start(ctx context.Context) error {
+	s, o := e.settings, e.options
+	incarnation := ident.Incarnation(o.clock.Now().UnixNano())
+	e.self = state.NewMember(s.Host(), incarnation, s.Zone(), s.Region(),
+		e.listeners[conf.Callers].Addr().String(), e.listeners[conf.Peers].Addr().String())
+	e.meter = meter.New()
+	e.targets = target.NewClient(target.WithClock(o.clock))
+	for _, step := range []func(context.Context) error{e.startRoles, e.startHub, e.startControl, e.startFront} {
+		if err := step(ctx); err != nil {
+			return fmt.Errorf("start entry host %s: %w", s.Host(), err)
+		}
+	}
+	return nil
+}
+
+// startRoles starts the owners and holders of rates and slots.
+func (e *entryHost) startRoles(ctx context.Context) error {
+	o := e.options
+	var err error
+	if e.control, err = ctrl.StartClient(ctx, e.system, o.clock, controlPeers(e.settings), wire.WithTLS(e.secure.peerDial)); err != nil {
+		return fmt.Errorf("control client: %w", err)
+	}
+	if e.peers, err = entry.StartPeers(ctx, e.system, wire.WithTLS(e.secure.peerDial)); err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	rateOptions := []entry.RateOption{entry.WithRateClock(o.clock), entry.WithRateLog(o.log)}
+	if e.holder, err = entry.StartRateHolder(ctx, e.system, e.peers, e.self.Host(), e.self.Incarnation(), rateOptions...); err != nil {
+		return fmt.Errorf("rate holder: %w", err)
+	}
+	if e.owners, err = entry.StartRateOwners(ctx, e.system, e.peers, rateOptions...); err != nil {
+		return fmt.Errorf("rate owners: %w", err)
+	}
+	server := rpc.NewServer()
+	if err := entry.RegisterRates(server, e.owners, e.holder, rateOptions...); err != nil {
+		return fmt.Errorf("rates: %w", err)
+	}
+	slotOptions := []entry.SlotOption{entry.WithSlotClock(o.clock), entry.WithSlotLog(o.log)}
+	if e.owner, err = entry.StartSlotOwner(ctx, e.system, server, marker{client: e.control}, slotOptions...); err != nil {
+		return fmt.Errorf("slot owner: %w", err)
+	}
+	if e.slots, err = entry.StartSlotClient(ctx, e.system, e.peers, slotOptions...); err != nil {
+		return fmt.Errorf("slot client: %w", err)
+	}
+	e.served = wire.Serve(ctx, e.listeners[conf.Peers], server, wire.WithTLS(e.secure.peerServer))
+	return nil
+}
+
+// startHub starts what learns of views, lists and probes.
+func (e *entryHost) startHub(ctx context.Context) error {
+	o := e.options
+	var err error
+	if e.picker, err = startPicker(ctx, e.system, e.self.Region()); err != nil {
+		return fmt.Errorf("picker: %w", err)
+	}
+	e.hub, err = startHub(ctx, e.system, &hub{
+		clock: o.clock, self: e.self, ttl: o.lookupTTL, peers: e.peers, holder: e.holder,
+		owners: e.owners, slots: e.owner, client: e.slots, picker: e.picker,
+	})
+	if err != nil {
+		return fmt.Errorf("hub: %w", err)
+	}
+	probe, err := target.StartProbe(ctx, e.system, e.hub, target.WithProbeClock(o.clock), target.WithProbeLog(o.log))
+	if err != nil {
+		return fmt.Errorf("probe: %w", err)
+	}
+	e.hub.Tell(useProbe{probe: probe})
+	if url := e.settings.PlatformList(); url != "" {
+		_, err = platf.StartLister(ctx, e.system, url, e.hub, platf.WithClock(o.clock), platf.WithLog(o.log))
+		if err != nil {
+			return fmt.Errorf("platform list: %w", err)
+		}
+	}
+	return nil
+}
+
+// startControl starts what talks to the control hosts.
+func (e *entryHost) startControl(ctx context.Context) error {
+	o := e.options
+	self := ctrl.NewSelf(e.self)
+	var err error
+	if e.claims, err = ctrl.StartClaims(ctx, e.system, e.control, self, o.log); err != nil {
+		return fmt.Errorf("claims: %w", err)
+	}
+	e.follower, err = ctrl.StartFollower(ctx, e.system, e.control, self,
+		ctrl.FollowClock(o.clock), ctrl.FollowLogger(o.log), ctrl.FollowSinks(e.hub))
+	if err != nil {
+		return fmt.Errorf("follower: %w", err)
+	}
+	if e.ledger, err = ledger.Start(ctx, e.system, ledger.WithClock(o.clock), ledger.WithDemandSink(e.follower)); err != nil {
+		return fmt.Errorf("ledger: %w", err)
+	}
+	return nil
+}
+
+// startFront starts the servers for callers, operators and metrics.
+func (e *entryHost) startFront(context.Context) error {
+	s, o := e.settings, e.options
+	router := route.New(e.follower, rates{holder: e.holder}, e.picker, slots{client: e.slots}, e.claims, e.ledger,
+		route.WithClock(o.clock))
+	handler := caller.NewHandler(e.self.Host(), e.self.Incarnation(), e.follower, router, e.hub, e.targets, e,
+		caller.WithClock(o.clock))
+	e.front = serveHTTP(e.listeners[conf.Callers], handler, s, o)
+	e.servers = append(e.servers, e.front)
+	if l := e.listeners[conf.Operators]; l != nil {
+		e.servers = append(e.servers, serveHTTP(l, oper.NewExplainHandler(e.ledger, operatorTokens(s)), s, o))
+	}
+	if l := e.listeners[conf.Metrics]; l != nil {
+		e.servers = append(e.servers, serveHTTP(l, e.meter.Handler(), s, o))
+	}
+	return nil
+}
+
+// Record implements caller.Recorder.
+func (e *entryHost) Record(request route.Request, result route.Result, began time.Time, latency time.Duration) {
+	e.ledger.Record(request, result, began, latency)
+	e.meter.Observe("request", result.Team(), result.Class(), latency)
+	if result.Outcome() != route.Ran {
+		e.meter.Refuse(result.Team(), result.Class(), string(result.Reason()))
+	}
+}
+
+// ended returns a channel that is closed when a task that nothing works
+// without has ended.
+func (e *entryHost) ended() <-chan struct{} {
+	done := make(chan struct{})
+	parts := []<-chan struct{}{
+		e.follower.Done(), e.claims.Done(), e.holder.Done(), e.owners.Done(), e.owner.Done(),
+		e.slots.Done(), e.ledger.Done(), e.hub.ref.Done(), e.picker.ref.Done(), e.front.Done(),
+	}
+	first := make(chan struct{}, len(parts))
+	for _, part := range parts {
+		go func() {
+			<-part
+			first <- struct{}{}
+		}()
+	}
+	go func() {
+		<-first
+		close(done)
+	}()
+	return done
+}
+
+// leave stops the host as planned.
+func (e *entryHost) leave(ctx context.Context, stop func()) error {
+	o := e.options
+	o.log.Info("node: entry host leaves", "host", e.self.Host())
+	e.follower.Leave()
+	ctx = context.WithoutCancel(ctx)
+	// Callers keep the answers of look-ups for this long.
+	timer := o.clock.NewTimer(o.lookupTTL + leaveMargin)
+	<-timer.C()
+	e.shutdown(ctx, stop)
+	o.log.Info("node: entry host stopped", "host", e.self.Host())
+	return nil
+}
+
+const (
+	// leaveMargin covers the time until all entry hosts have taken a leaving
+	// host out of their look-ups.
+	leaveMargin = time.Second
+	// handBackTime bounds the hand-over of what the host holds.
+	handBackTime = 2 * time.Second
+)
+
+// shutdown finishes requests, hands back what the host holds and ends.
+func (e *entryHost) shutdown(ctx context.Context, stop func()) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.options.shutdownTime)
+	defer cancel()
+	for _, s := range e.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			e.options.log.Warn("node: server closed with requests under way", "error", err)
+		}
+	}
+	handBack, cancel := context.WithTimeout(ctx, handBackTime)
+	defer cancel()
+	if err := e.holder.Release(handBack); err != nil {
+		e.options.log.Debug("node: tokens were not handed back", "error", err)
+	}
+	if _, err := e.control.Propose(handBack, state.NewExpire(e.self.Host(), e.self.Incarnation())); err != nil {
+		e.options.log.Debug("node: membership was not ended", "error", err)
+	}
+	stop()
+	<-e.served
+	e.targets.Close()
+}
--- /dev/null
+++ b/node/hub.go
@@ -0,0 +1,296 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"rhubarbrack/caller"
+	"rhubarbrack/clock"
+	"rhubarbrack/ctrl"
+	"rhubarbrack/entry"
+	"rhubarbrack/guard"
+	"rhubarbrack/ident"
+	"rhubarbrack/limit"
+	"rhubarbrack/locate"
+	"rhubarbrack/plan"
+	"rhubarbrack/platf"
+	"rhubarbrack/prof"
+	"rhubarbrack/route"
+	"rhubarbrack/state"
+	"rhubarbrack/steer"
+	"rhubarbrack/target"
+	"rhubarbrack/tasks"
+)
+
+// hubInterval bounds how late a drain takes effect after its start.
+const hubInterval = 250 * time.Millisecond
+
+type hubTick struct{}
+
+// hub is the task of an entry host that passes each new view, the platform's
+// list and the reports of probes on to the tasks that act on them.
+type hub struct {
+	clock  clock.Clock
+	self   state.Member
+	ttl    time.Duration
+	peers  *entry.Peers
+	holder *entry.RateHolder
+	owners *entry.RateOwners
+	slots  *entry.SlotOwner
+	client *entry.SlotClient
+	picker *picker
+	probe  *target.Probe
+
+	directory *atomic.Pointer[locate.Directory]
+	table     *locate.Table
+	fleet     *prof.Fleet
+	revision  ident.Revision
+	view      route.View
+	list      platf.List
+	changes   uint64
+	regions   map[ident.Target]ident.Region
+}
+
+var _ tasks.Task = (*hub)(nil)
+
+// hubRef is the hub as other tasks see it.
+type hubRef struct {
+	ref       *tasks.Ref
+	directory *atomic.Pointer[locate.Directory]
+}
+
+var (
+	_ ctrl.ViewSink      = (*hubRef)(nil)
+	_ caller.Directories = (*hubRef)(nil)
+	_ platf.Sink         = (*hubRef)(nil)
+	_ target.ReportSink  = (*hubRef)(nil)
+)
+
+// ViewChanged implements ctrl.ViewSink.
+func (h *hubRef) ViewChanged(view route.View) { h.ref.Tell(view) }
+
+// Directory implements caller.Directories.
+func (h *hubRef) Directory() *locate.Directory { return h.directory.Load() }
+
+// Tell implements platf.Sink and target.ReportSink.
+func (h *hubRef) Tell(message any) { h.ref.Tell(message) }
+
+// startHub starts the task. The probe is set by useProbe.
+func startHub(ctx context.Context, system *tasks.System, h *hub) (*hubRef, error) {
+	empty, err := locate.NewTable(nil)
+	if err != nil {
+		return nil, fmt.Errorf("empty table: %w", err)
+	}
+	h.table = empty
+	h.directory = new(atomic.Pointer[locate.Directory])
+	h.directory.Store(locate.NewDirectory(empty, nil, nil, h.ttl))
+	ref, err := tasks.Spawn(ctx, system, "node-hub", h)
+	if err != nil {
+		return nil, fmt.Errorf("start hub: %w", err)
+	}
+	tasks.Every(ctx, h.clock, hubInterval, ref, hubTick{})
+	return &hubRef{ref: ref, directory: h.directory}, nil
+}
+
+// useProbe gives the hub the probe of targets.
+type useProbe struct{ probe *target.Probe }
+
+// Handle implements tasks.Task.
+func (h *hub) Handle(message any) {
+	switch m := message.(type) {
+	case useProbe:
+		h.probe = m.probe
+	case route.View:
+		h.viewChanged(m)
+	case platf.List:
+		h.list = m
+		if m.Received() && m.Changes() != h.changes {
+			h.changes = m.Changes()
+			h.setTargets()
+		}
+	case target.Report:
+		h.observe(m)
+	case hubTick:
+		// A drain begins and ends by time, without a change of the view.
+		h.setTargets()
+	}
+}
+
+// viewChanged passes the members and the lease on with each poll, and the
+// configuration when its revision has changed.
+func (h *hub) viewChanged(view route.View) {
+	h.view = view
+	members := h.members(view)
+	h.peers.Update(members)
+	h.holder.Update(members)
+	h.owners.Update(members)
+	h.slots.Update(members)
+	h.client.Update(members)
+	if view.Config().Revision() == h.revision {
+		return
+	}
+	h.revision = view.Config().Revision()
+	h.configChanged(view.Config())
+}
+
+func (h *hub) members(view route.View) entry.Members {
+	var members []entry.Member
+	for _, m := range view.Config().Members() {
+		members = append(members, entry.NewMember(m.Host(), m.Incarnation(), m.Region(), m.PeerAddress()))
+	}
+	roles := make(map[entry.Role]entry.Assignment)
+	for _, r := range view.Config().Roles() {
+		if !r.Vacant() {
+			roles[entry.Role(r.Name())] = entry.NewAssignment(r.Host(), r.Incarnation(), r.Epoch())
+		}
+	}
+	return entry.NewMembers(h.self.Host(), h.self.Incarnation(), view.Config().Revision(), view.FreshUntil(), members, roles)
+}
+
+func (h *hub) configChanged(config *state.Config) {
+	limits := make(map[ident.Team]limit.Limit)
+	for _, t := range config.Teams() {
+		if l, err := limit.New(t.Rate(), float64(t.Burst())); err == nil {
+			limits[t.Team()] = l
+		}
+	}
+	rateLimits := entry.NewRateLimits(plan.RateShards, limits)
+	h.holder.SetLimits(rateLimits)
+	h.owners.SetLimits(rateLimits)
+	var marks []guard.Mark
+	for _, s := range config.Suspects() {
+		marks = append(marks, guard.NewMark(s.Fingerprint(), s.Crashes(), s.Until()))
+	}
+	h.slots.ImportMarks(marks)
+	h.picker.configChanged(config)
+	h.setDirectory(config)
+	h.setServices(config)
+	h.setTargets()
+}
+
+// setDirectory builds the answers to look-ups. Leaving hosts are left out at
+// once; they go on serving until cached answers have run out.
+func (h *hub) setDirectory(config *state.Config) {
+	fleet, ok := config.Fleet()
+	if !ok {
+		return
+	}
+	if fleet != h.fleet {
+		h.fleet, h.table = fleet, tableOf(fleet, h.table)
+	}
+	regions := make(map[ident.Zone]ident.Region)
+	for _, r := range fleet.Regions() {
+		for _, z := range r.Zones() {
+			regions[z] = r.Name()
+		}
+	}
+	var hosts []locate.Host
+	for _, m := range config.Members() {
+		if m.Live() {
+			hosts = append(hosts, locate.NewHost(m.Host(), m.Zone(), m.Region(), m.CallerAddress()))
+		}
+	}
+	h.directory.Store(locate.NewDirectory(h.table, regions, hosts, h.ttl))
+}
+
+// tableOf builds the table of client blocks. The document was checked, so that
+// the former table remains only if a block is malformed all the same.
+func tableOf(fleet *prof.Fleet, former *locate.Table) *locate.Table {
+	var blocks []locate.Block
+	for _, b := range fleet.Blocks() {
+		prefix, err := netip.ParsePrefix(b.CIDR())
+		if err != nil {
+			return former
+		}
+		blocks = append(blocks, locate.NewBlock(prefix, b.Zone()))
+	}
+	table, err := locate.NewTable(blocks)
+	if err != nil {
+		return former
+	}
+	return table
+}
+
+func (h *hub) setServices(config *state.Config) {
+	var services []steer.Service
+	for _, s := range config.Services() {
+		headroom := 0.0
+		if p, ok := config.Profile(s.Profile()); ok {
+			headroom = p.Headroom()
+		}
+		services = append(services, steer.NewService(s.Service(), headroom, s.Ramp()))
+	}
+	for _, r := range regionsOf(config) {
+		h.slots.SetServices(r, services)
+	}
+}
+
+func regionsOf(config *state.Config) []ident.Region {
+	fleet, ok := config.Fleet()
+	if !ok {
+		return nil
+	}
+	var out []ident.Region
+	for _, r := range fleet.Regions() {
+		out = append(out, r.Name())
+	}
+	return out
+}
+
+// setTargets passes the platform's list on to the slot owner and the probe.
+// Only targets of regions that this host owns are probed.
+func (h *hub) setTargets() {
+	if h.view.Config() == nil || !h.list.Received() {
+		return
+	}
+	now := h.clock.Now()
+	byRegion := make(map[ident.Region][]steer.Target)
+	drained := make(map[ident.Region]ident.Set[ident.Target])
+	h.regions = make(map[ident.Target]ident.Region)
+	var endpoints []target.Endpoint
+	members := h.members(h.view)
+	for _, t := range h.list.Targets() {
+		h.regions[t.ID()] = t.Region()
+		byRegion[t.Region()] = append(byRegion[t.Region()], steer.NewTarget(
+			t.ID(), t.Service(), t.Address(), t.Zone(), t.Slots(), steer.State(t.State())))
+		if plan.Drained(h.view.Config(), plan.NewTarget(
+			t.ID(), t.Service(), t.Zone(), t.Region(), t.Slots(), t.State() == platf.Live), now) {
+			if drained[t.Region()].Len() == 0 {
+				drained[t.Region()] = ident.NewSet[ident.Target]()
+			}
+			drained[t.Region()].Add(t.ID())
+		}
+		if _, owns := members.Owns(entry.SlotRole(t.Region()), now); owns {
+			endpoints = append(endpoints, target.NewEndpoint(t.ID(), t.Address()))
+		}
+	}
+	for _, r := range regionsOf(h.view.Config()) {
+		h.slots.SetTargets(r, byRegion[r])
+		h.slots.SetDrains(r, drained[r])
+	}
+	if h.probe != nil {
+		h.probe.SetEndpoints(endpoints)
+	}
+}
+
+// observe passes a probe's report on to the slot owner.
+func (h *hub) observe(r target.Report) {
+	region, ok := h.regions[r.Target()]
+	if !ok {
+		return
+	}
+	now := h.clock.Now()
+	health, known := r.Health()
+	if !known {
+		return
+	}
+	load := 0.0
+	if slots, busy, _, ok := r.Load(); ok && slots > 0 {
+		load = float64(busy) / float64(slots)
+	}
+	h.slots.Observe(region, steer.NewReport(r.Target(), now.Add(-r.HealthAge(now)), health == target.Ready || health == target.Leaving, load,
+		health == target.Leaving))
+}
--- /dev/null
+++ b/oper/explain.go
@@ -0,0 +1,52 @@
+package oper
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/ledger"
+)
+
+// Explainer remembers requests. A ledger.Ledger is one.
+type Explainer interface {
+	// Explain returns the entry of a request, and whether it is still kept.
+	Explain(ctx context.Context, id ident.RequestID) (ledger.Entry, bool, error)
+}
+
+// NewExplainHandler returns the handler of the API on an entry host.
+func NewExplainHandler(explainer Explainer, tokens []Token) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/explain/{id}", func(w http.ResponseWriter, r *http.Request) {
+		entry, ok, err := explainer.Explain(r.Context(), ident.RequestID(r.PathValue("id")))
+		switch {
+		case err != nil:
+			fail(w, http.StatusServiceUnavailable, "stopping", err.Error())
+		case !ok:
+			fail(w, http.StatusNotFound, "unknown-request",
+				"this entry host does not remember the request; its name is the first part of the id")
+		default:
+			reply(w, http.StatusOK, explainRecord(entry))
+		}
+	})
+	return guard(tokens, mux)
+}
+
+func explainRecord(e ledger.Entry) ExplainRecord {
+	out := e.Result()
+	record := ExplainRecord{
+		Request: string(e.ID()), Method: e.Method(), Path: e.Path(), Service: string(out.Service()),
+		Team: string(out.Team()), Class: string(out.Class()), Target: string(out.Target()),
+		Outcome: string(out.Outcome()), Reason: string(out.Reason()), Detail: out.Detail(),
+		Began: e.Began(), LatencyMS: milliseconds(e.Latency()), Steps: []StepRecord{},
+	}
+	for _, s := range out.Steps() {
+		record.Steps = append(record.Steps, StepRecord{
+			AfterMS: milliseconds(s.At().Sub(e.Began())), Step: s.Name(), Detail: s.Detail(),
+		})
+	}
+	return record
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/plan/situation.go
@@ -0,0 +1,104 @@
+package plan
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/state"
+)
+
+// RateShards is the number of shards that the teams are spread over, each with
+// an owner of its own.
+const RateShards = 4
+
+// Target is an entry of the platform's list.
+type Target struct {
+	id      ident.Target
+	service ident.Service
+	zone    ident.Zone
+	region  ident.Region
+	slots   int
+	live    bool
+}
+
+// NewTarget returns an entry. A target that leaves is not live.
+func NewTarget(id ident.Target, service ident.Service, zone ident.Zone, region ident.Region, slots int, live bool) Target {
+	return Target{id: id, service: service, zone: zone, region: region, slots: slots, live: live}
+}
+
+// Situation is what the leader knows at one moment.
+type Situation struct {
+	config  *state.Config
+	inForce ident.Revision
+	demand  map[ident.Service]map[ident.Region]float64
+	targets []Target
+	listed  bool
+	expired []state.Member
+}
+
+// SituationOption sets a part of a situation.
+type SituationOption func(*Situation)
+
+// WithDemand sets the requests per second by service and origin region.
+func WithDemand(demand map[ident.Service]map[ident.Region]float64) SituationOption {
+	return func(s *Situation) { s.demand = demand }
+}
+
+// WithTargets sets the platform's list. Without it, no shares are planned.
+func WithTargets(targets []Target) SituationOption {
+	return func(s *Situation) { s.targets, s.listed = targets, true }
+}
+
+// WithExpired sets the members whose lease has certainly ended.
+func WithExpired(members []state.Member) SituationOption {
+	return func(s *Situation) { s.expired = members }
+}
+
+// NewSituation returns a situation with the configuration and the revision
+// that every entry host with a lease has applied.
+func NewSituation(config *state.Config, inForce ident.Revision, list ...SituationOption) Situation {
+	s := Situation{config: config, inForce: inForce}
+	for _, apply := range list {
+		apply(&s)
+	}
+	return s
+}
+
+// Change is a command that is needed, and why.
+type Change struct {
+	command state.Command
+	reason  string
+}
+
+// NewChange returns a change with its reason in kebab case.
+func NewChange(command state.Command, reason string) Change {
+	return Change{command: command, reason: reason}
+}
+
+// Command returns the command.
+func (c Change) Command() state.Command { return c.command }
+
+// Reason returns why the command is needed.
+func (c Change) Reason() string { return c.reason }
+
+// Drained reports whether an operator's drain covers a target at the time.
+func Drained(config *state.Config, t Target, at time.Time) bool {
+	for _, d := range config.Drains() {
+		if d.Active(at) && covers(d.Scope(), t) {
+			return true
+		}
+	}
+	return false
+}
+
+func covers(scope state.Scope, t Target) bool {
+	switch scope.Kind() {
+	case state.ScopeTarget:
+		return scope.Name() == string(t.id)
+	case state.ScopeZone:
+		return scope.Name() == string(t.zone)
+	case state.ScopeRegion:
+		return scope.Name() == string(t.region)
+	}
+	return false
+}
--- a/route/ports.go
+++ b/route/ports.go
@@ -161,7 +161,7 @@
 	service     ident.Service
 	team        ident.Team
 	class       steer.Class
-	weight      float64
+	weight      int
 	fingerprint ident.Fingerprint
 	zone        ident.Zone
 	avoid       []ident.Target
@@ -177,8 +177,8 @@
 // Class returns the request class.
 func (n Need) Class() steer.Class { return n.class }
 
-// Weight returns the weight of the team for fair queuing.
-func (n Need) Weight() float64 { return n.weight }
+// Weight returns the weight of the team for fair queuing, at least 1.
+func (n Need) Weight() int { return n.weight }
 
 // Fingerprint returns the digest of the request.
 func (n Need) Fingerprint() ident.Fingerprint { return n.fingerprint }
--- a/route/router.go
+++ b/route/router.go
@@ -222,11 +222,11 @@
 	}
 	err := c.router.rates.Take(ctx, c.team)
 	var refusal Refusal
-	if errors.As(err, &refusal) && Reason(refusal.Reason()) == ReasonRateUnavailable {
-		return c.refused(ctx, err, ReasonRateUnavailable), false
+	if errors.As(err, &refusal) && Reason(refusal.Reason()) == ReasonRate {
+		return c.end(ReasonRate, "", refusal.RetryAfter()), false
 	}
 	if err != nil {
-		return c.refused(ctx, err, ReasonRate), false
+		return c.refused(ctx, err, ReasonRateUnavailable), false
 	}
 	c.note("rate", "admitted")
 	return Result{}, true
--- a/route/send.go
+++ b/route/send.go
@@ -4,9 +4,11 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"math"
 	"time"
 
 	"rhubarbrack/ident"
+	"rhubarbrack/prof"
 	"rhubarbrack/steer"
 )
 
@@ -53,11 +55,24 @@
 	return Need{
 		service: c.serviceName(), team: c.team, avoid: avoid,
 		class:       steer.NewClass(c.class.Name(), c.class.Urgent(), c.class.Queue(), c.class.Wait()),
-		weight:      c.profile.Treatment(c.team).Weight(),
+		weight:      relativeWeight(c.profile, c.team),
 		fingerprint: c.fingerprint, zone: c.request.zone, deadline: c.request.deadline,
 	}
 }
 
+// maxWeight bounds the requests of one team that are served in a row.
+const maxWeight = 100
+
+// relativeWeight scales the weights of a profile so that the smallest one is
+// 1. Teams that the profile does not list have weight 1 before scaling.
+func relativeWeight(profile *prof.Profile, team ident.Team) int {
+	smallest := 1.0
+	for _, t := range profile.Treatments() {
+		smallest = min(smallest, t.Weight())
+	}
+	return int(min(maxWeight, max(1, math.Round(profile.Treatment(team).Weight()/smallest))))
+}
+
 // checkAgain guards against a key that was withdrawn, or a lease that ended,
 // while the request waited in a queue.
 func (c *course) checkAgain(ctx context.Context, slot Slot) (Result, bool) {
