--- a/codec/command_test.go
+++ b/codec/command_test.go
@@ -13,7 +13,7 @@
 
 var epoch = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 
-func sampleTeam(t *testing.T) *prof.Team {
+func sampleTeam(t testing.TB) *prof.Team {
 	t.Helper()
 	team, err := prof.NewTeam("harbour", 12.5, 30)
 	if err != nil {
@@ -22,7 +22,7 @@
 	return team
 }
 
-func allCommands(t *testing.T) []state.Command {
+func allCommands(t testing.TB) []state.Command {
 	t.Helper()
 	key := once.NewKey("harbour", "bell-7")
 	holder := once.NewHolder("edge-1", 4, 9)
--- a/codec/machine_test.go
+++ b/codec/machine_test.go
@@ -98,7 +98,7 @@
 	}
 	outcome := p.leader.Apply(revision, command)
 	if after, err := EncodeConfig(earlier); err != nil || !bytes.Equal(before, after) {
-		return fmt.Errorf("%s changed an earlier config (%v)", command.Kind(), err)
+		return fmt.Errorf("%s changed an earlier config: %w", command.Kind(), err)
 	}
 	if err := p.sameOutcome(outcome, p.follower.Apply(revision, received)); err != nil {
 		return fmt.Errorf("%s: %w", command.Kind(), err)
@@ -129,7 +129,7 @@
 	}
 	third, err := EncodeOutcome(again)
 	if err != nil || !bytes.Equal(left, right) || !bytes.Equal(left, third) {
-		return fmt.Errorf("outcomes differ: %+v, %+v and %+v (%v)", a, b, again, err)
+		return fmt.Errorf("outcomes differ: %+v, %+v and %+v: %w", a, b, again, err)
 	}
 	return nil
 }
@@ -158,7 +158,7 @@
 	}
 	right, err := EncodeMachine(p.follower)
 	if err != nil || !bytes.Equal(left, right) {
-		return fmt.Errorf("leader and follower differ (%v)", err)
+		return fmt.Errorf("leader and follower differ: %w", err)
 	}
 	left, err = EncodeConfig(p.leader.Config())
 	if err != nil {
@@ -166,7 +166,7 @@
 	}
 	right, err = EncodeConfig(p.entry)
 	if err != nil || !bytes.Equal(left, right) {
-		return fmt.Errorf("leader and entry host differ (%v)", err)
+		return fmt.Errorf("leader and entry host differ: %w", err)
 	}
 	return nil
 }
--- a/codec/shape.go
+++ b/codec/shape.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
 )
 
 // shapeChecker compares a YAML tree with the type that it is to be decoded
@@ -79,16 +80,26 @@
 		_, ok = node.(*ast.IntegerNode)
 	case reflect.Float64:
 		allowed = "a number"
-		switch node.(type) {
-		case *ast.IntegerNode, *ast.FloatNode:
-			ok = true
-		}
+		ok = isNumber(node)
 	}
 	if !ok {
 		c.add(node, field, allowed)
 	}
 }
 
+// isNumber reports whether a node is a finite number. The library takes 1e-3,
+// a number in YAML 1.2, for a text but decodes it into a number.
+func isNumber(node ast.Node) bool {
+	switch n := node.(type) {
+	case *ast.IntegerNode, *ast.FloatNode:
+		return true
+	case *ast.StringNode:
+		_, err := strconv.ParseFloat(n.Value, 64)
+		return err == nil && n.Token.Type == token.StringType && strings.Trim(n.Value, "0123456789.eE+-") == ""
+	}
+	return false
+}
+
 func mapEntries(node ast.Node) ([]*ast.MappingValueNode, bool) {
 	switch n := node.(type) {
 	case *ast.MappingNode:
--- a/codec/yaml.go
+++ b/codec/yaml.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"reflect"
@@ -18,6 +19,10 @@
 	root ast.Node
 }
 
+// byteOrderMark starts the texts of some editors. YAML allows it; the library
+// takes it for a part of the first key.
+const byteOrderMark = "\xef\xbb\xbf"
+
 // ReadYAML reads one YAML document of at most limit bytes into a record, a
 // pointer to a struct with yaml tags. It is stricter than YAML: a field must
 // be known, occur once and have the type of the record's field; numbers are
@@ -42,6 +47,7 @@
 			s, err = nil, &DocumentError{faults: []Fault{{line: 1, column: 1, allowed: "YAML that can be parsed"}}}
 		}
 	}()
+	data = bytes.TrimPrefix(data, []byte(byteOrderMark))
 	if fault, ok := scan(data, limit); !ok {
 		return nil, &DocumentError{faults: []Fault{fault}}
 	}
--- a/prof/route.go
+++ b/prof/route.go
@@ -88,11 +88,11 @@
 	return "unknown"
 }
 
-// cleanPath reports whether a decoded path has no empty, "." or ".." segment
-// and no backslash. A target may resolve such segments and so reach a path of
-// another route, for example one that needs a key.
+// cleanPath reports whether a decoded path has no empty, "." or ".." segment,
+// no backslash and no control character. A target may resolve such segments
+// and so reach a path of another route, for example one that needs a key.
 func cleanPath(path string) bool {
-	if !strings.HasPrefix(path, "/") || strings.Contains(path, "\\") {
+	if !strings.HasPrefix(path, "/") || strings.ContainsFunc(path, isUnclean) {
 		return false
 	}
 	segments := strings.Split(path[1:], "/")
@@ -103,3 +103,5 @@
 	}
 	return true
 }
+
+func isUnclean(r rune) bool { return r == '\\' || r < ' ' || r == 0x7f }
--- a/prof/service.go
+++ b/prof/service.go
@@ -111,7 +111,7 @@
 	seen := ident.NewSet[string]()
 	for i, r := range s.routes {
 		c.require(cleanPath(r.prefix), element("routes", i, "prefix"), r.prefix,
-			"a path that starts with / and has no empty, . or .. segment")
+			"a path that starts with / and has no empty, . or .. segment, backslash or control character")
 		if r.class != "" {
 			c.name(element("routes", i, "class"), string(r.class))
 		}
