Test the rate tasks over loopback, report spent tokens on release

Cause: nothing showed the rate tasks working together, and a holder that had spent its last token did not report it when it stopped, so that the owner counted it as unspent until it expired. Change: tests run three hosts on loopback with owners that change hands; Release reports every team that spent tokens; RateOwners.Level shows the bucket of a team.

--- /dev/null
+++ b/entry/rate_test.go
@@ -0,0 +1,240 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/rpc"
+	"sync"
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/limit"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+const rateTestTeam = ident.Team("lucerne")
+
+// rateHost is an entry host with the rate tasks and a peer RPC on loopback.
+type rateHost struct {
+	name   ident.Host
+	system *tasks.System
+	peers  *Peers
+	owners *RateOwners
+	holder *RateHolder
+	listen net.Listener
+	stop   context.CancelFunc
+	served <-chan struct{}
+}
+
+func startRateHost(t testing.TB, name ident.Host, list []RateOption) *rateHost {
+	t.Helper()
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	list = append(list, WithRateLog(log))
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &rateHost{name: name, system: tasks.NewSystem(log), stop: cancel}
+	must := func(err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	var err error
+	h.peers, err = StartPeers(ctx, h.system)
+	must(err)
+	h.owners, err = StartRateOwners(ctx, h.system, h.peers, list...)
+	must(err)
+	h.holder, err = StartRateHolder(ctx, h.system, h.peers, name, 1, list...)
+	must(err)
+	h.listen, err = net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	server := rpc.NewServer()
+	must(RegisterRates(server, h.owners, h.holder))
+	h.served = wire.Serve(ctx, h.listen, server)
+	return h
+}
+
+func (h *rateHost) close() {
+	h.stop()
+	<-h.holder.Done()
+	<-h.owners.Done()
+	<-h.peers.Done()
+	<-h.served
+	h.system.Shutdown()
+}
+
+type rateFleet struct {
+	hosts []*rateHost
+	limit limit.Limit
+}
+
+func startRateFleet(t testing.TB, rate, burst float64, list ...RateOption) *rateFleet {
+	t.Helper()
+	l, err := limit.New(rate, burst)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &rateFleet{limit: l}
+	for _, n := range []ident.Host{"a", "b", "c"} {
+		f.hosts = append(f.hosts, startRateHost(t, n, list))
+	}
+	t.Cleanup(func() {
+		for _, h := range f.hosts {
+			h.close()
+		}
+	})
+	return f
+}
+
+// view tells all hosts who owns the one shard.
+func (f *rateFleet) view(owner int, e ident.Epoch, fresh time.Duration) {
+	var members []Member
+	for _, h := range f.hosts {
+		members = append(members, NewMember(h.name, 1, "ch", h.listen.Addr().String()))
+	}
+	roles := map[Role]Assignment{RateRole(0): NewAssignment(f.hosts[owner].name, 1, e)}
+	limits := NewRateLimits(1, map[ident.Team]limit.Limit{rateTestTeam: f.limit})
+	for _, h := range f.hosts {
+		m := NewMembers(h.name, 1, ident.Revision(e), time.Now().Add(fresh), members, roles)
+		h.peers.Update(m)
+		h.owners.SetLimits(limits)
+		h.holder.SetLimits(limits)
+		h.owners.Update(m)
+		h.holder.Update(m)
+	}
+}
+
+type rateCount struct {
+	mutex    sync.Mutex
+	admitted int
+	refused  map[limit.Reason]int
+	failed   error
+}
+
+// takeMany sends n requests over each host, in flight together.
+func (f *rateFleet) takeMany(n int) *rateCount {
+	c := &rateCount{refused: map[limit.Reason]int{}}
+	var open sync.WaitGroup
+	for _, h := range f.hosts {
+		for range n {
+			open.Go(func() {
+				ok, _, reason, err := h.holder.Take(context.Background(), rateTestTeam)
+				c.mutex.Lock()
+				defer c.mutex.Unlock()
+				switch {
+				case err != nil:
+					c.failed = err
+				case ok:
+					c.admitted++
+				default:
+					c.refused[reason]++
+				}
+			})
+		}
+	}
+	open.Wait()
+	return c
+}
+
+// Guards against refusals within the burst, and against more admissions than
+// burst + rate x length, over owners that change hands.
+func TestRateTasks(t *testing.T) {
+	cases := []struct {
+		name        string
+		rate, burst float64
+		perHost     int
+		owners      []int
+		options     []RateOption
+		wantAll     bool
+	}{
+		{name: "within the burst", rate: 1000, burst: 90, perHost: 30, owners: []int{0}, wantAll: true},
+		{name: "within the burst, owner replaced", rate: 1000, burst: 90, perHost: 30, owners: []int{0, 1, 2}, wantAll: true},
+		{name: "far above the rate", rate: 10, burst: 20, perHost: 300, owners: []int{0, 1}, options: []RateOption{WithRateMaxWait(time.Second)}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := startRateFleet(t, tc.rate, tc.burst, tc.options...)
+			start := time.Now()
+			total := 0
+			for i, o := range tc.owners {
+				f.view(o, ident.Epoch(i+1), time.Hour)
+				c := f.takeMany(tc.perHost)
+				if c.failed != nil {
+					t.Fatal(c.failed)
+				}
+				if all := tc.perHost * len(f.hosts); tc.wantAll && c.admitted != all {
+					t.Errorf("owner %d: %d of %d admitted, refused %v", o, c.admitted, all, c.refused)
+				}
+				if !tc.wantAll && c.refused[limit.ReasonRate] == 0 {
+					t.Errorf("owner %d: refused %v, want some for %s", o, c.refused, limit.ReasonRate)
+				}
+				total += c.admitted
+			}
+			bound := tc.burst + tc.rate*time.Since(start).Seconds()
+			if total == 0 || float64(total) > bound {
+				t.Errorf("%d requests admitted, want 1 to %.1f", total, bound)
+			}
+		})
+	}
+}
+
+// Guards against requests that hang or run when a host cannot know the limit.
+func TestRateHolderWithoutOwner(t *testing.T) {
+	cases := []struct {
+		name       string
+		view       func(f *rateFleet)
+		team       ident.Team
+		wantReason limit.Reason
+		wantErr    error
+	}{
+		{name: "no view", view: func(*rateFleet) {}, team: rateTestTeam, wantReason: limit.ReasonStale},
+		{name: "lease ended", view: func(f *rateFleet) { f.view(0, 1, -time.Second) }, team: rateTestTeam, wantReason: limit.ReasonStale},
+		{name: "unknown team", view: func(f *rateFleet) { f.view(0, 1, time.Hour) }, team: "texas", wantReason: limit.ReasonUnknownTeam},
+		{name: "owner dead, caller gives up", view: func(f *rateFleet) {
+			f.hosts[0].close()
+			f.view(0, 1, time.Hour)
+			f.hosts = f.hosts[1:]
+		}, team: rateTestTeam, wantErr: context.DeadlineExceeded},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := startRateFleet(t, 10, 10)
+			tc.view(f)
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			if tc.wantErr == nil {
+				ctx, cancel = context.WithCancel(context.Background())
+			}
+			defer cancel()
+			ok, _, reason, err := f.hosts[1].holder.Take(ctx, tc.team)
+			if ok || reason != tc.wantReason || !errors.Is(err, tc.wantErr) {
+				t.Errorf("Take = %v, %q, %v; want %q, %v", ok, reason, err, tc.wantReason, tc.wantErr)
+			}
+		})
+	}
+}
+
+// Guards against tokens that a planned stop takes along.
+func TestRateRelease(t *testing.T) {
+	f := startRateFleet(t, 1000, 60)
+	f.view(0, 1, time.Hour)
+	if c := f.takeMany(10); c.admitted != 30 {
+		t.Fatalf("%d of 30 admitted, refused %v", c.admitted, c.refused)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	for _, h := range f.hosts {
+		if err := h.holder.Release(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, _, reason, err := f.hosts[1].holder.Take(ctx, rateTestTeam); err != nil || reason != limit.ReasonStopping {
+		t.Errorf("Take after Release: reason %q, error %v", reason, err)
+	}
+	_, unspent, owned, err := f.hosts[0].owners.Level(ctx, rateTestTeam)
+	if err != nil || !owned || unspent != 0 {
+		t.Errorf("Level: owned %v, %d unspent tokens after all were handed back, error %v", owned, unspent, err)
+	}
+}
--- a/entry/rateowners.go
+++ b/entry/rateowners.go
@@ -37,6 +37,16 @@
 // SetLimits tells the task the limits of all teams.
 func (o *RateOwners) SetLimits(l RateLimits) { o.ref.Tell(l) }
 
+// Level returns the level and the unspent grants of a team, as operators see
+// them, and whether this host owns the team's shard.
+func (o *RateOwners) Level(ctx context.Context, t ident.Team) (level float64, unspent int64, owned bool, err error) {
+	v, err := tasks.Ask(ctx, o.ref, func(r tasks.Reply[rateLevel]) any { return rateLevelOf{team: t, reply: r} })
+	if err != nil {
+		return 0, 0, false, fmt.Errorf("level of team %s: %w", t, err)
+	}
+	return v.level, v.unspent, v.owned, nil
+}
+
 // Stop ends the task.
 func (o *RateOwners) Stop() { o.ref.Stop() }
 
@@ -99,6 +109,16 @@
 		request limit.Request
 		reply   tasks.Reply[limit.Answer]
 	}
+	// rateLevelOf asks for the level of a team.
+	rateLevelOf struct {
+		team  ident.Team
+		reply tasks.Reply[rateLevel]
+	}
+	rateLevel struct {
+		level   float64
+		unspent int64
+		owned   bool
+	}
 	// rateReported is the end of a call for holdings.
 	rateReported struct {
 		number int
@@ -133,6 +153,8 @@
 	switch m := message.(type) {
 	case rateGrant:
 		o.grant(m, now)
+	case rateLevelOf:
+		m.reply.Send(o.level(m.team, now))
 	case rateReported:
 		o.reported(m, now)
 	case rateTicked:
@@ -225,6 +247,15 @@
 	}
 }
 
+func (o *rateOwners) level(t ident.Team, now time.Time) rateLevel {
+	s, ok := o.shards[limit.Shard(t, o.limits.shards)]
+	if !ok {
+		return rateLevel{}
+	}
+	level, unspent := s.owner.Level(t, now)
+	return rateLevel{level: level, unspent: unspent, owned: true}
+}
+
 // recall asks the other holders of the team to hand their tokens back, and
 // reports whether the request waits for that.
 func (o *rateOwners) recall(m rateGrant, s *rateShard, now time.Time) bool {
--- a/limit/holder.go
+++ b/limit/holder.go
@@ -287,14 +287,14 @@
 }
 
 // Release stops the holder for good and returns the requests that hand its
-// unspent tokens back.
+// unspent tokens back and report what it spent.
 func (h *Holder) Release(now time.Time) []Request {
 	h.stopping = true
 	var list []Request
 	for t, p := range h.purses {
 		p.expire(now)
 		epoch := h.epochs[Shard(t, h.shards)]
-		if epoch == 0 || p.held == 0 && p.open == 0 {
+		if epoch == 0 || p.held == 0 && p.open == 0 && p.spent == 0 {
 			continue
 		}
 		p.held, p.open = 0, 0
