--- a/entry/slot_marking.go
+++ b/entry/slot_marking.go
@@ -1,9 +1,11 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"rhubarbrack/guard"
+	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
 )
 
@@ -70,11 +72,22 @@
 
 func (t *slotOwnerTask) retryMarks(now time.Time) { t.startMarking(now) }
 
-// importMarks passes marks from the view to the guards of all regions. All
-// are kept for the next region that this host takes over.
+// importMarks passes the marks of the view to the guards of all regions. A
+// mark that the view has dropped is cleared. All are kept for the next region
+// that this host takes over.
 func (t *slotOwnerTask) importMarks(marks []guard.Mark) {
+	current := make(map[ident.Fingerprint]struct{}, len(marks))
+	for _, m := range marks {
+		current[m.Fingerprint()] = struct{}{}
+	}
+	all := slices.Clone(marks)
+	for _, m := range t.marks {
+		if _, ok := current[m.Fingerprint()]; !ok {
+			all = append(all, guard.NewMark(m.Fingerprint(), 0, m.Until()))
+		}
+	}
 	t.marks = marks
 	for _, o := range t.owned {
-		o.guard.Import(marks)
+		o.guard.Import(all)
 	}
 }
--- /dev/null
+++ b/steer/bench_test.go
@@ -0,0 +1,93 @@
+package steer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// loaded returns an open pool of one service with the given number of targets
+// with four slots, of which about half are in use.
+func loaded(targets int) (*Pool, time.Time) {
+	p := New("r1")
+	p.SetServices(start, []Service{NewService("s", 0.1, time.Minute)})
+	var list []Target
+	for i := range targets {
+		id := ident.Target(fmt.Sprintf("t%03d", i))
+		list = append(list, NewTarget(id, "s", "10.0.0.1:80", ident.Zone(fmt.Sprintf("z%d", i%3)), 4, StateLive))
+	}
+	p.SetTargets(start, list)
+	p.Complete(start)
+	for n := range uint64(2 * targets) {
+		p.Acquire(start, NewAsk(NewAskID(NewHolder("other", 1), n+1), "s", "team", reads, start.Add(time.Hour), WithZone("z1")))
+	}
+	return p, start
+}
+
+// BenchmarkDecision measures one grant and its release, with the refresh of
+// time-dependent scores at 10,000 decisions per second.
+func BenchmarkDecision(b *testing.B) {
+	for _, targets := range []int{50, 630} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			p, now := loaded(targets)
+			number := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				number++
+				now = now.Add(100 * time.Microsecond)
+				id := NewAskID(NewHolder("h", 1), number)
+				p.Acquire(now, NewAsk(id, "s", "team", reads, now.Add(time.Second), WithZone("z1")))
+				p.Release(now, id, NewResult(EndingOK, time.Millisecond))
+				if number%1000 == 0 {
+					p.Recover(now, NewHoldings(NewHolder("h", 1), number, number, nil, nil))
+				}
+			}
+		})
+	}
+}
+
+// holdingsOf returns the true report of the holder "h".
+func holdingsOf(p *Pool, sequence, last uint64) Holdings {
+	h := p.holders[NewHolder("h", 1)]
+	var open []OpenGrant
+	for n, g := range h.grants {
+		open = append(open, NewOpenGrant(n, "s", g.target.entry.id, ident.Fingerprint{}, 0))
+	}
+	return NewHoldings(NewHolder("h", 1), sequence, last, open, slices.Collect(maps.Keys(h.waiting)))
+}
+
+// BenchmarkQueued measures one release that serves a queue of eight teams,
+// and the ask that takes the free place in the queue.
+func BenchmarkQueued(b *testing.B) {
+	for _, targets := range []int{50, 630} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			p, now := loaded(targets)
+			class := NewClass("reads", false, 1000, 0)
+			number := uint64(0)
+			ask := func() {
+				number++
+				team := ident.Team(fmt.Sprintf("team%d", number%8))
+				p.Acquire(now, NewAsk(NewAskID(NewHolder("h", 1), number), "s", team, class, now.Add(time.Hour)))
+			}
+			for p.Waiting() < 400 {
+				ask()
+			}
+			next, oldest := uint64(0), NewAskID(NewHolder("other", 1), 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(100 * time.Microsecond)
+				next++
+				granted := p.Release(now, oldest, NewResult(EndingOK, 0))
+				oldest = granted[0].ID()
+				ask()
+				if next%1000 == 0 {
+					p.Recover(now, holdingsOf(p, next, number))
+				}
+			}
+		})
+	}
+}
