Prove the stand-ins and the platform list client; add the subcommand stand

Cause: trials rely on stand-ins whose slots, reports and lag are exact.

Change: tests for stand and platf; a fleet of stand-ins from a YAML specification as a subcommand; records can be read after Close; changes carry the time at which they were made, because a board that read the clock when it handled them dated them late.

--- /dev/null
+++ b/stand/command.go
@@ -0,0 +1,237 @@
+package stand
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/google/subcommands"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/platf"
+	"rhubarbrack/tasks"
+)
+
+// maxSpecBytes bounds a specification file.
+const maxSpecBytes = 1 << 20
+
+// specRecord is the YAML form of a fleet of stand-ins.
+type specRecord struct {
+	Platform platformRecord `yaml:"platform"`
+	Targets  []targetRecord `yaml:"targets"`
+}
+
+type platformRecord struct {
+	Address string        `yaml:"address"`
+	Lag     time.Duration `yaml:"lag"`
+}
+
+// targetRecord describes equal targets; Count of them are started. With more
+// than one, the ids get a number.
+type targetRecord struct {
+	ID           string        `yaml:"id"`
+	Count        int           `yaml:"count"`
+	Service      string        `yaml:"service"`
+	Zone         string        `yaml:"zone"`
+	Region       string        `yaml:"region"`
+	Slots        int           `yaml:"slots"`
+	Queue        int           `yaml:"queue"`
+	Seed         uint64        `yaml:"seed"`
+	ServiceTime  time.Duration `yaml:"service-time"`
+	Spread       float64       `yaml:"spread"`
+	ColdRequests int           `yaml:"cold-requests"`
+	ColdFactor   float64       `yaml:"cold-factor"`
+	RestartAfter time.Duration `yaml:"restart-after"`
+	ReportLag    time.Duration `yaml:"report-lag"`
+}
+
+// Fleet is a set of targets with the platform that lists them.
+type Fleet struct {
+	platform *Platform
+	targets  []*Target
+}
+
+// StartFleet starts the stand-ins that a YAML specification describes.
+func StartFleet(ctx context.Context, system *tasks.System, spec io.Reader) (*Fleet, error) {
+	var record specRecord
+	if err := yaml.NewDecoder(io.LimitReader(spec, maxSpecBytes), yaml.Strict()).Decode(&record); err != nil {
+		return nil, fmt.Errorf("read specification: %w", err)
+	}
+	f := &Fleet{}
+	for _, r := range record.Targets {
+		if err := f.start(ctx, system, r); err != nil {
+			f.Close()
+			return nil, fmt.Errorf("start fleet: %w", err)
+		}
+	}
+	if err := f.list(ctx, system, record.Platform); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("start fleet: %w", err)
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context, system *tasks.System, r targetRecord) error {
+	for i := range max(r.Count, 1) {
+		id := r.ID
+		if r.Count > 1 {
+			id = fmt.Sprintf("%s-%d", r.ID, i+1)
+		}
+		t, err := StartTarget(ctx, system, r.options(id, uint64(i))...)
+		if err != nil {
+			return fmt.Errorf("target %s: %w", id, err)
+		}
+		t.SetReportLag(r.ReportLag)
+		f.targets = append(f.targets, t)
+	}
+	return nil
+}
+
+// options keeps the defaults for absent fields.
+func (r targetRecord) options(id string, number uint64) []Option {
+	return []Option{WithID(ident.Target(id)), func(s *settings) {
+		s.service, s.zone = or(ident.Service(r.Service), s.service), or(ident.Zone(r.Zone), s.zone)
+		s.region, s.slots = or(ident.Region(r.Region), s.region), or(r.Slots, s.slots)
+		s.seed, s.queue = or(r.Seed, s.seed)+number, r.Queue
+		s.serviceTime, s.spread = or(r.ServiceTime, s.serviceTime), or(r.Spread, s.spread)
+		s.coldRequests, s.coldFactor = r.ColdRequests, or(r.ColdFactor, s.coldFactor)
+		s.restartAfter = r.RestartAfter
+	}}
+}
+
+// or returns the value, or the fallback for a zero value.
+func or[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+func (f *Fleet) list(ctx context.Context, system *tasks.System, r platformRecord) error {
+	var entries []platf.Target
+	for _, t := range f.targets {
+		e, err := t.Entry(platf.Live)
+		if err != nil {
+			return fmt.Errorf("list targets: %w", err)
+		}
+		entries = append(entries, e)
+	}
+	p, err := StartPlatform(ctx, system, WithTargets(entries...), WithLag(r.Lag), func(s *settings) {
+		s.address = or(r.Address, s.address)
+	})
+	if err != nil {
+		return fmt.Errorf("list targets: %w", err)
+	}
+	f.platform = p
+	return nil
+}
+
+// Platform returns the platform that lists the targets.
+func (f *Fleet) Platform() *Platform { return f.platform }
+
+// Targets returns the targets in the order of the specification.
+func (f *Fleet) Targets() []*Target { return f.targets }
+
+// Close ends all stand-ins at once.
+func (f *Fleet) Close() {
+	if f.platform != nil {
+		f.platform.Close()
+	}
+	for _, t := range f.targets {
+		t.Close()
+	}
+}
+
+// command is the subcommand "stand".
+type command struct {
+	out  io.Writer
+	spec string
+}
+
+var _ subcommands.Command = (*command)(nil)
+
+// NewCommand returns the subcommand "stand", which starts the stand-ins of a
+// specification file and writes their addresses to out. It ends on an
+// interrupt, and then writes what the targets counted.
+func NewCommand(out io.Writer) subcommands.Command { return &command{out: out} }
+
+// Name implements subcommands.Command.
+func (*command) Name() string { return "stand" }
+
+// Synopsis implements subcommands.Command.
+func (*command) Synopsis() string {
+	return "run stand-ins of targets and of the platform's list for trials"
+}
+
+// Usage implements subcommands.Command.
+func (*command) Usage() string { return "stand -spec FILE\n" }
+
+// SetFlags implements subcommands.Command.
+func (c *command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.spec, "spec", "", "file with the stand-ins in YAML")
+}
+
+// Execute implements subcommands.Command.
+func (c *command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "stand:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *command) run(ctx context.Context) error {
+	spec, err := os.Open(c.spec)
+	if err != nil {
+		return fmt.Errorf("open specification: %w", err)
+	}
+	defer func() { _ = spec.Close() }()
+	system := tasks.NewSystem(slog.Default())
+	defer system.Shutdown()
+	// The stand-ins outlive ctx, so that their counts can be read.
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	f, err := StartFleet(own, system, spec)
+	if err != nil {
+		return fmt.Errorf("specification %s: %w", c.spec, err)
+	}
+	defer f.Close()
+	_, _ = fmt.Fprintf(c.out, "platform %s\n", f.platform.URL())
+	for _, t := range f.targets {
+		_, _ = fmt.Fprintf(c.out, "target %s %s %s\n", t.settings.service, t.ID(), t.Address())
+	}
+	<-ctx.Done()
+	return c.sumUp(own, f)
+}
+
+// sumUp writes the counts of the targets and the keys that ran twice.
+func (c *command) sumUp(ctx context.Context, f *Fleet) error {
+	var all [][]Run
+	for _, t := range f.targets {
+		figures, err := t.Figures(ctx)
+		if err != nil {
+			return fmt.Errorf("sum up: %w", err)
+		}
+		runs, err := t.Runs(ctx)
+		if err != nil {
+			return fmt.Errorf("sum up: %w", err)
+		}
+		all = append(all, runs)
+		_, _ = fmt.Fprintf(c.out, "target %s ran %d shed %d crashes %d keys-seen %d\n",
+			t.ID(), figures.Ran(), figures.Shed(), figures.Crashes(), figures.KeysSeen())
+	}
+	for key, n := range Duplicates(all...) {
+		_, _ = fmt.Fprintf(c.out, "idempotency key %s ran %d times\n", key, n)
+	}
+	return nil
+}
--- a/stand/desk.go
+++ b/stand/desk.go
@@ -108,12 +108,14 @@
 func newDesk(s settings) *desk {
 	d := &desk{settings: s, random: rand.New(rand.NewPCG(s.seed, s.seed))}
 	d.behaviour.claimBusy = -1
-	d.remember()
+	d.remember(s.clock.Now())
 	return d
 }
 
 // Handle implements tasks.Task.
 func (d *desk) Handle(message any) {
+	// The time is read before a reply lets the clock of a trial move on.
+	now := d.clock.Now()
 	switch m := message.(type) {
 	case arrive:
 		d.arrive(m)
@@ -142,7 +144,7 @@
 		m.reply.Send(d.nextCut())
 		return
 	}
-	d.remember()
+	d.remember(now)
 }
 
 func (d *desk) arrive(a arrive) {
@@ -234,8 +236,8 @@
 }
 
 // remember keeps the load of this moment for lagging reports.
-func (d *desk) remember() {
-	s := sample{at: d.clock.Now(), state: target.Ready, busy: d.figures.busy, queued: d.figures.queued}
+func (d *desk) remember(now time.Time) {
+	s := sample{at: now, state: target.Ready, busy: d.figures.busy, queued: d.figures.queued}
 	if d.behaviour.draining {
 		s.state = target.Leaving
 	}
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 	"rhubarbrack/platf"
 	"rhubarbrack/tasks"
@@ -21,6 +22,7 @@
 // Platform is a stand-in of the platform's list of targets. Changes show up
 // after the set lag.
 type Platform struct {
+	clock  clock.Clock
 	server *server
 	board  *tasks.Ref
 	cancel context.CancelFunc
@@ -38,7 +40,7 @@
 		cancel()
 		return nil, fmt.Errorf("start platform stand-in: %w", err)
 	}
-	p := &Platform{board: board, cancel: cancel, done: make(chan struct{})}
+	p := &Platform{clock: s.clock, board: board, cancel: cancel, done: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathHosts, p.hosts)
 	if p.server, err = startServer(s.address, mux); err != nil {
@@ -60,11 +62,13 @@
 
 // Set replaces the list.
 func (p *Platform) Set(targets ...platf.Target) {
-	p.board.Tell(setTargets{targets: slices.Clone(targets)})
+	p.board.Tell(setTargets{at: p.clock.Now(), targets: slices.Clone(targets)})
 }
 
 // SetState changes the state of one target.
-func (p *Platform) SetState(id ident.Target, s platf.State) { p.board.Tell(setState{id: id, state: s}) }
+func (p *Platform) SetState(id ident.Target, s platf.State) {
+	p.board.Tell(setState{at: p.clock.Now(), id: id, state: s})
+}
 
 // SetLag sets how long the list lags behind its changes.
 func (p *Platform) SetLag(d time.Duration) { p.board.Tell(setLag{lag: d}) }
@@ -110,8 +114,13 @@
 
 // The messages of a board.
 type (
-	setTargets struct{ targets []platf.Target }
-	setState   struct {
+	// Changes carry the time at which they were made.
+	setTargets struct {
+		at      time.Time
+		targets []platf.Target
+	}
+	setState struct {
+		at    time.Time
 		id    ident.Target
 		state platf.State
 	}
@@ -145,7 +154,7 @@
 func (b *board) Handle(message any) {
 	switch m := message.(type) {
 	case setTargets:
-		b.append(m.targets)
+		b.append(m.at, m.targets)
 	case setState:
 		next := slices.Clone(b.versions[len(b.versions)-1].targets)
 		for i, t := range next {
@@ -153,7 +162,7 @@
 				next[i] = t.WithState(m.state)
 			}
 		}
-		b.append(next)
+		b.append(m.at, next)
 	case setLag:
 		b.lag = m.lag
 	case setFault:
@@ -163,8 +172,8 @@
 	}
 }
 
-func (b *board) append(targets []platf.Target) {
-	b.versions = append(b.versions, version{at: b.clock.Now(), targets: targets})
+func (b *board) append(at time.Time, targets []platf.Target) {
+	b.versions = append(b.versions, version{at: at, targets: targets})
 }
 
 // visible returns the newest version that is at least as old as the lag, and
--- /dev/null
+++ b/stand/platform_test.go
@@ -0,0 +1,106 @@
+package stand
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"rhubarbrack/platf"
+)
+
+// Guards against a list that shows changes before its lag has passed.
+func TestPlatformLag(t *testing.T) {
+	a, err := platf.NewTarget("a", "s", "127.0.0.1:1", "z", "r", 1, platf.Live)
+	if err != nil {
+		t.Fatal(err)
+	}
+	steps := []struct {
+		name    string
+		change  func(p *Platform)
+		advance time.Duration
+		want    string
+	}{
+		{name: "first list", change: func(*Platform) {}, want: "a live"},
+		{name: "leaving, at once", change: func(p *Platform) { p.SetState("a", platf.Leaving) }, want: "a live"},
+		{name: "leaving, shortly before the lag", change: func(*Platform) {}, advance: 4 * time.Second, want: "a live"},
+		{name: "leaving, after the lag", change: func(*Platform) {}, advance: time.Second, want: "a leaving"},
+		{name: "two changes", change: func(p *Platform) { p.SetState("a", platf.Live); p.Set() }, advance: 4 * time.Second, want: "a leaving"},
+		{name: "the later one counts", change: func(*Platform) {}, advance: time.Second, want: ""},
+		{name: "fault", change: func(p *Platform) { p.SetFault(500) }, want: "status 500"},
+		{name: "fault ends, no lag", change: func(p *Platform) { p.SetFault(0); p.SetLag(0); p.Set(a) }, want: "a live"},
+	}
+	c := newWatchedClock()
+	p, err := StartPlatform(context.Background(), newSystem(t), WithClock(c), WithLag(5*time.Second), WithTargets(a))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	for _, s := range steps {
+		s.change(p)
+		c.Advance(s.advance)
+		if got := shownBy(t, p); got != s.want {
+			t.Errorf("%s: list shows %q, want %q", s.name, got, s.want)
+		}
+	}
+}
+
+// shownBy asks the platform for its list.
+func shownBy(t *testing.T, p *Platform) string {
+	t.Helper()
+	got := get(context.Background(), p.server.address, PathHosts, nil)
+	if got.status != 200 {
+		return fmt.Sprintf("status %d", got.status)
+	}
+	targets, err := platf.Decode(strings.NewReader(string(got.body)), 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var parts []string
+	for _, e := range targets {
+		parts = append(parts, fmt.Sprintf("%s %s", e.ID(), e.State()))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Guards against specifications that start something else than they say.
+func TestFleet(t *testing.T) {
+	cases := []struct {
+		name, spec, want string
+	}{
+		{name: "two kinds", want: "big live, small-1 live, small-2 live", spec: `
+platform: {lag: 1s}
+targets:
+  - {id: big, service: files, slots: 6, service-time: 1ms}
+  - {id: small, count: 2, service: catalogue, zone: zone-2, region: region-2, cold-requests: 5, cold-factor: 3}
+`},
+		{name: "unknown field", spec: "targets: [{id: a, speed: 3}]"},
+		{name: "repeated id", spec: "targets: [{id: a}, {id: a}]"},
+		{name: "malformed id", spec: "targets: [{id: A b}]"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f, err := StartFleet(context.Background(), newSystem(t), strings.NewReader(tc.spec))
+			if tc.want == "" {
+				if err == nil {
+					f.Close()
+					t.Error("StartFleet accepted the specification")
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer f.Close()
+			if got := shownBy(t, f.Platform()); got != tc.want {
+				t.Errorf("platform lists %q, want %q", got, tc.want)
+			}
+			for _, s := range f.Targets() {
+				if got := get(context.Background(), s.Address(), "/x", nil); got.status != 200 {
+					t.Errorf("%s: %d, %v", s.ID(), got.status, got.err)
+				}
+			}
+		})
+	}
+}
--- a/stand/serve.go
+++ b/stand/serve.go
@@ -93,6 +93,10 @@
 
 // occupy runs the request in a slot for its service time and then answers.
 func (t *Target) occupy(w http.ResponseWriter, r *http.Request, answer func(admission)) {
+	if !t.enter(&t.handlers) {
+		return
+	}
+	defer t.handlers.Done()
 	size, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(w, "request body: "+err.Error(), http.StatusBadRequest)
--- a/stand/target.go
+++ b/stand/target.go
@@ -29,22 +29,28 @@
 	address  string
 	server   *server
 	restarts sync.WaitGroup
+	handlers sync.WaitGroup
+
+	// The final records are set before done is closed.
+	finalRuns    []Run
+	finalFigures Figures
 }
 
 // StartTarget starts a stand-in that listens when it returns. It ends with
 // ctx or by Close.
 func StartTarget(ctx context.Context, system *tasks.System, options ...Option) (*Target, error) {
 	s := newSettings(options)
-	ctx, cancel := context.WithCancel(ctx)
-	desk, err := tasks.Spawn(ctx, system, "stand-"+string(s.id), newDesk(s))
+	// The desk outlives ctx, so that the last requests are recorded.
+	desk, err := tasks.Spawn(context.WithoutCancel(ctx), system, "stand-"+string(s.id), newDesk(s))
 	if err != nil {
-		cancel()
 		return nil, fmt.Errorf("start stand-in %s: %w", s.id, err)
 	}
+	ctx, cancel := context.WithCancel(ctx)
 	t := &Target{settings: s, system: system, desk: desk, ctx: ctx, cancel: cancel,
 		address: s.address, done: make(chan struct{})}
 	if err := t.listen(); err != nil {
 		cancel()
+		desk.Stop()
 		<-desk.Done()
 		return nil, err
 	}
@@ -84,6 +90,12 @@
 	<-t.ctx.Done()
 	t.cut()
 	t.restarts.Wait()
+	t.handlers.Wait()
+	background := context.Background()
+	// Errors mean that the desk has panicked; the records are then empty.
+	t.finalRuns, _ = tasks.Ask(background, t.desk, func(r tasks.Reply[[]Run]) any { return askRuns{reply: r} })
+	t.finalFigures, _ = tasks.Ask(background, t.desk, func(r tasks.Reply[Figures]) any { return askFigures{reply: r} })
+	t.desk.Stop()
 	<-t.desk.Done()
 }
 
@@ -107,8 +119,12 @@
 	return e, nil
 }
 
-// Runs returns the records of the requests that occupied a slot, in order.
+// Runs returns the records of the requests that occupied a slot, in order. It
+// can be called after Close; no request is then running.
 func (t *Target) Runs(ctx context.Context) ([]Run, error) {
+	if t.ended() {
+		return t.finalRuns, nil
+	}
 	runs, err := tasks.Ask(ctx, t.desk, func(r tasks.Reply[[]Run]) any { return askRuns{reply: r} })
 	if err != nil {
 		return nil, fmt.Errorf("records of %s: %w", t.settings.id, err)
@@ -116,8 +132,11 @@
 	return runs, nil
 }
 
-// Figures returns the counts.
+// Figures returns the counts. It can be called after Close.
 func (t *Target) Figures(ctx context.Context) (Figures, error) {
+	if t.ended() {
+		return t.finalFigures, nil
+	}
 	f, err := tasks.Ask(ctx, t.desk, func(r tasks.Reply[Figures]) any { return askFigures{reply: r} })
 	if err != nil {
 		return Figures{}, fmt.Errorf("figures of %s: %w", t.settings.id, err)
@@ -125,6 +144,27 @@
 	return f, nil
 }
 
+// enter counts one more user of the group, unless the target ends: its owner
+// then waits for the group.
+func (t *Target) enter(group *sync.WaitGroup) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.ctx.Err() != nil {
+		return false
+	}
+	group.Add(1)
+	return true
+}
+
+func (t *Target) ended() bool {
+	select {
+	case <-t.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // SetDraining sets whether the target reports itself as leaving and sheds
 // every new request.
 func (t *Target) SetDraining(on bool) { t.change(func(b *behaviour) { b.draining = on }) }
@@ -162,10 +202,9 @@
 func (t *Target) crash(number, index int) {
 	t.desk.Tell(crash{number: number, index: index})
 	t.cut()
-	if t.settings.restartAfter <= 0 {
+	if t.settings.restartAfter <= 0 || !t.enter(&t.restarts) {
 		return
 	}
-	t.restarts.Add(1)
 	tasks.Go(t.ctx, func(ctx context.Context) {
 		defer t.restarts.Done()
 		if wait(ctx, t.settings.clock, t.settings.restartAfter) == nil {
--- /dev/null
+++ b/stand/target_test.go
@@ -0,0 +1,327 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/target"
+	"rhubarbrack/tasks"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// watchedClock tells when a timer has been set, which a request does once it
+// occupies its slot.
+type watchedClock struct {
+	*clock.Manual
+	set chan struct{}
+}
+
+func newWatchedClock() watchedClock {
+	return watchedClock{Manual: clock.NewManual(start), set: make(chan struct{}, 64)}
+}
+
+func (c watchedClock) NewTimer(d time.Duration) clock.Timer {
+	defer func() { c.set <- struct{}{} }()
+	return c.Manual.NewTimer(d)
+}
+
+func newSystem(t *testing.T) *tasks.System {
+	t.Helper()
+	s := tasks.NewSystem(slog.New(slog.DiscardHandler))
+	t.Cleanup(s.Shutdown)
+	return s
+}
+
+func startTarget(t *testing.T, s *tasks.System, options ...Option) *Target {
+	t.Helper()
+	got, err := StartTarget(context.Background(), s, options...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(got.Close)
+	return got
+}
+
+// reply is what a caller saw of one request.
+type reply struct {
+	status  int
+	outcome string
+	body    []byte
+	err     error
+}
+
+func get(ctx context.Context, address, path string, header http.Header) reply {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return reply{err: err}
+	}
+	if header != nil {
+		request.Header = header
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, outcome: response.Header.Get(target.HeaderOutcome), body: body, err: err}
+}
+
+// begin requests in the background and returns the channel of the reply.
+func begin(ctx context.Context, address, path string, header http.Header) <-chan reply {
+	replies := make(chan reply, 1)
+	tasks.Go(ctx, func(ctx context.Context) { replies <- get(ctx, address, path, header) })
+	return replies
+}
+
+// Guards against a stand-in that runs more requests than it has slots, or
+// whose slots leak when a request ends early.
+func TestTargetSlots(t *testing.T) {
+	const service = time.Minute
+	wait := func(_ func(), c watchedClock) { c.Advance(service) }
+	deadline := http.Header{target.HeaderDeadline: {start.Add(time.Second).Format(time.RFC3339Nano)}}
+	cases := []struct {
+		name   string
+		queue  int
+		header http.Header
+		end    func(cancel func(), c watchedClock)
+		status int
+		want   End
+		second int
+	}{
+		{name: "full, no queue", end: wait, status: 200, want: Done, second: 503},
+		{name: "first is done", queue: 1, end: wait, status: 200, want: Done, second: 200},
+		{name: "first is cancelled", queue: 1, end: func(cancel func(), _ watchedClock) { cancel() }, want: Cancelled, second: 200},
+		{name: "first expires", queue: 1, header: deadline, end: func(_ func(), c watchedClock) { c.Advance(time.Second) },
+			status: 504, want: Expired, second: 200},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newWatchedClock()
+			s := startTarget(t, newSystem(t), WithClock(c), WithSlots(1), WithQueue(tc.queue), WithServiceTime(service, 0))
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			first := begin(ctx, s.Address(), "/first", tc.header)
+			<-c.set
+			second := begin(context.Background(), s.Address(), "/second", nil)
+			if tc.queue == 0 {
+				if got := <-second; got.status != tc.second || got.outcome != target.OutcomeNotRun {
+					t.Errorf("second request: %d %q, want %d not-run", got.status, got.outcome, tc.second)
+				}
+			}
+			tc.end(cancel, c)
+			if got := <-first; got.status != tc.status {
+				t.Errorf("first request: %d, %v; want %d", got.status, got.err, tc.status)
+			}
+			if tc.queue > 0 {
+				<-c.set
+				c.Advance(service)
+				if got := <-second; got.status != tc.second {
+					t.Errorf("second request: %d, %v; want %d", got.status, got.err, tc.second)
+				}
+			}
+			s.Close()
+			runs, _ := s.Runs(context.Background())
+			figures, _ := s.Figures(context.Background())
+			if len(runs) != figures.Ran() || runs[0].End() != tc.want || figures.Busy() != 0 || figures.Queued() != 0 {
+				t.Errorf("runs %+v, figures %+v; want the first to end as %s and no slot in use", runs, figures, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against refusals without the agreed header, which callers could not
+// tell from requests that ran.
+func TestTargetRefuses(t *testing.T) {
+	past := http.Header{target.HeaderDeadline: {start.Format(time.RFC3339Nano)}}
+	cases := []struct {
+		name    string
+		prepare func(s *Target)
+		header  http.Header
+	}{
+		{name: "draining", prepare: func(s *Target) { s.SetDraining(true) }},
+		{name: "deadline has passed", prepare: func(*Target) {}, header: past},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startTarget(t, newSystem(t), WithClock(clock.NewManual(start)))
+			tc.prepare(s)
+			if got := get(context.Background(), s.Address(), "/x", tc.header); got.status != 503 || got.outcome != target.OutcomeNotRun {
+				t.Errorf("status %d, outcome %q; want 503, not-run", got.status, got.outcome)
+			}
+			s.Close()
+			if f, _ := s.Figures(context.Background()); f.Ran() != 0 {
+				t.Errorf("%d requests ran", f.Ran())
+			}
+		})
+	}
+}
+
+// Guards against reports that cannot lag, mislead or stop as a trial sets.
+func TestTargetReports(t *testing.T) {
+	const truth, idle = `{"slots":2,"busy":1,"queued":0,"age-ms":0}`, `{"slots":2,"busy":0,"queued":0,"age-ms":0}`
+	cases := []struct {
+		name         string
+		prepare      func(s *Target)
+		status       int
+		health, load string
+	}{
+		{name: "truth", prepare: func(*Target) {}, status: 200, health: `{"state":"ready"}`, load: truth},
+		{name: "draining", prepare: func(s *Target) { s.SetDraining(true) }, status: 200, health: `{"state":"leaving"}`, load: truth},
+		{name: "short lag", prepare: func(s *Target) { s.SetReportLag(time.Second) }, status: 200, health: `{"state":"ready"}`, load: truth},
+		{name: "long lag", prepare: func(s *Target) { s.SetReportLag(time.Minute) }, status: 200, health: `{"state":"ready"}`, load: idle},
+		{name: "claims", prepare: func(s *Target) { s.SetClaims(target.Broken, 0) }, status: 200, health: `{"state":"broken"}`, load: idle},
+		{name: "claims taken back", prepare: func(s *Target) { s.SetClaims(target.Broken, 0); s.SetClaims("", -1) }, status: 200,
+			health: `{"state":"ready"}`, load: truth},
+		{name: "fault", prepare: func(s *Target) { s.SetReportFault(500) }, status: 500, health: "report fault", load: "report fault"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newWatchedClock()
+			s := startTarget(t, newSystem(t), WithClock(c), WithSlots(2), WithServiceTime(time.Hour, 0))
+			c.Advance(10 * time.Second)
+			busy := begin(context.Background(), s.Address(), "/busy", nil)
+			<-c.set
+			c.Advance(10 * time.Second)
+			tc.prepare(s)
+			for path, want := range map[string]string{target.PathHealth: tc.health, target.PathLoad: tc.load} {
+				got := get(context.Background(), s.Address(), path, nil)
+				if got.status != tc.status || string(bytes.TrimSpace(got.body)) != want {
+					t.Errorf("%s: %d %s, want %d %s", path, got.status, got.body, tc.status, want)
+				}
+			}
+			s.Close()
+			<-busy
+		})
+	}
+}
+
+type sink struct{ bytes.Buffer }
+
+func (*sink) Start(int, http.Header) error { return nil }
+
+// Guards against a crash that spares connections, and against a restart that
+// forgets what ran before.
+func TestTargetCrash(t *testing.T) {
+	ctx := context.Background()
+	c := newWatchedClock()
+	s := startTarget(t, newSystem(t), WithClock(c), WithServiceTime(time.Minute, 0))
+	client := target.NewClient()
+	defer client.Close()
+	dispatch := func(path string) target.Result {
+		r, err := target.NewRequest("GET", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return client.Dispatch(ctx, s.Address(), r, &sink{})
+	}
+	bystander := begin(ctx, s.Address(), "/bystander", nil)
+	<-c.set
+	if got := dispatch("/x?" + QueryCrash); got.Outcome() != target.Crashed {
+		t.Errorf("marked request: %v, %v; want %v", got.Outcome(), got.Err(), target.Crashed)
+	}
+	if got := <-bystander; got.err == nil {
+		t.Errorf("the other request was answered: %+v", got)
+	}
+	if got := dispatch("/x"); got.Outcome() != target.NotRun {
+		t.Errorf("after the crash: %v, %v; want %v", got.Outcome(), got.Err(), target.NotRun)
+	}
+	if err := s.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	keyed := http.Header{"Authorization": {"Bearer secret"}, "Idempotency-Key": {"k"}}
+	for range 2 {
+		again := begin(ctx, s.Address(), "/again", keyed)
+		<-c.set
+		c.Advance(time.Minute)
+		if got := <-again; got.status != 200 {
+			t.Errorf("after the restart: %d, %v; want 200", got.status, got.err)
+		}
+	}
+	s.Close()
+	runs, _ := s.Runs(ctx)
+	f, _ := s.Figures(ctx)
+	if f.Crashes() != 1 || f.Ran() != 4 || f.KeysSeen() != 2 || runs[1].End() != Crashed {
+		t.Errorf("figures %+v, runs %+v", f, runs)
+	}
+	if got := Duplicates(runs); len(got) != 1 || got["k"] != 2 {
+		t.Errorf("duplicates %v, want k twice", got)
+	}
+}
+
+// Guards against targets whose downloads cannot be continued at each other.
+func TestTargetDownload(t *testing.T) {
+	const size = 300_000
+	ctx := context.Background()
+	system := newSystem(t)
+	client := target.NewClient()
+	defer client.Close()
+	first := startTarget(t, system, WithID("a"), WithServiceTime(0, 0))
+	second := startTarget(t, system, WithID("b"), WithServiceTime(0, 0))
+	first.CutDownloads(100_000)
+	second.CutDownloads(50_000)
+	r, err := target.NewRequest("GET", fmt.Sprintf("/files/%d/pattern", size))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := &sink{}
+	result := client.Dispatch(ctx, first.Address(), r, got)
+	for _, next := range []*Target{second, first} {
+		partial, ok := result.Partial()
+		if !ok {
+			t.Fatalf("%v, %v: the download cannot be resumed", result.Outcome(), result.Err())
+		}
+		result = client.Resume(ctx, next.Address(), r, partial, got)
+	}
+	want, err := io.ReadAll(Content("pattern", size))
+	if err != nil || result.Outcome() != target.Ran || !bytes.Equal(got.Bytes(), want) {
+		t.Errorf("%v, %v: %d bytes, equal %v", result.Outcome(), result.Err(), got.Len(), bytes.Equal(got.Bytes(), want))
+	}
+}
+
+// Guards against service times that change between runs of one seed, miss the
+// median, or lack the cold start.
+func TestServiceTimes(t *testing.T) {
+	cases := []struct {
+		name    string
+		options []Option
+		first   float64
+		median  float64
+	}{
+		{name: "constant", options: []Option{WithServiceTime(time.Second, 0)}, first: 1, median: 1},
+		{name: "cold start", options: []Option{WithServiceTime(time.Second, 0), WithColdStart(10, 5)}, first: 5, median: 1},
+		{name: "spread", options: []Option{WithServiceTime(time.Second, 0.5), WithSeed(3)}, median: 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			a, b := newDesk(newSettings(tc.options)), newDesk(newSettings(tc.options))
+			var times []float64
+			for i := range 10_001 {
+				d := a.draw()
+				if other := b.draw(); other != d {
+					t.Fatalf("draw %d: %v and %v from one seed", i, d, other)
+				}
+				times = append(times, d.Seconds())
+			}
+			if tc.first != 0 && times[0] != tc.first {
+				t.Errorf("first %v s, want %v", times[0], tc.first)
+			}
+			slices.Sort(times)
+			// Five standard errors of the median of a log-normal sample.
+			if tolerance := 5 * 0.5 * 1.25 / 100; math.Abs(math.Log(times[5000]/tc.median)) > tolerance {
+				t.Errorf("median %v s, want %v", times[5000], tc.median)
+			}
+		})
+	}
+}
