--- a/agree/change.go
+++ b/agree/change.go
@@ -75,7 +75,9 @@
 	revision := n.appendOwn(Entry{kind: EntryMembers, members: members})
 	n.step.out.accepted = append(n.step.out.accepted, Accepted{tag: c.tag, revision: revision, term: n.term})
 	n.syncPeers()
+	// A smaller majority may already have what was waited for.
 	n.advanceCommit()
+	n.confirmReads()
 	n.broadcast()
 }
 
