--- a/codec/machine_test.go
+++ b/codec/machine_test.go
@@ -103,7 +103,7 @@
 	if err := p.sameOutcome(outcome, p.follower.Apply(revision, received)); err != nil {
 		return fmt.Errorf("%s: %w", command.Kind(), err)
 	}
-	if outcome.Changed() && command.Shared() {
+	if outcome.Shared() {
 		if p.entry, err = state.Replay(p.entry, revision, received); err != nil {
 			return err
 		}
--- a/codec/outcome.go
+++ b/codec/outcome.go
@@ -65,7 +65,8 @@
 
 	Status          string
 	Revision        uint64
-	Changed, Resent bool
+	Changed, Shared bool
+	Resent          bool
 	Reason, Detail  string
 	Current         uint64
 	Source          string
@@ -74,7 +75,7 @@
 
 func outcomeRecordOf(o state.Outcome) outcomeRecord {
 	return outcomeRecord{
-		Status: string(o.Status()), Revision: uint64(o.Revision()), Changed: o.Changed(), Resent: o.Resent(),
+		Status: string(o.Status()), Revision: uint64(o.Revision()), Changed: o.Changed(), Shared: o.Shared(), Resent: o.Resent(),
 		Reason: string(o.Reason()), Detail: o.Detail(), Current: uint64(o.Current()), Source: o.CurrentSource(),
 		Claim: answerRecordOf(o.Claim()),
 	}
@@ -89,7 +90,7 @@
 	if err != nil {
 		return state.Outcome{}, fmt.Errorf("claim: %w", err)
 	}
-	return state.NewOutcome(status, ident.Revision(r.Revision), state.WithChange(r.Changed),
+	return state.NewOutcome(status, ident.Revision(r.Revision), state.WithChange(r.Changed), state.WithShared(r.Shared),
 		state.WithResent(r.Resent), state.WithReason(state.Reason(r.Reason), r.Detail),
 		state.WithCurrent(ident.Revision(r.Current), r.Source), state.WithClaim(answer)), nil
 }
--- a/state/doc.go
+++ b/state/doc.go
@@ -5,7 +5,7 @@
 // Machine.Apply and Replay are deterministic: equal commands in equal order
 // give equal states. The only time they know is the one that a command
 // carries, set by Stamp on the control leader. Entry hosts receive the shared
-// commands whose outcome was Changed and apply them with Replay.
+// commands whose outcome was Shared and apply them with Replay.
 //
 // Config is immutable. A change copies the path to what it touches and shares
 // the rest, so a *Config is cheap to pass in a message.
--- a/state/machine.go
+++ b/state/machine.go
@@ -86,6 +86,7 @@
 		outcome = refuse(ReasonInvalid, "command %T", command)
 	}
 	outcome.revision = revision
+	outcome.shared = outcome.changed && command.Shared()
 	return outcome
 }
 
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -168,7 +168,7 @@
 	for _, c := range cases {
 		got := edit(c.request, c.rate)
 		if got.Status() != c.want.Status() || got.Revision() != c.want.Revision() || got.Current() != c.want.Current() ||
-			got.CurrentSource() != c.want.CurrentSource() || got.Reason() != c.want.Reason() || got.Changed() {
+			got.CurrentSource() != c.want.CurrentSource() || got.Reason() != c.want.Reason() || got.Changed() || got.Shared() {
 			t.Errorf("%s: got %+v, want %+v", c.name, got, c.want)
 		}
 	}
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -50,6 +50,7 @@
 	status   Status
 	revision ident.Revision
 	changed  bool
+	shared   bool
 	resent   bool
 	reason   Reason
 	detail   string
@@ -64,6 +65,9 @@
 // WithChange marks an outcome whose command changed the state.
 func WithChange(changed bool) OutcomeOption { return func(o *Outcome) { o.changed = changed } }
 
+// WithShared marks an outcome whose command entry hosts need.
+func WithShared(shared bool) OutcomeOption { return func(o *Outcome) { o.shared = shared } }
+
 // WithResent marks the outcome of an earlier command with the same request id.
 func WithResent(resent bool) OutcomeOption { return func(o *Outcome) { o.resent = resent } }
 
@@ -96,10 +100,13 @@
 // resend, that of the first command.
 func (o Outcome) Revision() ident.Revision { return o.revision }
 
-// Changed reports whether the command changed the state. Only changed shared
-// commands are passed on to entry hosts.
+// Changed reports whether the command changed the state.
 func (o Outcome) Changed() bool { return o.changed }
 
+// Shared reports whether the command changed the Config, so that it is to be
+// passed on to entry hosts for Replay.
+func (o Outcome) Shared() bool { return o.shared }
+
 // Resent reports whether this is the outcome of an earlier command with the
 // same request id.
 func (o Outcome) Resent() bool { return o.resent }
--- a/state/replay.go
+++ b/state/replay.go
@@ -26,8 +26,8 @@
 	return fmt.Sprintf("revision %d is not above %d", e.got, e.have)
 }
 
-// Replay returns the Config after a shared command that a control host
-// accepted as Changed at the given revision. The result equals the Config of
+// Replay returns the Config after a command whose outcome on a control host
+// was Shared at the given revision. The result equals the Config of
 // the control host. An error tells that the command does not fit: the entry
 // host must then ask for a snapshot.
 func Replay(c *Config, revision ident.Revision, command Command) (*Config, error) {
--- a/state/requests.go
+++ b/state/requests.go
@@ -62,7 +62,7 @@
 		outcome.revision = first.outcome.revision
 		return outcome, true
 	}
-	first.outcome.resent, first.outcome.changed = true, false
+	first.outcome.resent, first.outcome.changed, first.outcome.shared = true, false, false
 	return first.outcome, true
 }
 
