Test slot owner and client with disturbed calls

Cause: nothing showed that the tasks lose no slot and answer every ask when calls between hosts are lost, repeated or late. The race detector found calls that went on after Done was closed. Change: Done waits for the calls that a task has started. The grace after a deadline is 100 ms, since a round trip between regions takes 40 ms.

--- a/entry/slot_client.go
+++ b/entry/slot_client.go
@@ -87,13 +87,12 @@
 		return nil, fmt.Errorf("start slot client: %w", err)
 	}
 	ref.Tell(slotSelf{ref: ref})
-	return &SlotClient{
-		ref:  ref,
-		done: joinDone(ref.Done(), tasks.Every(ctx, o.clock, slotRetry, ref, slotTicked{})),
-	}, nil
+	ticks := tasks.Every(ctx, o.clock, slotRetry, ref, slotTicked{})
+	return &SlotClient{ref: ref, done: joinSlotTask(ref, ticks, &t.exchanges)}, nil
 }
 
-// Done returns a channel that is closed when the task has ended.
+// Done returns a channel that is closed when the task and its calls
+// have ended.
 func (c *SlotClient) Done() <-chan struct{} { return c.done }
 
 // Update tells the task which members are current.
--- a/entry/slot_holder.go
+++ b/entry/slot_holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"rhubarbrack/ident"
@@ -59,6 +60,8 @@
 	calls   map[uint64]*slotCall
 	tokens  map[*slotToken]uint64
 	regions map[ident.Region]*heldRegion
+	// exchanges counts the goroutines of calls to owners.
+	exchanges sync.WaitGroup
 }
 
 var _ tasks.Task = (*slotClientTask)(nil)
@@ -216,11 +219,11 @@
 // reports to the task.
 func (t *slotClientTask) call(timeout time.Duration, exchange func(context.Context) any) {
 	self, parent := t.self, t.ctx
-	go func() {
+	t.exchanges.Go(func() {
 		ctx, cancel := context.WithTimeout(parent, timeout)
 		defer cancel()
 		self.Tell(exchange(ctx))
-	}()
+	})
 }
 
 // attempted takes the answer to an ask. An answer of an earlier owner is
--- a/entry/slot_marking.go
+++ b/entry/slot_marking.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"rhubarbrack/guard"
@@ -14,6 +15,7 @@
 // caller does not repeat the request before.
 type slotMarking struct {
 	marker  SlotMarker
+	calls   sync.WaitGroup
 	running bool
 	current []guard.Mark
 	next    []guard.Mark
@@ -50,7 +52,8 @@
 	m.current, m.next = m.next, nil
 	m.currentReplies, m.nextReplies = m.nextReplies, nil
 	marks, self, ctx := m.current, t.self, t.ctx
-	go func() { self.Tell(slotMarked{err: m.marker.Mark(ctx, marks)}) }()
+	marker := m.marker
+	m.calls.Go(func() { self.Tell(slotMarked{err: marker.Mark(ctx, marks)}) })
 }
 
 // marked ends a batch. Marks that were not accepted go into the next one.
--- a/entry/slot_options.go
+++ b/entry/slot_options.go
@@ -25,8 +25,9 @@
 	// slotCallTimeout bounds the calls that do not wait in a queue.
 	slotCallTimeout = time.Second
 	// slotGrace is added to the deadline of an ask, so that the refusal of
-	// the owner arrives before the client gives up.
-	slotGrace = 50 * time.Millisecond
+	// the owner arrives before the client gives up. It covers a round trip
+	// of 40 ms between regions and the owner's tick.
+	slotGrace = 100 * time.Millisecond
 	// markRetry is how often an owner repeats a mark that was not accepted.
 	markRetry = 500 * time.Millisecond
 )
--- a/entry/slot_owner.go
+++ b/entry/slot_owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/rpc"
+	"sync"
 
 	"rhubarbrack/guard"
 	"rhubarbrack/ident"
@@ -35,22 +36,25 @@
 		ref.Stop()
 		return nil, fmt.Errorf("register service %s: %w", slotService, err)
 	}
-	return &SlotOwner{ref: ref, done: joinDone(ref.Done(), tasks.Every(ctx, o.clock, slotTick, ref, slotTicked{}))}, nil
+	ticks := tasks.Every(ctx, o.clock, slotTick, ref, slotTicked{})
+	return &SlotOwner{ref: ref, done: joinSlotTask(ref, ticks, &t.marking.calls)}, nil
 }
 
-// joinDone returns a channel that is closed when all the given ones are.
-func joinDone(list ...<-chan struct{}) chan struct{} {
+// joinSlotTask returns a channel that is closed when the task, its ticks and
+// the calls that it started have ended. Only the task starts calls.
+func joinSlotTask(ref *tasks.Ref, ticks <-chan struct{}, calls *sync.WaitGroup) chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for _, c := range list {
-			<-c
-		}
+		<-ref.Done()
+		<-ticks
+		calls.Wait()
 	}()
 	return done
 }
 
-// Done returns a channel that is closed when the task has ended.
+// Done returns a channel that is closed when the task and its calls
+// have ended.
 func (o *SlotOwner) Done() <-chan struct{} { return o.done }
 
 // Update tells the task which members are current.
--- /dev/null
+++ b/entry/slot_test.go
@@ -0,0 +1,277 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"net/rpc"
+	"sync"
+	"testing"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/guard"
+	"rhubarbrack/ident"
+	"rhubarbrack/steer"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+const slotTestSeed = 20262
+
+// fault is what the network of a test does to a call.
+type fault int
+
+const (
+	deliver fault = iota
+	loseCall
+	loseReply
+	repeatCall
+	delayCall
+)
+
+// slotNet calls the owners of other hosts directly and disturbs the calls.
+type slotNet struct {
+	mutex   sync.Mutex
+	random  *rand.Rand
+	servers map[ident.Host]*slotServer
+	faults  func(r *rand.Rand, method string) fault
+	late    sync.WaitGroup
+}
+
+var _ SlotPeers = (*slotNet)(nil)
+
+// Call implements SlotPeers.
+func (n *slotNet) Call(ctx context.Context, h ident.Host, method string, args, reply any) error {
+	n.mutex.Lock()
+	server, f := n.servers[h], n.faults(n.random, method)
+	n.mutex.Unlock()
+	switch f {
+	case loseCall:
+		return wire.ErrLost
+	case loseReply:
+		n.late.Go(func() { _ = server.invoke(args, replyFor(args)) })
+		return wire.ErrLost
+	case repeatCall:
+		n.late.Go(func() { _ = server.invoke(args, replyFor(args)) })
+	case delayCall:
+		n.late.Go(func() {
+			for range 2 {
+				_ = server.Open(&SlotOpenArgs{}, &SlotReply{})
+			}
+			_ = server.invoke(args, replyFor(args))
+		})
+		return wire.ErrLost
+	case deliver:
+	}
+	done := make(chan error, 1)
+	answer := replyFor(args)
+	n.late.Go(func() { done <- server.invoke(args, answer) })
+	select {
+	case err := <-done:
+		copyReply(reply, answer)
+		return err
+	case <-ctx.Done():
+		return wire.ErrLost
+	}
+}
+
+func (s *slotServer) invoke(args, reply any) error {
+	switch a := args.(type) {
+	case *SlotAcquireArgs:
+		return s.Acquire(a, reply.(*SlotAcquireReply))
+	case *SlotReleaseArgs:
+		return s.Release(a, reply.(*SlotReply))
+	case *SlotOpenArgs:
+		return s.Open(a, reply.(*SlotReply))
+	}
+	return errors.New("unknown method")
+}
+
+func replyFor(args any) any {
+	if _, ok := args.(*SlotAcquireArgs); ok {
+		return &SlotAcquireReply{}
+	}
+	return &SlotReply{}
+}
+
+func copyReply(to, from any) {
+	switch r := to.(type) {
+	case *SlotAcquireReply:
+		*r = *from.(*SlotAcquireReply)
+	case *SlotReply:
+		*r = *from.(*SlotReply)
+	}
+}
+
+// markRecorder is the replication of marks. It fails as often as told.
+type markRecorder struct {
+	mutex    sync.Mutex
+	failures int
+	marks    []guard.Mark
+}
+
+var _ SlotMarker = (*markRecorder)(nil)
+
+// Mark implements SlotMarker.
+func (m *markRecorder) Mark(_ context.Context, marks []guard.Mark) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.failures > 0 {
+		m.failures--
+		return errors.New("no majority")
+	}
+	m.marks = append(m.marks, marks...)
+	return nil
+}
+
+// fleet is a set of entry hosts in one process.
+type fleet struct {
+	t       *testing.T
+	ctx     context.Context
+	clock   *clock.Manual
+	net     *slotNet
+	marker  *markRecorder
+	owners  []*SlotOwner
+	clients []*SlotClient
+	epoch   ident.Epoch
+	owner   int
+	fresh   time.Duration
+}
+
+const testRegion ident.Region = "r1"
+
+func newFleet(t *testing.T, hosts int, faults func(*rand.Rand, string) fault) *fleet {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &fleet{
+		t: t, ctx: ctx, clock: clock.NewManual(time.Unix(1000, 0)), marker: &markRecorder{}, fresh: 24 * time.Hour,
+		net: &slotNet{random: rand.New(rand.NewSource(slotTestSeed)), servers: map[ident.Host]*slotServer{}, faults: faults},
+	}
+	system := tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for i := range hosts {
+		o, err := StartSlotOwner(ctx, system, rpc.NewServer(), f.marker, WithSlotClock(f.clock))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.net.servers[hostName(i)] = &slotServer{ctx: ctx, owner: o.ref}
+		c, err := StartSlotClient(ctx, system, f.net, WithSlotClock(f.clock))
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.owners, f.clients = append(f.owners, o), append(f.clients, c)
+	}
+	t.Cleanup(func() {
+		cancel()
+		for i := range f.owners {
+			<-f.owners[i].Done()
+			<-f.clients[i].Done()
+		}
+		f.net.late.Wait()
+		system.Shutdown()
+	})
+	return f
+}
+
+func hostName(i int) ident.Host { return ident.Host(fmt.Sprintf("h%d", i)) }
+
+// assign makes a host the owner under a new epoch and tells all hosts.
+func (f *fleet) assign(owner int) {
+	f.epoch++
+	f.owner = owner
+	var members []Member
+	for i := range f.owners {
+		members = append(members, NewMember(hostName(i), 1, testRegion, ""))
+	}
+	roles := map[Role]Assignment{SlotRole(testRegion): NewAssignment(hostName(owner), 1, f.epoch)}
+	for i := range f.owners {
+		m := NewMembers(hostName(i), 1, ident.Revision(f.epoch), f.clock.Now().Add(f.fresh), members, roles)
+		f.owners[i].Update(m)
+		f.clients[i].Update(m)
+	}
+}
+
+// list gives all owners targets with the given slots.
+func (f *fleet) list(slots ...int) {
+	var list []steer.Target
+	for i, n := range slots {
+		list = append(list, steer.NewTarget(ident.Target(fmt.Sprintf("t%d", i)), "s", "", "z", n, steer.StateLive))
+	}
+	for _, o := range f.owners {
+		o.SetTargets(testRegion, list)
+	}
+}
+
+func (f *fleet) ask(within time.Duration) SlotAsk {
+	class := steer.NewClass("reads", false, 1000, 0)
+	return NewSlotAsk(testRegion, steer.NewAsk(steer.AskID{}, "s", "team", class, f.clock.Now().Add(within),
+		steer.WithFingerprint(ident.Fingerprint{1})))
+}
+
+// advanceUntil moves the clock in small steps until the condition holds.
+func (f *fleet) advanceUntil(what string, condition func() bool) {
+	f.t.Helper()
+	for range 200_000 {
+		if condition() {
+			return
+		}
+		f.clock.Advance(5 * time.Millisecond)
+	}
+	f.t.Fatalf("never: %s", what)
+}
+
+func (f *fleet) status() SlotStatus {
+	s, err := f.owners[f.owner].Status(f.ctx, testRegion)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return s
+}
+
+// idle reports whether neither the owner nor a client counts any slot.
+func (f *fleet) idle() bool {
+	s := f.status()
+	for _, c := range f.clients {
+		if u, err := c.Use(f.ctx); err != nil || u.Open()+u.Waiting() > 0 {
+			return false
+		}
+	}
+	return s.Epoch() == f.epoch && s.IsOpen() && s.InFlight() == 0 && s.Waiting() == 0
+}
+
+// acquire runs Acquire in a goroutine.
+func (f *fleet) acquire(ctx context.Context, client int, a SlotAsk) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		g, err := f.clients[client].Acquire(ctx, a)
+		if err == nil {
+			f.clients[client].Release(g, steer.NewResult(steer.EndingOK, time.Millisecond))
+		}
+		done <- err
+	}()
+	return done
+}
+
+func answered(done <-chan error, err *error) func() bool {
+	return func() bool {
+		select {
+		case *err = <-done:
+			return true
+		default:
+			return false
+		}
+	}
+}
+
+func always(kind fault, method string, times int) func(*rand.Rand, string) fault {
+	return func(_ *rand.Rand, m string) fault {
+		if m == method && times > 0 {
+			times--
+			return kind
+		}
+		return deliver
+	}
+}
