Let a trial steer stand-ins of another process

Cause: trials with separate processes need drains, crashes and misleading reports at chosen moments.

Change: a control address of the fleet; direct calls of the load generator keep their rate when the demand doubles, as a comparison must not change.

Measured: go test -race -count=10 ./stand and -count=5 ./load ./target pass.

--- a/load/run.go
+++ b/load/run.go
@@ -116,7 +116,8 @@
 		stream := uint64(i) + 1
 		b := newBucket(t.rate, t.burst, r.start)
 		streams = append(streams, tasks.Go(ctx, func(ctx context.Context) {
-			r.stream(ctx, stream, t.offered, t.routes, func(n int, route Route, due time.Time) ended {
+			s := newSchedule(r.plan.seed, stream, t.offered, r.plan.doubleEvery, r.plan.mostFactor, t.routes)
+			r.stream(ctx, s, t.routes, func(n int, route Route, due time.Time) ended {
 				c := course{runner: r, team: t, route: route, bucket: b, due: due, id: requestID(r.start.UnixNano(), stream, n)}
 				return c.run(ctx)
 			}, func(route Route) ended { return ended{team: t.name, class: route.class, fate: skipped} })
@@ -125,7 +126,9 @@
 	if len(r.plan.direct) > 0 {
 		stream := uint64(len(r.plan.teams)) + 1
 		streams = append(streams, tasks.Go(ctx, func(ctx context.Context) {
-			r.stream(ctx, stream, r.plan.directRate, []Route{r.plan.directRoute}, func(n int, route Route, due time.Time) ended {
+			// The comparison keeps its rate when the demand grows.
+			s := newSchedule(r.plan.seed, stream, r.plan.directRate, 0, 1, []Route{r.plan.directRoute})
+			r.stream(ctx, s, []Route{r.plan.directRoute}, func(n int, route Route, due time.Time) ended {
 				return r.direct(ctx, n, route, due)
 			}, func(Route) ended { return ended{direct: true, fate: skipped} })
 		}))
@@ -136,9 +139,8 @@
 }
 
 // stream starts a request at each arrival, also while earlier ones run.
-func (r *runner) stream(ctx context.Context, number uint64, rate float64, routes []Route,
+func (r *runner) stream(ctx context.Context, s *schedule, routes []Route,
 	request func(n int, route Route, due time.Time) ended, skip func(Route) ended) {
-	s := newSchedule(r.plan.seed, number, rate, r.plan, routes)
 	for n := 1; ; n++ {
 		offset, index := s.next()
 		due := r.start.Add(offset)
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -191,7 +191,7 @@
 		t.Fatal(err)
 	}
 	arrivals := 0
-	for s := newSchedule(p.seed, 1, team.offered, p, team.routes); ; arrivals++ {
+	for s := newSchedule(p.seed, 1, team.offered, 0, 1, team.routes); ; arrivals++ {
 		if offset, _ := s.next(); offset >= p.duration {
 			break
 		}
@@ -304,7 +304,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			const seed = 7
 			routes := []Route{{weight: 3}, {weight: 1}}
-			s := newSchedule(seed, 1, 100, Plan{doubleEvery: tc.every, mostFactor: tc.most}, routes)
+			s := newSchedule(seed, 1, 100, tc.every, tc.most, routes)
 			counts := make([]float64, len(routes))
 			for {
 				offset, index := s.next()
--- a/load/schedule.go
+++ b/load/schedule.go
@@ -18,8 +18,8 @@
 	sum     float64
 }
 
-func newSchedule(seed, stream uint64, rate float64, p Plan, routes []Route) *schedule {
-	s := &schedule{random: rand.New(rand.NewPCG(seed, stream)), rate: rate, every: p.doubleEvery, most: p.mostFactor}
+func newSchedule(seed, stream uint64, rate float64, every time.Duration, most float64, routes []Route) *schedule {
+	s := &schedule{random: rand.New(rand.NewPCG(seed, stream)), rate: rate, every: every, most: most}
 	for _, r := range routes {
 		s.weights = append(s.weights, r.weight)
 		s.sum += r.weight
--- a/stand/command.go
+++ b/stand/command.go
@@ -24,6 +24,7 @@
 
 // specRecord is the YAML form of a fleet of stand-ins.
 type specRecord struct {
+	Control  string         `yaml:"control"`
 	Platform platformRecord `yaml:"platform"`
 	Targets  []targetRecord `yaml:"targets"`
 }
@@ -56,6 +57,7 @@
 type Fleet struct {
 	platform *Platform
 	targets  []*Target
+	control  *server
 }
 
 // StartFleet starts the stand-ins that a YAML specification describes.
@@ -75,6 +77,12 @@
 		f.Close()
 		return nil, fmt.Errorf("start fleet: %w", err)
 	}
+	control, err := startServer(or(record.Control, "127.0.0.1:0"), f.Control())
+	if err != nil {
+		f.Close()
+		return nil, fmt.Errorf("start fleet: control: %w", err)
+	}
+	f.control = control
 	return f, nil
 }
 
@@ -140,8 +148,14 @@
 // Targets returns the targets in the order of the specification.
 func (f *Fleet) Targets() []*Target { return f.targets }
 
+// ControlAddress returns the address of the handler that Control describes.
+func (f *Fleet) ControlAddress() string { return f.control.address }
+
 // Close ends all stand-ins at once.
 func (f *Fleet) Close() {
+	if f.control != nil {
+		f.control.kill()
+	}
 	if f.platform != nil {
 		f.platform.Close()
 	}
@@ -207,6 +221,7 @@
 	}
 	defer f.Close()
 	_, _ = fmt.Fprintf(c.out, "platform %s\n", f.platform.URL())
+	_, _ = fmt.Fprintf(c.out, "control http://%s\n", f.ControlAddress())
 	for _, t := range f.targets {
 		_, _ = fmt.Fprintf(c.out, "target %s %s %s\n", t.settings.service, t.ID(), t.Address())
 	}
--- /dev/null
+++ b/stand/control.go
@@ -0,0 +1,224 @@
+package stand
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/platf"
+	"rhubarbrack/target"
+)
+
+// FleetRecord is the JSON form of the counts of a fleet. Duplicates is the
+// number of idempotency keys that ran more than once on all targets together.
+type FleetRecord struct {
+	Targets    []FiguresRecord `json:"targets"`
+	Duplicates int             `json:"duplicates"`
+}
+
+// FiguresRecord is the JSON form of the Figures of one target.
+type FiguresRecord struct {
+	Target   string `json:"target"`
+	Ran      int    `json:"ran"`
+	Shed     int    `json:"shed"`
+	Crashes  int    `json:"crashes"`
+	KeysSeen int    `json:"keys-seen"`
+	Busy     int    `json:"busy"`
+	Queued   int    `json:"queued"`
+	Peak     int    `json:"peak"`
+}
+
+// Control returns a handler by which a trial steers the stand-ins of another
+// process:
+//
+//	GET  /figures
+//	POST /targets/ID/drain?on=BOOL
+//	POST /targets/ID/list?state=live|leaving
+//	POST /targets/ID/crash
+//	POST /targets/ID/restart
+//	POST /targets/ID/reports?lag=DURATION&fault=STATUS&silent=BOOL
+//	POST /targets/ID/claims?state=STATE&busy=N
+//	POST /targets/ID/cut?after=BYTES
+//	POST /platform?lag=DURATION&fault=STATUS
+//
+// It must not be reachable for the callers of the system under test.
+func (f *Fleet) Control() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /figures", f.figures)
+	mux.HandleFunc("POST /platform", func(w http.ResponseWriter, r *http.Request) {
+		done(w, f.steerPlatform(r))
+	})
+	actions := map[string]func(*Target, *http.Request) error{
+		"drain": drain, "list": f.listAs, "crash": crashTarget, "restart": restartTarget,
+		"reports": reportsOf, "claims": claims, "cut": cutDownload,
+	}
+	for name, act := range actions {
+		mux.HandleFunc("POST /targets/{id}/"+name, func(w http.ResponseWriter, r *http.Request) {
+			t := f.target(ident.Target(r.PathValue("id")))
+			if t == nil {
+				http.NotFound(w, r)
+				return
+			}
+			done(w, act(t, r))
+		})
+	}
+	return mux
+}
+
+func done(w http.ResponseWriter, err error) {
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (f *Fleet) target(id ident.Target) *Target {
+	for _, t := range f.targets {
+		if t.ID() == id {
+			return t
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) figures(w http.ResponseWriter, r *http.Request) {
+	record := FleetRecord{Targets: []FiguresRecord{}}
+	var all [][]Run
+	for _, t := range f.targets {
+		runs, err := t.Runs(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		g, err := t.Figures(r.Context())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		all = append(all, runs)
+		record.Targets = append(record.Targets, FiguresRecord{
+			Target: string(t.ID()), Ran: g.ran, Shed: g.shed, Crashes: g.crashes, KeysSeen: g.keysSeen,
+			Busy: g.busy, Queued: g.queued, Peak: g.peak,
+		})
+	}
+	record.Duplicates = len(Duplicates(all...))
+	writeJSON(w, record)
+}
+
+func (f *Fleet) steerPlatform(r *http.Request) error {
+	lag, hasLag, err := duration(r, "lag")
+	if err != nil {
+		return err
+	}
+	fault, hasFault, err := number(r, "fault")
+	if err != nil {
+		return err
+	}
+	if hasLag {
+		f.platform.SetLag(lag)
+	}
+	if hasFault {
+		f.platform.SetFault(fault)
+	}
+	return nil
+}
+
+func drain(t *Target, r *http.Request) error {
+	on, err := strconv.ParseBool(r.FormValue("on"))
+	if err != nil {
+		return fmt.Errorf("parameter on: %w", err)
+	}
+	t.SetDraining(on)
+	return nil
+}
+
+func (f *Fleet) listAs(t *Target, r *http.Request) error {
+	state := platf.State(r.FormValue("state"))
+	if state != platf.Live && state != platf.Leaving {
+		return fmt.Errorf("parameter state: %q", state)
+	}
+	f.platform.SetState(t.ID(), state)
+	return nil
+}
+
+func crashTarget(t *Target, _ *http.Request) error {
+	t.Crash()
+	return nil
+}
+
+func restartTarget(t *Target, _ *http.Request) error { return t.Restart() }
+
+func reportsOf(t *Target, r *http.Request) error {
+	lag, hasLag, err := duration(r, "lag")
+	if err != nil {
+		return err
+	}
+	fault, hasFault, err := number(r, "fault")
+	if err != nil {
+		return err
+	}
+	silent, err := strconv.ParseBool(or(r.FormValue("silent"), "false"))
+	if err != nil {
+		return fmt.Errorf("parameter silent: %w", err)
+	}
+	if hasLag {
+		t.SetReportLag(lag)
+	}
+	if hasFault {
+		t.SetReportFault(fault)
+	}
+	if r.FormValue("silent") != "" {
+		t.SetReportsSilent(silent)
+	}
+	return nil
+}
+
+func claims(t *Target, r *http.Request) error {
+	busy, hasBusy, err := number(r, "busy")
+	if err != nil {
+		return err
+	}
+	if !hasBusy {
+		busy = -1
+	}
+	t.SetClaims(target.State(r.FormValue("state")), busy)
+	return nil
+}
+
+func cutDownload(t *Target, r *http.Request) error {
+	after, _, err := number(r, "after")
+	if err != nil {
+		return err
+	}
+	t.CutDownloads(int64(after))
+	return nil
+}
+
+// duration parses a parameter that may be absent.
+func duration(r *http.Request, name string) (time.Duration, bool, error) {
+	value := r.FormValue(name)
+	if value == "" {
+		return 0, false, nil
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		return 0, false, fmt.Errorf("parameter %s: %w", name, err)
+	}
+	return d, true, nil
+}
+
+// number parses a parameter that may be absent and is not negative.
+func number(r *http.Request, name string) (int, bool, error) {
+	value := r.FormValue(name)
+	if value == "" {
+		return 0, false, nil
+	}
+	n, err := strconv.ParseUint(value, 10, 31)
+	if err != nil {
+		return 0, false, fmt.Errorf("parameter %s: %w", name, err)
+	}
+	return int(n), true, nil
+}
--- a/stand/platform_test.go
+++ b/stand/platform_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"rhubarbrack/platf"
+	"rhubarbrack/target"
 )
 
 // Guards against a list that shows changes before its lag has passed.
@@ -104,3 +106,51 @@
 		})
 	}
 }
+
+// Guards against a steering request that is accepted without effect.
+func TestControl(t *testing.T) {
+	const spec = "targets: [{id: a, service-time: 1ns}, {id: b, service-time: 1ns}]"
+	f, err := StartFleet(context.Background(), newSystem(t), strings.NewReader(spec))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	a := f.Targets()[0]
+	steps := []struct {
+		path   string
+		status int
+		list   string
+		work   int
+		health int
+	}{
+		{path: "/targets/a/drain?on=true", status: 204, list: "a live, b live", work: 503, health: 200},
+		{path: "/targets/a/drain?on=false", status: 204, list: "a live, b live", work: 200, health: 200},
+		{path: "/targets/a/list?state=leaving", status: 204, list: "a leaving, b live", work: 200, health: 200},
+		{path: "/targets/a/reports?fault=500&lag=1s", status: 204, list: "a leaving, b live", work: 200, health: 500},
+		{path: "/targets/a/reports?fault=0", status: 204, list: "a leaving, b live", work: 200, health: 200},
+		{path: "/targets/a/claims?state=broken&busy=3", status: 204, list: "a leaving, b live", work: 200, health: 200},
+		{path: "/targets/a/crash", status: 204, list: "a leaving, b live"},
+		{path: "/targets/a/restart", status: 204, list: "a leaving, b live", work: 200, health: 200},
+		{path: "/platform?fault=500", status: 204, list: "status 500", work: 200, health: 200},
+		{path: "/platform?fault=0&lag=0s", status: 204, list: "a leaving, b live", work: 200, health: 200},
+		{path: "/targets/c/crash", status: 404, list: "a leaving, b live", work: 200, health: 200},
+		{path: "/targets/a/drain?on=perhaps", status: 400, list: "a leaving, b live", work: 200, health: 200},
+		{path: "/targets/a/list?state=gone", status: 400, list: "a leaving, b live", work: 200, health: 200},
+		{path: "/targets/a/cut?after=-1", status: 400, list: "a leaving, b live", work: 200, health: 200},
+	}
+	for _, s := range steps {
+		response, err := http.Post("http://"+f.ControlAddress()+s.path, "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		list, ctx := shownBy(t, f.Platform()), context.Background()
+		work, health := get(ctx, a.Address(), "/x", nil).status, get(ctx, a.Address(), target.PathHealth, nil).status
+		if response.StatusCode != s.status || list != s.list || work != s.work || health != s.health {
+			t.Errorf("%s: status %d, list %q, work %d, health %d; want %+v", s.path, response.StatusCode, list, work, health, s)
+		}
+	}
+	if got := get(context.Background(), f.ControlAddress(), "/figures", nil); !strings.Contains(string(got.body), `{"target":"a","ran":12,"shed":1,"crashes":1,`) {
+		t.Errorf("figures %s", got.body)
+	}
+}
--- a/target/dispatch.go
+++ b/target/dispatch.go
@@ -26,6 +26,7 @@
 // and streams the answer to the sink. It never sends the request twice. The
 // deadline of ctx travels in the header Rhubarbrack-Deadline, and the end of
 // ctx closes the connection, by which the target learns of a cancellation.
+// Nothing else bounds the time that a target takes.
 func (c *Client) Dispatch(ctx context.Context, address string, r *Request, sink Sink) Result {
 	x := c.newExchange(ctx, address, r)
 	defer x.close()
