--- a/certs/authority.go
+++ b/certs/authority.go
@@ -51,7 +51,7 @@
 	}
 	template, err := newTemplate("rhubarbrack trial authority", now)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("make authority: %w", err)
 	}
 	template.IsCA, template.BasicConstraintsValid = true, true
 	template.KeyUsage = x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature
@@ -75,7 +75,7 @@
 	}
 	template, err := newTemplate(string(host), a.now)
 	if err != nil {
-		return Pair{}, err
+		return Pair{}, fmt.Errorf("make certificate of %s: %w", host, err)
 	}
 	template.DNSNames, template.IPAddresses = []string{string(host)}, addresses
 	template.KeyUsage = x509.KeyUsageDigitalSignature
@@ -112,7 +112,7 @@
 func (p Pair) Source(options ...Option) (*Source, error) {
 	s, err := newSource(p.content, options)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("use pair: %w", err)
 	}
 	s.fixed = true
 	return s, nil
--- a/certs/source.go
+++ b/certs/source.go
@@ -120,7 +120,7 @@
 	}
 	s, err := newSource(content, options)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("load certificates: %w", err)
 	}
 	s.files = files
 	return s, nil
@@ -129,7 +129,7 @@
 func newSource(content material, options []Option) (*Source, error) {
 	current, err := content.parse()
 	if err != nil {
-		return nil, fmt.Errorf("load certificates: %w", err)
+		return nil, fmt.Errorf("check certificates: %w", err)
 	}
 	s := &Source{clock: clock.Wall(), log: slog.Default(), interval: defaultCheckInterval, content: content, current: current}
 	for _, apply := range options {
--- a/load/course.go
+++ b/load/course.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"rhubarbrack/tasks"
 )
 
+// maxUnsent bounds the attempts that reach no host.
+const maxUnsent = 8
+
 // course is one request of a team from its scheduled arrival to its end.
 type course struct {
 	*runner
@@ -74,7 +78,7 @@
 		return false
 	}
 	if errors.Is(v.err, errUnsent) {
-		return len(c.avoid) > 0 && len(c.avoid) <= maxUnsent
+		return c.elsewhere(ctx)
 	}
 	if (v.err == nil && v.reason != reasonRunning) || !c.route.keyed || c.resends >= c.plan.resends {
 		return false
@@ -83,5 +87,15 @@
 	return c.await(ctx, c.clock.Now().Add(c.plan.pause))
 }
 
-// maxUnsent bounds the hosts that are tried in vain.
-const maxUnsent = 8
+// elsewhere reports whether an attempt follows one that reached no host. The
+// look-up yields a host a second time only when all others failed as well.
+func (c *course) elsewhere(ctx context.Context) bool {
+	last := len(c.avoid) - 1
+	if last < 0 || last >= maxUnsent {
+		return false
+	}
+	if slices.Contains(c.avoid[:last], c.avoid[last]) {
+		return c.await(ctx, c.clock.Now().Add(c.plan.pause))
+	}
+	return true
+}
--- a/load/run.go
+++ b/load/run.go
@@ -76,7 +76,10 @@
 	cancel()
 	<-r.finder.Done()
 	<-r.tally.Done()
-	return report, err
+	if err != nil {
+		return Report{}, fmt.Errorf("run plan: %w", err)
+	}
+	return report, nil
 }
 
 func (r *runner) spawn(ctx context.Context, system *tasks.System) error {
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -28,6 +29,7 @@
 	keys    []string
 	auth    []string
 	lookups int
+	extra   string
 }
 
 func startEntry(t *testing.T, script func(n int, w http.ResponseWriter, r *http.Request)) *entryHost {
@@ -51,7 +53,7 @@
 		http.Error(w, "unexpected query", http.StatusBadRequest)
 		return
 	}
-	_, _ = fmt.Fprintf(w, `{"hosts":[{"host":"entry-1","address":%q,"weight":1.0}],"ttl-seconds":60}`, e.address())
+	_, _ = fmt.Fprintf(w, `{"hosts":[%s{"host":"entry-1","address":%q,"weight":1.0}],"ttl-seconds":60}`, e.extra, e.address())
 }
 
 func (e *entryHost) serve(w http.ResponseWriter, r *http.Request) {
@@ -182,6 +184,42 @@
 	return r
 }
 
+// Guards against requests that fail because one of the hosts is down, and
+// against a host that is down being charged to the team.
+func TestCourseFailsOver(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	down := listener.Addr().String()
+	_ = listener.Close()
+	cases := []struct {
+		name  string
+		extra string
+		want  fate
+	}{
+		{name: "one of two", extra: fmt.Sprintf(`{"host":"entry-2","address":%q,"weight":1e12},`, down), want: ran},
+		{name: "none", want: ran},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			e := startEntry(t, func(_ int, w http.ResponseWriter, _ *http.Request) { outcome(w, 200, "ran", "") })
+			e.extra = tc.extra
+			team := NewTeam("a", "secret", 1, 1, 1, NewRoute("catalogue", "GET", "/items"))
+			p, err := NewPlan(e.address(), WithTeams(team), WithTimeout(time.Hour))
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := time.Unix(1000, 0)
+			c := course{runner: newTestRunner(t, p, now), team: team, route: team.routes[0], bucket: newBucket(1, 1, now), due: now}
+			if got := c.run(context.Background()); got.fate != tc.want || got.resends != 0 || !c.within {
+				t.Errorf("fate %d, %d resends, within the rate %v; want %d, 0, true", got.fate, got.resends, c.within, tc.want)
+			}
+			e.checkArrivals(t, 1, false)
+		})
+	}
+}
+
 // Guards against a closed loop: no request is answered until the last one of
 // the schedule has arrived.
 func TestRunIsOpenLoop(t *testing.T) {
--- a/stand/control.go
+++ b/stand/control.go
@@ -111,11 +111,11 @@
 func (f *Fleet) steerPlatform(r *http.Request) error {
 	lag, hasLag, err := duration(r, "lag")
 	if err != nil {
-		return err
+		return fmt.Errorf("steer platform: %w", err)
 	}
 	fault, hasFault, err := number(r, "fault")
 	if err != nil {
-		return err
+		return fmt.Errorf("steer platform: %w", err)
 	}
 	if hasLag {
 		f.platform.SetLag(lag)
@@ -154,11 +154,11 @@
 func reportsOf(t *Target, r *http.Request) error {
 	lag, hasLag, err := duration(r, "lag")
 	if err != nil {
-		return err
+		return fmt.Errorf("steer target: %w", err)
 	}
 	fault, hasFault, err := number(r, "fault")
 	if err != nil {
-		return err
+		return fmt.Errorf("steer target: %w", err)
 	}
 	silent, err := strconv.ParseBool(or(r.FormValue("silent"), "false"))
 	if err != nil {
@@ -179,7 +179,7 @@
 func claims(t *Target, r *http.Request) error {
 	busy, hasBusy, err := number(r, "busy")
 	if err != nil {
-		return err
+		return fmt.Errorf("steer target: %w", err)
 	}
 	if !hasBusy {
 		busy = -1
@@ -191,7 +191,7 @@
 func cutDownload(t *Target, r *http.Request) error {
 	after, _, err := number(r, "after")
 	if err != nil {
-		return err
+		return fmt.Errorf("steer target: %w", err)
 	}
 	t.CutDownloads(int64(after))
 	return nil
--- a/stand/target.go
+++ b/stand/target.go
@@ -52,7 +52,7 @@
 		cancel()
 		desk.Stop()
 		<-desk.Done()
-		return nil, err
+		return nil, fmt.Errorf("start stand-in: %w", err)
 	}
 	go t.end()
 	return t, nil
--- a/target/dispatch.go
+++ b/target/dispatch.go
@@ -181,7 +181,7 @@
 		return fault
 	}
 	if x.body.short(x.request.ContentLength) {
-		return err
+		return fmt.Errorf("source ended early: %w", err)
 	}
 	return nil
 }
