Plan shares within caps, hand roles over, confirm applied revisions at once

Cause: shares were only placed once; the slot owner of a region stayed on a host of another region when its own joined later; -wait took 0.5 s because a poll confirmed its revision only after it had waited for a newer one. Change: package plan feeds package shift and records its steps; entry hosts give up roles that others should have, after they stopped acting for them; the leader notes what a poll has applied when the poll arrives; demand is reported in slots per class.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -11,6 +11,7 @@
 	"rhubarbrack/clock"
 	"rhubarbrack/codec"
 	"rhubarbrack/ident"
+	"rhubarbrack/plan"
 	"rhubarbrack/route"
 	"rhubarbrack/state"
 	"rhubarbrack/tasks"
@@ -110,9 +111,14 @@
 // stop. It must go on under a greater incarnation or end.
 func (f *Follower) Expired() <-chan struct{} { return f.end }
 
-// Report sets the requests per second of each service that came in at this
-// host. The next polls carry it.
-func (f *Follower) Report(demand map[ident.Service]float64) { f.ref.Tell(demanded{demand: demand}) }
+// Report sets the load that came in at this host. The next polls carry it.
+func (f *Follower) Report(loads []plan.Load) {
+	records := make([]LoadRecord, 0, len(loads))
+	for _, l := range loads {
+		records = append(records, LoadRecord{Service: l.Service(), Class: l.Class(), Slots: l.Slots()})
+	}
+	f.ref.Tell(demanded{demand: records})
+}
 
 // Done returns a channel that is closed when the task has ended.
 func (f *Follower) Done() <-chan struct{} { return f.ref.Done() }
@@ -120,7 +126,7 @@
 type (
 	pollNow  struct{}
 	leave    struct{}
-	demanded struct{ demand map[ident.Service]float64 }
+	demanded struct{ demand []LoadRecord }
 	viewOf   struct{ reply tasks.Reply[route.View] }
 	reached  struct {
 		revision ident.Revision
@@ -144,7 +150,7 @@
 	clock  clock.Clock
 	log    *slog.Logger
 	sinks  []ViewSink
-	demand map[ident.Service]float64
+	demand []LoadRecord
 
 	config  *state.Config
 	fresh   time.Time
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -32,6 +32,8 @@
 type Planner interface {
 	// Plan returns the changes that are needed now.
 	Plan(now time.Time, situation plan.Situation) []plan.Change
+	// Reset forgets what was decided, for a new leadership.
+	Reset()
 }
 
 // Event is a repair or a step of a plan that the leader made.
@@ -121,6 +123,11 @@
 	return renewed.lease, err == nil && renewed.leads
 }
 
+// note records a poll without an answer.
+func (l *Leader) note(args PollArgs, arrived time.Time) {
+	l.ref.Tell(renewal{args: args, arrived: arrived})
+}
+
 // InForce waits until every entry host with a lease has applied the revision.
 // When ctx ends first, the progress tells who has not. The error matches
 // ErrNotLeader when this host does not lead.
@@ -235,6 +242,7 @@
 	case began:
 		l.leads, l.expiring = true, make(map[ident.Host]ident.Incarnation)
 		l.sessions.begin(l.clock.Now())
+		l.planner.Reset()
 		l.log.Info("ctrl: leadership began", "term", m.term)
 	case ended:
 		l.leads = false
--- a/ctrl/record.go
+++ b/ctrl/record.go
@@ -41,9 +41,16 @@
 	Revision ident.Revision
 	// Wait is how long the leader may hold the call for a newer revision.
 	Wait time.Duration
-	// Demand counts the requests per second of each service that came in at
-	// this host.
-	Demand map[ident.Service]float64
+	// Demand is the load that came in at this host.
+	Demand []LoadRecord
+}
+
+// LoadRecord is the load of a class of a service in slots: the requests that
+// run at a time.
+type LoadRecord struct {
+	Service ident.Service
+	Class   ident.Class
+	Slots   float64
 }
 
 // Delta is one shared command in its encoded form.
--- a/ctrl/service.go
+++ b/ctrl/service.go
@@ -93,6 +93,9 @@
 // with a majority, and answers with what changed and a lease.
 func (s *Service) Poll(args *PollArgs, reply *PollReply) error {
 	arrived := s.clock.Now()
+	// What the process has applied counts at once, so that waiting for a newer
+	// revision does not delay the word that this one is in force.
+	s.leader.note(*args, arrived)
 	wait := min(max(args.Wait, 0), maxPollWait)
 	ctx, cancel := context.WithTimeout(s.ctx, wait)
 	s.feed.Wait(ctx, args.Revision)
--- a/ctrl/session.go
+++ b/ctrl/session.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rhubarbrack/ident"
+	"rhubarbrack/plan"
 	"rhubarbrack/state"
 )
 
@@ -21,7 +22,7 @@
 	incarnation ident.Incarnation
 	renewed     time.Time
 	revision    ident.Revision
-	demand      map[ident.Service]float64
+	demand      []LoadRecord
 }
 
 // sessions tracks the leases of entry hosts on the control leader. It is
@@ -93,15 +94,16 @@
 	return out
 }
 
-// demand sums the requests per second of each service by origin region.
-func (s *sessions) demand(members []state.Member) map[ident.Service]map[ident.Region]float64 {
-	out := make(map[ident.Service]map[ident.Region]float64)
+// demand returns the load that comes in at the members.
+func (s *sessions) demand(members []state.Member) []plan.Load {
+	var out []plan.Load
 	for _, m := range members {
-		for service, rate := range s.known[m.Host()].demand {
-			if out[service] == nil {
-				out[service] = make(map[ident.Region]float64)
-			}
-			out[service][m.Region()] += rate
+		e, ok := s.known[m.Host()]
+		if !ok || e.incarnation != m.Incarnation() {
+			continue
+		}
+		for _, d := range e.demand {
+			out = append(out, plan.NewLoad(d.Service, m.Region(), d.Class, d.Slots))
 		}
 	}
 	return out
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -7,6 +7,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
+	"rhubarbrack/plan"
 	"rhubarbrack/route"
 	"rhubarbrack/tasks"
 )
@@ -20,9 +21,8 @@
 
 // DemandSink learns of the demand at this host.
 type DemandSink interface {
-	// Report receives the requests per second of each service. It must not
-	// block.
-	Report(demand map[ident.Service]float64)
+	// Report receives the load of each service and class. It must not block.
+	Report(loads []plan.Load)
 }
 
 // Ledger is the task that remembers requests. It is safe for concurrent use.
@@ -144,7 +144,7 @@
 	if service == "" {
 		return
 	}
-	l.demand.count(service)
+	l.demand.count(e.result, e.latency)
 	l.budget(service).earn(l.shares[service])
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -187,7 +187,7 @@
 		return fmt.Errorf("picker: %w", err)
 	}
 	e.hub, err = startHub(ctx, e.system, &hub{
-		clock: o.clock, self: e.self, ttl: o.lookupTTL, peers: e.peers, holder: e.holder,
+		control: e.control, clock: o.clock, self: e.self, ttl: o.lookupTTL, peers: e.peers, holder: e.holder,
 		owners: e.owners, slots: e.owner, client: e.slots, picker: e.picker,
 	})
 	if err != nil {
--- a/node/hub.go
+++ b/node/hub.go
@@ -25,6 +25,9 @@
 	"rhubarbrack/tasks"
 )
 
+// releaseTimeout bounds the word to the control hosts that a role is given up.
+const releaseTimeout = 5 * time.Second
+
 // hubInterval bounds how late a drain takes effect after its start.
 const hubInterval = 250 * time.Millisecond
 
@@ -33,16 +36,18 @@
 // hub is the task of an entry host that passes each new view, the platform's
 // list and the reports of probes on to the tasks that act on them.
 type hub struct {
-	clock  clock.Clock
-	self   state.Member
-	ttl    time.Duration
-	peers  *entry.Peers
-	holder *entry.RateHolder
-	owners *entry.RateOwners
-	slots  *entry.SlotOwner
-	client *entry.SlotClient
-	picker *picker
-	probe  *target.Probe
+	ctx     context.Context
+	control *ctrl.Client
+	clock   clock.Clock
+	self    state.Member
+	ttl     time.Duration
+	peers   *entry.Peers
+	holder  *entry.RateHolder
+	owners  *entry.RateOwners
+	slots   *entry.SlotOwner
+	client  *entry.SlotClient
+	picker  *picker
+	probe   *target.Probe
 
 	directory *atomic.Pointer[locate.Directory]
 	table     *locate.Table
@@ -52,6 +57,9 @@
 	list      platf.List
 	changes   uint64
 	regions   map[ident.Target]ident.Region
+	// released holds the epochs of the roles that this host has given up.
+	released map[state.RoleName]ident.Epoch
+	giveUp   []state.Role
 }
 
 var _ tasks.Task = (*hub)(nil)
@@ -84,7 +92,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("empty table: %w", err)
 	}
-	h.table = empty
+	h.ctx, h.table = ctx, empty
+	h.released = make(map[state.RoleName]ident.Epoch)
 	h.directory = new(atomic.Pointer[locate.Directory])
 	h.directory.Store(locate.NewDirectory(empty, nil, nil, h.ttl))
 	ref, err := tasks.Spawn(ctx, system, "node-hub", h)
@@ -123,12 +132,14 @@
 // configuration when its revision has changed.
 func (h *hub) viewChanged(view route.View) {
 	h.view = view
+	h.release(view.Config())
 	members := h.members(view)
 	h.peers.Update(members)
 	h.holder.Update(members)
 	h.owners.Update(members)
 	h.slots.Update(members)
 	h.client.Update(members)
+	h.proposeReleases()
 	if view.Config().Revision() == h.revision {
 		return
 	}
@@ -136,6 +147,33 @@
 	h.configChanged(view.Config())
 }
 
+// release gives up roles that other hosts should have. The tasks of this host
+// stop acting for them with the next members that they get, which is before
+// the control hosts learn of it.
+func (h *hub) release(config *state.Config) {
+	for _, r := range plan.Releases(config, h.self.Host(), h.self.Incarnation()) {
+		if h.released[r.Name()] == r.Epoch() {
+			continue
+		}
+		h.released[r.Name()] = r.Epoch()
+		h.giveUp = append(h.giveUp, r)
+	}
+}
+
+// proposeReleases tells the control hosts what this host has given up.
+func (h *hub) proposeReleases() {
+	for _, r := range h.giveUp {
+		go func() {
+			ctx, cancel := context.WithTimeout(h.ctx, releaseTimeout)
+			defer cancel()
+			// The role is fenced by its epoch, so a repetition does no harm. If
+			// no control host answers, the role moves when the lease ends.
+			_, _ = h.control.Propose(ctx, state.NewAssignRole(r.Name(), "", r.Epoch()+1))
+		}()
+	}
+	h.giveUp = nil
+}
+
 func (h *hub) members(view route.View) entry.Members {
 	var members []entry.Member
 	for _, m := range view.Config().Members() {
@@ -143,7 +181,7 @@
 	}
 	roles := make(map[entry.Role]entry.Assignment)
 	for _, r := range view.Config().Roles() {
-		if !r.Vacant() {
+		if !r.Vacant() && h.released[r.Name()] != r.Epoch() {
 			roles[entry.Role(r.Name())] = entry.NewAssignment(r.Host(), r.Incarnation(), r.Epoch())
 		}
 	}
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -1,20 +1,39 @@
 package plan
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"rhubarbrack/ident"
 	"rhubarbrack/roster"
+	"rhubarbrack/shift"
 	"rhubarbrack/state"
 )
 
-// Planner decides the changes of the control leader.
-type Planner struct{}
+// Planner decides the changes of the control leader. It remembers the steps that
+// it decided. It is not safe for concurrent use.
+type Planner struct {
+	ledger   *shift.Ledger
+	issued   map[shift.Key]step
+	recalled map[shift.Key]bool
+}
 
 // New returns a planner.
-func New() *Planner { return &Planner{} }
+func New() *Planner {
+	p := &Planner{}
+	p.Reset()
+	return p
+}
+
+// Reset forgets all steps. The leader calls it when its leadership begins,
+// since another leader may have made steps in the meantime.
+func (p *Planner) Reset() {
+	p.ledger = shift.NewLedger(time.Time{})
+	p.issued = make(map[shift.Key]step)
+	p.recalled = make(map[shift.Key]bool)
+}
 
 // Plan returns the changes that are needed at the time now, most urgent first.
 func (p *Planner) Plan(now time.Time, s Situation) []Change {
@@ -23,6 +42,22 @@
 	return append(out, p.shares(now, s)...)
 }
 
+// Releases returns the roles that a process should give up: all of them when it
+// leaves, and those of other regions that have a live member of their own by
+// now. The process must stop acting for a role before it gives it up.
+func Releases(config *state.Config, host ident.Host, incarnation ident.Incarnation) []state.Role {
+	var out []state.Role
+	for _, a := range roster.Releases(rosterMembers(config), assignments(config)) {
+		if a.Host() != host || a.Incarnation() != incarnation {
+			continue
+		}
+		if r, ok := config.Role(state.RoleName(a.Role().Name())); ok {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 // expirations end the membership of processes whose lease has ended. Their
 // roles become vacant with it.
 func expirations(s Situation) []Change {
@@ -45,7 +80,7 @@
 		regions = append(regions, r.Name())
 	}
 	var out []Change
-	wanted := roster.Plan(members(s), assignments(s), roster.Roles(regions, RateShards), never)
+	wanted := roster.Plan(members(s), assignments(s.config), roster.Roles(regions, RateShards), never)
 	for _, a := range wanted {
 		name := state.RoleName(a.Role().Name())
 		epoch := ident.Epoch(1)
@@ -66,11 +101,12 @@
 	for _, m := range s.expired {
 		ending[m.Host()] = true
 	}
+	return slices.DeleteFunc(rosterMembers(s.config), func(m roster.Member) bool { return ending[m.Host()] })
+}
+
+func rosterMembers(config *state.Config) []roster.Member {
 	var out []roster.Member
-	for _, m := range s.config.Members() {
-		if ending[m.Host()] {
-			continue
-		}
+	for _, m := range config.Members() {
 		condition := roster.Leaving
 		if m.Live() {
 			condition = roster.Live
@@ -80,9 +116,9 @@
 	return out
 }
 
-func assignments(s Situation) []roster.Assignment {
+func assignments(config *state.Config) []roster.Assignment {
 	var out []roster.Assignment
-	for _, r := range s.config.Roles() {
+	for _, r := range config.Roles() {
 		if r.Vacant() {
 			continue
 		}
--- a/plan/situation.go
+++ b/plan/situation.go
@@ -26,11 +26,36 @@
 	return Target{id: id, service: service, zone: zone, region: region, slots: slots, live: live}
 }
 
+// Load is the load of a class of a service that comes in at a region.
+type Load struct {
+	service ident.Service
+	origin  ident.Region
+	class   ident.Class
+	slots   float64
+}
+
+// NewLoad returns a load in slots: the requests that run at a time.
+func NewLoad(service ident.Service, origin ident.Region, class ident.Class, slots float64) Load {
+	return Load{service: service, origin: origin, class: class, slots: slots}
+}
+
+// Service returns the service.
+func (l Load) Service() ident.Service { return l.service }
+
+// Origin returns the region where the requests come in.
+func (l Load) Origin() ident.Region { return l.origin }
+
+// Class returns the request class.
+func (l Load) Class() ident.Class { return l.class }
+
+// Slots returns the requests that run at a time.
+func (l Load) Slots() float64 { return l.slots }
+
 // Situation is what the leader knows at one moment.
 type Situation struct {
 	config  *state.Config
 	inForce ident.Revision
-	demand  map[ident.Service]map[ident.Region]float64
+	demand  []Load
 	targets []Target
 	listed  bool
 	expired []state.Member
@@ -39,10 +64,8 @@
 // SituationOption sets a part of a situation.
 type SituationOption func(*Situation)
 
-// WithDemand sets the requests per second by service and origin region.
-func WithDemand(demand map[ident.Service]map[ident.Region]float64) SituationOption {
-	return func(s *Situation) { s.demand = demand }
-}
+// WithDemand sets the load that comes in.
+func WithDemand(demand []Load) SituationOption { return func(s *Situation) { s.demand = demand } }
 
 // WithTargets sets the platform's list. Without it, no shares are planned.
 func WithTargets(targets []Target) SituationOption {
