Test fences of slot owner and client one by one

Change: table tests of the owner's refusals and of the client task's epochs, a grant lost together with its withdrawal, and one ask over real connections.

--- /dev/null
+++ b/entry/slot_task_test.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand"
+	"net"
+	"net/rpc"
+	"runtime"
+	"testing"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/ident"
+	"rhubarbrack/steer"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+// Guards against grants by a process that is not the owner, to holders that
+// the view does not name, and without complete reports.
+func TestOwnerRefusesCalls(t *testing.T) {
+	acquire := func(s *slotServer, h SlotHolder) string {
+		var reply SlotAcquireReply
+		args := &SlotAcquireArgs{
+			Region: string(testRegion), Holder: h, Number: 1, Service: "s", QueueBound: 1, Remaining: 48 * time.Hour, Weight: 1,
+		}
+		if err := s.Acquire(args, &reply); err != nil {
+			return err.Error()
+		}
+		return reply.Status
+	}
+	report := func(s *slotServer, epoch uint64) string {
+		var reply SlotReply
+		h := SlotHolder{Host: "h1", Incarnation: 1}
+		if err := s.Open(&SlotOpenArgs{Region: string(testRegion), Epoch: epoch, Holder: h, Sequence: 1 << 40}, &reply); err != nil {
+			return err.Error()
+		}
+		return reply.Status
+	}
+	member := SlotHolder{Host: "h1", Incarnation: 1}
+	cases := []struct {
+		name string
+		call func(f *fleet) string
+		want string
+	}{
+		{name: "a member asks the owner", call: func(f *fleet) string { return acquire(f.net.servers["h0"], member) }, want: statusGranted},
+		{name: "another host is asked", call: func(f *fleet) string { return acquire(f.net.servers["h1"], member) }, want: statusNotOwner},
+		{name: "an unknown host asks", call: func(f *fleet) string {
+			return acquire(f.net.servers["h0"], SlotHolder{Host: "h9", Incarnation: 1})
+		}, want: statusNotOwner},
+		{name: "an earlier process asks", call: func(f *fleet) string {
+			return acquire(f.net.servers["h0"], SlotHolder{Host: "h1"})
+		}, want: statusNotOwner},
+		{name: "the lease is not fresh", call: func(f *fleet) string {
+			f.clock.Advance(f.fresh)
+			return acquire(f.net.servers["h0"], member)
+		}, want: statusNotOwner},
+		{name: "the lease ends while the ask waits", call: func(f *fleet) string {
+			if _, err := f.clients[0].Acquire(f.ctx, f.ask(time.Hour)); err != nil {
+				return err.Error()
+			}
+			done := make(chan string, 1)
+			go func() { done <- acquire(f.net.servers["h0"], member) }()
+			for f.status().Waiting() == 0 {
+				runtime.Gosched()
+			}
+			f.clock.Advance(f.fresh)
+			f.list(2)
+			if s := f.status(); s.Waiting() != 1 || s.InFlight() != 1 {
+				return "granted without a lease"
+			}
+			f.assign(1)
+			return <-done
+		}, want: statusNotOwner},
+		{name: "a report for this epoch", call: func(f *fleet) string { return report(f.net.servers["h0"], 1) }, want: statusDone},
+		{name: "a report for another epoch", call: func(f *fleet) string { return report(f.net.servers["h0"], 2) }, want: statusNotOwner},
+		{name: "a host has not reported to a new owner", call: func(f *fleet) string {
+			f.net.mutex.Lock()
+			f.net.faults = always(loseCall, slotOpenMethod, 1<<30)
+			f.net.mutex.Unlock()
+			f.assign(1)
+			report(f.net.servers["h1"], 2)
+			if f.status().Epoch() == 2 && !f.status().IsOpen() {
+				return "closed"
+			}
+			return "open"
+		}, want: "closed"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t, 2, always(deliver, "", 0))
+			f.list(1)
+			f.assign(0)
+			f.advanceUntil("the owner is open", func() bool { return f.status().IsOpen() })
+			if got := tc.call(f); got != tc.want {
+				t.Errorf("got %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a slot that stays taken when the grant is lost on its way,
+// the caller has gone and the withdrawal is lost, too.
+func TestAbandonedGrantIsFreed(t *testing.T) {
+	f := newFleet(t, 1, func(_ *rand.Rand, m string) fault {
+		switch m {
+		case slotAcquireMethod:
+			return loseReply
+		case slotReleaseMethod:
+			return loseCall
+		}
+		return deliver
+	})
+	f.list(1)
+	f.assign(0)
+	f.advanceUntil("the owner is open", func() bool { return f.status().IsOpen() })
+	ctx, cancel := context.WithCancel(f.ctx)
+	done := f.acquire(ctx, 0, f.ask(time.Hour))
+	f.advanceUntil("the slot is granted", func() bool { return f.status().InFlight() == 1 })
+	cancel()
+	if err := <-done; err == nil {
+		t.Fatal("Acquire succeeded although every answer is lost")
+	}
+	f.advanceUntil("the slot is free", f.idle)
+}
+
+// sink is a task that drops its messages.
+type sink struct{}
+
+func (sink) Handle(any) {}
+
+// Guards against the use of a grant that the report to a later owner does not
+// name: both owners could give the slot away.
+func TestClientUsesGrantsOfCurrentEpoch(t *testing.T) {
+	assigned := func(e ident.Epoch) Changed {
+		roles := map[Role]Assignment{SlotRole(testRegion): NewAssignment("h0", 1, e)}
+		return NewChanged(NewMembers("h0", 1, 1, time.Unix(1<<40, 0), nil, roles))
+	}
+	grant := func(e uint64) slotAttempted {
+		return slotAttempted{number: 1, attempt: 1, reply: SlotAcquireReply{Status: statusGranted, Epoch: e, Target: "t0"}}
+	}
+	cases := []struct {
+		name     string
+		messages []any
+		open     int
+	}{
+		{name: "current epoch", messages: []any{assigned(1), grant(1)}, open: 1},
+		{name: "epoch that the client does not know yet", messages: []any{assigned(1), grant(2)}, open: 1},
+		{name: "epoch before the reported one", messages: []any{assigned(1), assigned(2), grant(1)}, open: 0},
+		{name: "granted before the next owner came", messages: []any{assigned(1), grant(1), assigned(2)}, open: 1},
+		{name: "granted twice", messages: []any{assigned(1), grant(1), grant(1)}, open: 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			system := tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil)))
+			defer system.Shutdown()
+			ref, err := tasks.Spawn(ctx, system, "sink", sink{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			n := &slotNet{faults: func(*rand.Rand, string) fault { return loseCall }}
+			c := newSlotClientTask(ctx, n, newSlotOptions([]SlotOption{WithSlotClock(clock.NewManual(time.Unix(0, 0)))}))
+			c.Handle(slotSelf{ref: ref})
+			class := steer.NewClass("reads", false, 1, 0)
+			a := NewSlotAsk(testRegion, steer.NewAsk(steer.AskID{}, "s", "team", class, time.Unix(60, 0)))
+			c.Handle(slotBegin{ask: a, token: new(slotToken), reply: tasks.NewReply[slotAnswer]()})
+			for _, m := range tc.messages {
+				c.Handle(m)
+			}
+			if got := c.use().Open(); got != tc.open {
+				t.Errorf("%d grants in use, want %d", got, tc.open)
+			}
+			c.exchanges.Wait()
+		})
+	}
+}
+
+// Guards against records that do not survive the encoding, by one request
+// through real connections between two hosts.
+func TestSlotsOverTheWire(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	system := tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer()
+	owner, err := StartSlotOwner(ctx, system, server, &markRecorder{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := wire.Serve(ctx, listener, server)
+	peers, err := StartPeers(ctx, system)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := StartSlotClient(ctx, system, peers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := clock.Wall().Now()
+	roles := map[Role]Assignment{SlotRole(testRegion): NewAssignment("h0", 1, 1)}
+	m := NewMembers("h0", 1, 1, now.Add(time.Hour), []Member{NewMember("h0", 1, testRegion, listener.Addr().String())}, roles)
+	owner.SetTargets(testRegion, []steer.Target{
+		steer.NewTarget("t0", "s", "10.0.0.1:80", "z0", 1, steer.StateLive),
+		steer.NewTarget("t1", "s", "10.0.0.2:80", "z1", 1, steer.StateLive),
+	})
+	owner.Update(m)
+	peers.Update(m)
+	client.Update(m)
+	ask := steer.NewAsk(steer.AskID{}, "s", "team", steer.NewClass("alerts", true, 1, time.Minute), now.Add(time.Minute),
+		steer.WithAvoid("t0"), steer.WithZone("z0"), steer.WithWeight(3), steer.WithFingerprint(ident.Fingerprint{7}))
+	g, err := client.Acquire(ctx, NewSlotAsk(testRegion, ask))
+	if err != nil || g.Target() != "t1" || g.Address() != "10.0.0.2:80" {
+		t.Errorf("Acquire = %v, %v; want t1 at 10.0.0.2:80", g, err)
+	}
+	if err := client.ReleaseAndWait(ctx, g, steer.NewResult(steer.EndingOK, time.Millisecond)); err != nil {
+		t.Error(err)
+	}
+	if s, err := owner.Status(ctx, testRegion); err != nil || s.InFlight() != 0 {
+		t.Errorf("Status = %v, %v; want no slot in use", s, err)
+	}
+	cancel()
+	<-client.Done()
+	<-owner.Done()
+	<-peers.Done()
+	<-served
+	system.Shutdown()
+}
