--- a/steer/property_test.go
+++ b/steer/property_test.go
@@ -85,3 +85,28 @@
 		return ""
 	})
 }
+
+// Guards against a light team that waits for many rounds with each ask, and
+// against one that gets more than its share because its queue runs empty.
+func TestLightTeam(t *testing.T) {
+	c := newClassQueue("reads")
+	add := func(team ident.Team, weight int) {
+		c.add(&waiter{ask: Ask{team: team, weight: weight}})
+	}
+	for range 2000 {
+		add("heavy", 10)
+	}
+	add("light", 1)
+	var turns []int
+	for i := range 1100 {
+		w := c.pick(func(*waiter) bool { return true })
+		c.remove(w)
+		if w.ask.team == "light" {
+			turns = append(turns, i)
+			add("light", 1)
+		}
+	}
+	if len(turns) == 0 || turns[0] > 1 || len(turns) < 99 || len(turns) > 101 {
+		t.Errorf("served %d of 1100 at weight 1 of 11, first at %v; want 100 and a place among the first two", len(turns), turns[:min(1, len(turns))])
+	}
+}
--- a/steer/queue.go
+++ b/steer/queue.go
@@ -50,10 +50,20 @@
 	credited  bool
 	maxWeight int
 	waiting   int
+	// round counts the rounds of the current busy period, and idle holds the
+	// teams that have waited in it and do not now.
+	round int
+	idle  map[ident.Team]idleTeam
+}
+
+// idleTeam is the credit of a team and the round in which it stopped waiting.
+type idleTeam struct {
+	deficit int
+	round   int
 }
 
 func newClassQueue(name ident.Class) *classQueue {
-	return &classQueue{name: name, teams: map[ident.Team]*teamQueue{}}
+	return &classQueue{name: name, teams: map[ident.Team]*teamQueue{}, idle: map[ident.Team]idleTeam{}}
 }
 
 // add appends an ask to the queue of its team.
@@ -63,13 +73,31 @@
 		t = &teamQueue{team: w.ask.team, class: c, asks: list.New()}
 		c.teams[w.ask.team] = t
 	}
+	t.weight = w.ask.weight
 	if t.asks.Len() == 0 {
 		c.ring = append(c.ring, t)
+		c.measure()
+		t.deficit = c.saved(t)
+	} else {
+		c.measure()
 	}
-	t.weight = w.ask.weight
 	w.team, w.element = t, t.asks.PushBack(w)
 	c.waiting++
-	c.measure()
+}
+
+// saved returns the credit with which a team starts to wait: what it had left
+// and what it did not use while others waited. Together with its first turn
+// it pays for one ask at most. Without it, a team that sends less than its
+// share would wait for many rounds with each ask, because a light weight pays
+// for an ask only in several rounds.
+func (c *classQueue) saved(t *teamQueue) int {
+	most := c.maxWeight - t.weight
+	left, ok := c.idle[t.team]
+	if !ok {
+		return most
+	}
+	delete(c.idle, t.team)
+	return min(most, left.deficit+(c.round-left.round)*t.weight)
 }
 
 // remove takes an ask out of its queue.
@@ -80,7 +108,7 @@
 	if t.asks.Len() > 0 {
 		return
 	}
-	t.deficit = 0
+	c.idle[t.team] = idleTeam{deficit: t.deficit, round: c.round}
 	at := slices.Index(c.ring, t)
 	c.ring = slices.Delete(c.ring, at, at+1)
 	if at < c.cursor {
@@ -92,6 +120,10 @@
 		c.cursor = 0
 	}
 	delete(c.teams, t.team)
+	if len(c.ring) == 0 {
+		clear(c.idle)
+		c.round = 0
+	}
 	c.measure()
 }
 
@@ -128,8 +160,11 @@
 }
 
 func (c *classQueue) advance() {
-	c.cursor = (c.cursor + 1) % len(c.ring)
 	c.credited = false
+	if c.cursor++; c.cursor >= len(c.ring) {
+		c.cursor = 0
+		c.round++
+	}
 }
 
 // ahead estimates how many asks are served before a new one of the team.
