Ask again when a lost answer named a leaving target

Cause: the pool refuses a repeated ask as target-left when the target of its first answer is leaving by now, and the client passed that on although the request could run elsewhere. Change: the client asks again under a new number; its next report frees the old slot. TestLostAnswerOfLeavingTarget covers it.

--- a/entry/slot_holder.go
+++ b/entry/slot_holder.go
@@ -248,12 +248,22 @@
 		t.open(now, c, m.reply)
 	case statusRefused:
 		if c.attempt == m.attempt {
-			t.finish(c)
-			c.reply.Send(slotAnswer{err: NewSlotError(steer.Reason(m.reply.Reason), m.reply.RetryAfter)})
+			t.refused(now, c, m.reply)
 		}
 	}
 }
 
+// refused passes a refusal on. When only the answer was lost and its target
+// is leaving by now, the request is asked for again under a new number.
+func (t *slotClientTask) refused(now time.Time, c *slotCall, r SlotAcquireReply) {
+	t.finish(c)
+	if steer.Reason(r.Reason) == steer.ReasonTargetLeft {
+		t.begin(now, slotBegin{ask: c.ask, token: c.token, reply: c.reply})
+		return
+	}
+	c.reply.Send(slotAnswer{err: NewSlotError(steer.Reason(r.Reason), r.RetryAfter)})
+}
+
 func (t *slotClientTask) open(now time.Time, c *slotCall, r SlotAcquireReply) {
 	c.phase, c.since = phaseOpen, now
 	c.grant = SlotGrant{
--- a/entry/slot_task_test.go
+++ b/entry/slot_task_test.go
@@ -126,6 +126,43 @@
 	f.advanceUntil("the slot is free", f.idle)
 }
 
+// Guards against a refusal, and against a grant at a leaving target, when only
+// the answer to an ask was lost before the target began to leave.
+func TestLostAnswerOfLeavingTarget(t *testing.T) {
+	f := newFleet(t, 1, always(loseReply, slotAcquireMethod, 1))
+	f.list(1)
+	f.assign(0)
+	f.advanceUntil("the owner is open", func() bool { return f.status().IsOpen() })
+	done := make(chan SlotGrant, 1)
+	go func() {
+		g, err := f.clients[0].Acquire(f.ctx, f.ask(time.Hour))
+		if err != nil {
+			t.Errorf("Acquire: %v", err)
+		}
+		done <- g
+	}()
+	for f.status().InFlight() == 0 {
+		runtime.Gosched()
+	}
+	f.owners[0].SetTargets(testRegion, []steer.Target{
+		steer.NewTarget("t0", "s", "", "z", 1, steer.StateLeaving), steer.NewTarget("t1", "s", "", "z", 1, steer.StateLive),
+	})
+	var g SlotGrant
+	f.advanceUntil("the ask is answered", func() bool {
+		select {
+		case g = <-done:
+			return true
+		default:
+			return f.status().Epoch() == 0
+		}
+	})
+	if g.Target() != "t1" {
+		t.Errorf("granted %q, want t1", g.Target())
+	}
+	f.clients[0].Release(g, steer.NewResult(steer.EndingOK, time.Millisecond))
+	f.advanceUntil("all slots are free", f.idle)
+}
+
 // sink is a task that drops its messages.
 type sink struct{}
 
