Keep the body of a request that was not sent for another target

Cause: the transport closes a request body also when the dial fails, so a request with a body could not go to another target after not-run.

Change: the source stays open until its first read; a request whose body was read from is refused as not run with ErrSpent.

Measured: go test -race -count=10 ./target passes, with a body that arrives whole at the second target after a failed dial and not at all after a crash.

--- a/target/body.go
+++ b/target/body.go
@@ -2,17 +2,25 @@
 
 import (
 	"io"
+	"sync"
 	"sync/atomic"
 )
 
 // sourceBody hands a request body to the transport and keeps the error of its
-// source. It has no rewind, so the transport cannot send it twice.
+// source. It has no rewind, so the transport cannot send it twice. Until the
+// first Read, Close leaves the source alone: a request of which nothing was
+// sent can then go to another target.
 type sourceBody struct {
 	source io.Reader
-	fault  atomic.Pointer[error]
-	closed atomic.Bool
-	eof    atomic.Bool
-	bytes  atomic.Int64
+	// spent is shared with the Request.
+	spent *atomic.Bool
+	fault atomic.Pointer[error]
+	eof   atomic.Bool
+	bytes atomic.Int64
+
+	mutex  sync.Mutex
+	closed bool
+	used   bool
 }
 
 var _ io.ReadCloser = (*sourceBody)(nil)
@@ -22,7 +30,7 @@
 	if b.source == nil {
 		return 0, io.EOF
 	}
-	if b.closed.Load() {
+	if !b.use() {
 		return 0, io.ErrClosedPipe
 	}
 	n, err := b.source.Read(p)
@@ -35,12 +43,25 @@
 	return n, err
 }
 
-// Close implements io.Closer.
-func (b *sourceBody) Close() error {
-	if b.closed.Swap(true) {
-		return nil
+// use reports whether the source may be read, and marks it as spent.
+func (b *sourceBody) use() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.closed {
+		return false
 	}
-	if c, ok := b.source.(io.Closer); ok {
+	b.used = true
+	b.spent.Store(true)
+	return true
+}
+
+// Close implements io.Closer. It ends a Read that still waits.
+func (b *sourceBody) Close() error {
+	b.mutex.Lock()
+	again, used := b.closed, b.used
+	b.closed = true
+	b.mutex.Unlock()
+	if c, ok := b.source.(io.Closer); ok && used && !again {
 		return c.Close()
 	}
 	return nil
--- a/target/dispatch.go
+++ b/target/dispatch.go
@@ -27,7 +27,13 @@
 // deadline of ctx travels in the header Rhubarbrack-Deadline, and the end of
 // ctx closes the connection, by which the target learns of a cancellation.
 // Nothing else bounds the time that a target takes.
+//
+// A request whose body has been read from is not sent again: the outcome is
+// NotRun, and the error wraps ErrSpent.
 func (c *Client) Dispatch(ctx context.Context, address string, r *Request, sink Sink) Result {
+	if r.IsSpent() {
+		return Result{outcome: NotRun, err: fmt.Errorf("target %s: %w", address, ErrSpent)}
+	}
 	x := c.newExchange(ctx, address, r)
 	defer x.close()
 	response, result := x.send()
@@ -65,7 +71,7 @@
 }
 
 func (c *Client) newExchange(ctx context.Context, address string, r *Request) *exchange {
-	x := &exchange{client: c, address: address, body: &sourceBody{source: r.body}}
+	x := &exchange{client: c, address: address, body: &sourceBody{source: r.body, spent: &r.spent}}
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	target := *r.url
 	target.Scheme, target.Host, target.User = "http", address, nil
--- a/target/dispatch_test.go
+++ b/target/dispatch_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -249,6 +250,60 @@
 	}
 }
 
+// closable is a body that cannot be read once it has been closed.
+type closable struct {
+	io.Reader
+}
+
+func (c *closable) Close() error {
+	c.Reader = failing{}
+	return nil
+}
+
+// Guards against a request that arrives without its body, or with a part of
+// it, at the second target.
+func TestDispatchAgain(t *testing.T) {
+	cases := []struct {
+		name    string
+		first   func(t *testing.T) string
+		outcome Outcome
+		again   Outcome
+		wantErr error
+		want    string
+	}{
+		{name: "after a failed dial", first: closedAddress, outcome: NotRun, again: Ran, want: "abc"},
+		{name: "after a crash", outcome: Crashed, again: NotRun, wantErr: ErrSpent, first: func(t *testing.T) string {
+			return startRaw(t, answer("", false)).address
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			received := make(chan string, 1)
+			second := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				received <- string(body)
+			}))
+			defer second.Close()
+			c := NewClient()
+			defer c.Close()
+			r := mustRequest(t, "POST", "/x", WithBody(&closable{Reader: strings.NewReader("abc")}, 3))
+			if got := c.Dispatch(context.Background(), tc.first(t), r, &memory{}); got.Outcome() != tc.outcome {
+				t.Fatalf("first target: %v, %v; want %v", got.Outcome(), got.Err(), tc.outcome)
+			}
+			got := c.Dispatch(context.Background(), second.Listener.Addr().String(), r, &memory{})
+			if got.Outcome() != tc.again || !errors.Is(got.Err(), tc.wantErr) {
+				t.Errorf("second target: %v, %v; want %v, %v", got.Outcome(), got.Err(), tc.again, tc.wantErr)
+			}
+			if tc.want != "" && <-received != tc.want {
+				t.Errorf("the second target did not receive %q", tc.want)
+			}
+			if len(received) != 0 {
+				t.Errorf("the second target received %q", <-received)
+			}
+		})
+	}
+}
+
 // Guards against keys, hop-by-hop headers and callers' deadlines that reach a
 // target, and against a missing deadline.
 func TestDispatchHeader(t *testing.T) {
--- a/target/request.go
+++ b/target/request.go
@@ -5,13 +5,15 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
 )
 
 // UnknownLength is the body length of a request whose body is sent in chunks.
 const UnknownLength = -1
 
-// Request is one request to a target. It can be dispatched once when it has a
-// body, and any number of times otherwise.
+// Request is one request to a target. It can be dispatched until its body has
+// been read from, one dispatch after the other, and any number of times when
+// it has none.
 type Request struct {
 	method string
 	url    *url.URL
@@ -19,6 +21,7 @@
 	header http.Header
 	body   io.Reader
 	length int64
+	spent  atomic.Bool
 }
 
 // RequestOption sets a part of a Request.
@@ -29,7 +32,8 @@
 func WithHeader(h http.Header) RequestOption { return func(r *Request) { r.header = h } }
 
 // WithBody sets the body and its length in bytes, or UnknownLength. A body
-// that also implements io.Closer is closed when the dispatch ends.
+// that also implements io.Closer is closed when a dispatch that has read from
+// it ends.
 func WithBody(body io.Reader, length int64) RequestOption {
 	return func(r *Request) { r.body, r.length = body, length }
 }
@@ -54,8 +58,7 @@
 	return r, nil
 }
 
-// FromHTTP returns the request that forwards r. The body of r is used up by
-// the first dispatch.
+// FromHTTP returns the request that forwards r.
 func FromHTTP(r *http.Request) *Request {
 	out := &Request{method: r.Method, url: r.URL, host: r.Host, header: r.Header}
 	if r.Body != nil && r.Body != http.NoBody {
@@ -73,5 +76,9 @@
 // Header returns the header, which must not be changed.
 func (r *Request) Header() http.Header { return r.header }
 
-// HasBody reports whether the request has a body, which one dispatch uses up.
+// HasBody reports whether the request has a body.
 func (r *Request) HasBody() bool { return r.body != nil && r.length != 0 }
+
+// IsSpent reports whether a dispatch has read from the body, so that another
+// one cannot send it.
+func (r *Request) IsSpent() bool { return r.HasBody() && r.spent.Load() }
--- a/target/result.go
+++ b/target/result.go
@@ -53,6 +53,8 @@
 	ErrLost = errors.ConstError("connection to target lost")
 	// ErrSource means that the body of the request ended early or failed.
 	ErrSource = errors.ConstError("request body failed")
+	// ErrSpent means that an earlier dispatch has read from the body.
+	ErrSpent = errors.ConstError("request body was read before")
 	// ErrSink means that the sink refused the answer.
 	ErrSink = errors.ConstError("answer could not be passed on")
 	// ErrShort means that the answer ended before its announced length.
--- a/target/resume.go
+++ b/target/resume.go
@@ -84,6 +84,9 @@
 // content; when no target holds the same, the caller's connection must be
 // aborted. Another break yields a new Partial.
 func (c *Client) Resume(ctx context.Context, address string, r *Request, broken Partial, w io.Writer) Result {
+	if r.IsSpent() {
+		return Result{outcome: NotRun, err: fmt.Errorf("target %s: resume: %w", address, ErrSpent)}
+	}
 	x := c.newExchange(ctx, address, r)
 	defer x.close()
 	dropConditions(x.request.Header)
