Prove the TLS settings in calls between processes

Cause: the settings are kept by connections that package wire renews.

Change: a test that calls through wire with certificates of one and of two authorities and of another host.

Measured: go test -race ./certs passes.

--- a/certs/source_test.go
+++ b/certs/source_test.go
@@ -17,6 +17,8 @@
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
+func quietLog() *slog.Logger { return slog.New(slog.DiscardHandler) }
+
 func authority(t *testing.T) *Authority {
 	t.Helper()
 	a, err := NewAuthority(start)
@@ -117,7 +119,7 @@
 		t.Fatal(err)
 	}
 	c := clock.NewManual(start)
-	server, err := Load(files, WithClock(c), WithCheckInterval(time.Second), WithLog(slog.New(slog.DiscardHandler)))
+	server, err := Load(files, WithClock(c), WithCheckInterval(time.Second), WithLog(quietLog()))
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/certs/wire_test.go
@@ -0,0 +1,74 @@
+package certs
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+// Echo is the service that the test calls.
+type Echo struct{}
+
+// Say returns its argument.
+func (Echo) Say(args *string, reply *string) error {
+	*reply = *args
+	return nil
+}
+
+// Guards against calls between processes of different authorities.
+func TestCallsBetweenProcesses(t *testing.T) {
+	ours, foreign := authority(t), authority(t)
+	c := clock.NewManual(start)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer()
+	if err := server.Register(Echo{}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := wire.Serve(ctx, listener, server, wire.WithTLS(source(t, issue(t, ours, "control-1"), c).Server()))
+	defer func() {
+		cancel()
+		<-done
+	}()
+	cases := []struct {
+		name string
+		from *Authority
+		to   string
+		want string
+
+		wantErr error
+	}{
+		{name: "same authority", from: ours, to: "control-1", want: "hello"},
+		{name: "other authority", from: foreign, to: "control-1", wantErr: ErrPeer},
+		{name: "other host", from: ours, to: "control-2", wantErr: ErrPeer},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			system := tasks.NewSystem(quietLog())
+			defer system.Shutdown()
+			security := source(t, issue(t, tc.from, "entry-1"), c).Client(tc.to)
+			client, err := wire.Dial(ctx, system, "control-1", listener.Addr().String(), wire.WithTLS(security))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(ctx, time.Minute)
+			defer cancel()
+			text, reply := "hello", ""
+			err = client.Call(ctx, "Echo.Say", &text, &reply)
+			if reply != tc.want || !errors.Is(err, tc.wantErr) {
+				t.Errorf("Call = %q, %v; want %q, %v", reply, err, tc.want, tc.wantErr)
+			}
+		})
+	}
+}
