Offer a connection of its own for a request

Cause: a reused connection that the target closes while it is idle looks like a crash and leaves a non-idempotent request unknown.

Change: target.WithFreshConnection; FromHTTP takes options.

Measured: go test -race -count=5 ./target passes.

--- a/target/client.go
+++ b/target/client.go
@@ -32,8 +32,10 @@
 // Client sends requests to targets. It is safe for concurrent use.
 type Client struct {
 	transport *http.Transport
-	clock     clock.Clock
-	buffers   sync.Pool
+	// fresh uses each connection once.
+	fresh   *http.Transport
+	clock   clock.Clock
+	buffers sync.Pool
 }
 
 type settings struct {
@@ -80,7 +82,8 @@
 	for _, apply := range options {
 		apply(&s)
 	}
-	c := &Client{clock: s.clock, transport: newTransport(s)}
+	c := &Client{clock: s.clock, transport: newTransport(s), fresh: newTransport(s)}
+	c.fresh.DisableKeepAlives = true
 	c.buffers.New = func() any { return new([bufferBytes]byte) }
 	return c
 }
--- a/target/dispatch.go
+++ b/target/dispatch.go
@@ -60,6 +60,7 @@
 	address string
 	request *http.Request
 	body    *sourceBody
+	fresh   bool
 	result  Result
 
 	mutex       sync.Mutex
@@ -71,7 +72,7 @@
 }
 
 func (c *Client) newExchange(ctx context.Context, address string, r *Request) *exchange {
-	x := &exchange{client: c, address: address, body: &sourceBody{source: r.body, spent: &r.spent}}
+	x := &exchange{client: c, address: address, fresh: r.fresh, body: &sourceBody{source: r.body, spent: &r.spent}}
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	target := *r.url
 	target.Scheme, target.Host, target.User = "http", address, nil
@@ -120,7 +121,11 @@
 
 // send returns the answer, or a nil response and the result.
 func (x *exchange) send() (*http.Response, Result) {
-	response, err := x.client.transport.RoundTrip(x.request)
+	via := x.client.transport
+	if x.fresh {
+		via = x.client.fresh
+	}
+	response, err := via.RoundTrip(x.request)
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.result.reused = x.reused
--- a/target/dispatch_test.go
+++ b/target/dispatch_test.go
@@ -250,6 +250,34 @@
 	}
 }
 
+// Guards against a non-idempotent request on a connection that the target may
+// be closing.
+func TestDispatchConnection(t *testing.T) {
+	cases := []struct {
+		name    string
+		options []RequestOption
+		reused  bool
+	}{
+		{name: "by default", reused: true},
+		{name: "fresh", options: []RequestOption{WithFreshConnection()}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			defer server.Close()
+			c := NewClient()
+			defer c.Close()
+			for i, options := range [][]RequestOption{nil, tc.options, nil} {
+				got := c.Dispatch(context.Background(), server.Listener.Addr().String(), mustRequest(t, "POST", "/x", options...), &memory{})
+				want := i == 2 || i == 1 && tc.reused
+				if got.Outcome() != Ran || got.Reused() != want {
+					t.Errorf("request %d: %v, %v, reused %v; want reused %v", i+1, got.Outcome(), got.Err(), got.Reused(), want)
+				}
+			}
+		})
+	}
+}
+
 // closable is a body that cannot be read once it has been closed.
 type closable struct {
 	io.Reader
--- a/target/request.go
+++ b/target/request.go
@@ -21,6 +21,7 @@
 	header http.Header
 	body   io.Reader
 	length int64
+	fresh  bool
 	spent  atomic.Bool
 }
 
@@ -41,6 +42,12 @@
 // WithHost sets the Host header. The default is the address of the target.
 func WithHost(host string) RequestOption { return func(r *Request) { r.host = host } }
 
+// WithFreshConnection sends the request on a connection of its own. A reused
+// connection that the target closes while it is idle looks like a crash, and
+// leaves open whether a non-idempotent request ran. It costs the set-up of a
+// connection.
+func WithFreshConnection() RequestOption { return func(r *Request) { r.fresh = true } }
+
 // NewRequest returns a request for the given path with its query. It returns
 // an error when path does not start with a slash or is malformed.
 func NewRequest(method, path string, options ...RequestOption) (*Request, error) {
@@ -58,12 +65,15 @@
 	return r, nil
 }
 
-// FromHTTP returns the request that forwards r.
-func FromHTTP(r *http.Request) *Request {
+// FromHTTP returns the request that forwards r, changed by the options.
+func FromHTTP(r *http.Request, options ...RequestOption) *Request {
 	out := &Request{method: r.Method, url: r.URL, host: r.Host, header: r.Header}
 	if r.Body != nil && r.Body != http.NoBody {
 		out.body, out.length = r.Body, r.ContentLength
 	}
+	for _, apply := range options {
+		apply(out)
+	}
 	return out
 }
 
