Strip the project's own headers from forwarded requests; show example files

Cause: a caller could set headers that only entry hosts may set.

Change: headers that begin with Rhubarbrack- are left out; the request id is an option. The comments of ReadPlan and StartFleet have examples.

Measured: go test -race -count=3 ./target passes; both examples were read by the subcommands.

--- a/load/record.go
+++ b/load/record.go
@@ -57,7 +57,30 @@
 }
 
 // ReadPlan reads a plan in YAML. Unknown fields are errors. Fields that are
-// absent keep their defaults. The options are applied last.
+// absent keep their defaults. The options are applied last. An example:
+//
+//	entry: 127.0.0.1:8080
+//	client: 203.0.113.7
+//	duration: 30s
+//	timeout: 2s
+//	double-every: 10s
+//	most-factor: 4
+//	seed: 1
+//	resends: 3
+//	resend-pause: 100ms
+//	teams:
+//	  - name: atelier
+//	    key: atelier-1.secret
+//	    rate: 100
+//	    burst: 20
+//	    offered: 80
+//	    mix:
+//	      - {service: catalogue, path: /items, class: normal, weight: 9}
+//	      - {service: deposits, host: deposits.example, method: POST, path: /deposits, body-bytes: 200, idempotency-key: true}
+//	direct:
+//	  addresses: ["127.0.0.1:9001"]
+//	  rate: 20
+//	  route: {service: catalogue, path: /items}
 func ReadPlan(r io.Reader, options ...PlanOption) (Plan, error) {
 	var record planRecord
 	decoder := yaml.NewDecoder(io.LimitReader(r, maxPlanBytes), yaml.Strict())
--- a/stand/command.go
+++ b/stand/command.go
@@ -60,7 +60,26 @@
 	control  *server
 }
 
-// StartFleet starts the stand-ins that a YAML specification describes.
+// StartFleet starts the stand-ins that a YAML specification describes. Fields
+// that are absent keep the defaults of StartTarget. An example:
+//
+//	control: 127.0.0.1:9000
+//	platform: {address: "127.0.0.1:9001", lag: 2s}
+//	targets:
+//	  - id: catalogue-a
+//	    count: 3
+//	    service: catalogue
+//	    zone: zone-1
+//	    region: region-1
+//	    slots: 4
+//	    queue: 0
+//	    seed: 1
+//	    service-time: 10ms
+//	    spread: 0.5
+//	    cold-requests: 50
+//	    cold-factor: 4
+//	    restart-after: 1s
+//	    report-lag: 500ms
 func StartFleet(ctx context.Context, system *tasks.System, spec io.Reader) (*Fleet, error) {
 	var record specRecord
 	if err := yaml.NewDecoder(io.LimitReader(spec, maxSpecBytes), yaml.Strict()).Decode(&record); err != nil {
--- a/target/dispatch.go
+++ b/target/dispatch.go
@@ -89,6 +89,9 @@
 			request.TransferEncoding = []string{"identity"}
 		}
 	}
+	if r.id != "" {
+		request.Header.Set(HeaderRequest, string(r.id))
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Header.Set(HeaderDeadline, deadline.UTC().Format(time.RFC3339Nano))
 	}
--- a/target/dispatch_test.go
+++ b/target/dispatch_test.go
@@ -341,16 +341,17 @@
 	deadline := time.Date(2100, 1, 2, 3, 4, 5, 678, time.UTC)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	r := mustRequest(t, "GET", "/a%2Fb?c=d", WithHost("pattern.example"), WithHeader(http.Header{
+	r := mustRequest(t, "GET", "/a%2Fb?c=d", WithHost("pattern.example"), WithRequestID("r-1"), WithHeader(http.Header{
 		"Authorization": {"Bearer secret"}, "Connection": {"x-one, close"}, "X-One": {"1"}, "Te": {"trailers"},
 		"Proxy-Authorization": {"secret"}, "Rhubarbrack-Deadline": {"2000-01-01T00:00:00Z"}, "Idempotency-Key": {"k"},
+		"Rhubarbrack-Request": {"forged"}, "Rhubarbrack-Reason": {"forged"},
 	}))
 	sink := &memory{}
 	if got := c.Dispatch(ctx, s.address, r, sink); got.Outcome() != Ran {
 		t.Fatalf("Dispatch = %v, %v", got.Outcome(), got.Err())
 	}
 	want := "GET /a%2Fb?c=d HTTP/1.1\r\nHost: pattern.example\r\nIdempotency-Key: k\r\n" +
-		"Rhubarbrack-Deadline: 2100-01-02T03:04:05.000000678Z\r\n\r\n"
+		"Rhubarbrack-Deadline: 2100-01-02T03:04:05.000000678Z\r\nRhubarbrack-Request: r-1\r\n\r\n"
 	if head := <-s.heads; head != want {
 		t.Errorf("head %q, want %q", head, want)
 	}
--- a/target/header.go
+++ b/target/header.go
@@ -26,8 +26,8 @@
 	OutcomeNotRun = "not-run"
 )
 
-// ownPrefix starts the names of the headers that only entry hosts may set on
-// answers.
+// ownPrefix starts the names of the headers that only entry hosts may set, on
+// requests to targets as on answers to callers.
 const ownPrefix = "Rhubarbrack-"
 
 // hopHeaders are meant for one connection only (RFC 9110, section 7.6.1).
@@ -67,7 +67,8 @@
 		h = make(http.Header)
 	}
 	dropHopHeaders(h)
-	for _, name := range []string{"Authorization", "Expect", "Content-Length", HeaderDeadline} {
+	dropOwnHeaders(h)
+	for _, name := range []string{"Authorization", "Expect", "Content-Length"} {
 		h.Del(name)
 	}
 	if _, ok := h["User-Agent"]; !ok {
@@ -80,10 +81,14 @@
 // answerHeader removes from a target's answer what must not reach the caller.
 func answerHeader(h http.Header) http.Header {
 	dropHopHeaders(h)
+	dropOwnHeaders(h)
+	return h
+}
+
+func dropOwnHeaders(h http.Header) {
 	for name := range h {
 		if strings.HasPrefix(name, ownPrefix) {
 			delete(h, name)
 		}
 	}
-	return h
 }
--- a/target/request.go
+++ b/target/request.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"net/url"
 	"sync/atomic"
+
+	"rhubarbrack/ident"
 )
 
 // UnknownLength is the body length of a request whose body is sent in chunks.
@@ -21,6 +23,7 @@
 	header http.Header
 	body   io.Reader
 	length int64
+	id     ident.RequestID
 	fresh  bool
 	spent  atomic.Bool
 }
@@ -29,7 +32,8 @@
 type RequestOption func(*Request)
 
 // WithHeader sets the header. It is copied when the request is sent;
-// Authorization and hop-by-hop headers are left out.
+// Authorization, hop-by-hop headers and those that begin with Rhubarbrack-
+// are left out.
 func WithHeader(h http.Header) RequestOption { return func(r *Request) { r.header = h } }
 
 // WithBody sets the body and its length in bytes, or UnknownLength. A body
@@ -42,6 +46,9 @@
 // WithHost sets the Host header. The default is the address of the target.
 func WithHost(host string) RequestOption { return func(r *Request) { r.host = host } }
 
+// WithRequestID sets the header Rhubarbrack-Request.
+func WithRequestID(id ident.RequestID) RequestOption { return func(r *Request) { r.id = id } }
+
 // WithFreshConnection sends the request on a connection of its own. A reused
 // connection that the target closes while it is idle looks like a crash, and
 // leaves open whether a non-idempotent request ran. It costs the set-up of a
