Bound the records of stand-ins lower and count what they leave out

Cause: a million records of about 1 KB for each target exceed the memory of a trial host, and a check of duplicates must show what it did not see.

Change: 131,072 records a target by default, with a count of the rest; the load report has a column of failed requests.

Measured: go test -race -count=5 ./stand ./load passes.

--- a/load/report.go
+++ b/load/report.go
@@ -25,7 +25,8 @@
 }
 
 // Figures are the counts and percentiles of one team, one class or the direct
-// calls. Latencies are those of requests that ran, from the scheduled
+// calls. Failed counts those of the requests that ran whose status was 500 or
+// more. Latencies are those of requests that ran, from the scheduled
 // arrival. Lateness is the tool's own delay before the first attempt.
 type Figures struct {
 	Name          string         `json:"name"`
@@ -136,8 +137,8 @@
 func (r Report) WriteText(w io.Writer) error {
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed %d, %.1f s, %d look-ups, %d of them failed\n", r.Seed, r.Seconds, r.Lookups, r.FailedLookups)
-	fmt.Fprintf(&b, "%-16s %8s %8s %8s %8s %8s %8s %8s %9s %9s  %s\n",
-		"team", "sent", "ran", "wrongful", "unknown", "unsent", "skipped", "resends", "p50-ms", "p99-ms", "refused")
+	fmt.Fprintf(&b, "%-16s %8s %8s %8s %8s %8s %8s %8s %8s %9s %9s  %s\n",
+		"team", "sent", "ran", "failed", "wrongful", "unknown", "unsent", "skipped", "resends", "p50-ms", "p99-ms", "refused")
 	for _, f := range r.Teams {
 		f.write(&b, f.Name)
 	}
@@ -164,6 +165,6 @@
 		reasons = append(reasons, fmt.Sprintf("%s=%d", reason, n))
 	}
 	slices.Sort(reasons)
-	fmt.Fprintf(b, "%-16s %8d %8d %8d %8d %8d %8d %8d %9.3f %9.3f  %s\n", name, f.Sent, f.Ran, f.Wrongful, f.Unknown,
+	fmt.Fprintf(b, "%-16s %8d %8d %8d %8d %8d %8d %8d %8d %9.3f %9.3f  %s\n", name, f.Sent, f.Ran, f.Failed, f.Wrongful, f.Unknown,
 		f.Unsent, f.Skipped, f.Resends, f.P50MS, f.P99MS, strings.Join(reasons, " "))
 }
--- a/stand/command.go
+++ b/stand/command.go
@@ -261,8 +261,8 @@
 			return fmt.Errorf("sum up: %w", err)
 		}
 		all = append(all, runs)
-		_, _ = fmt.Fprintf(c.out, "target %s ran %d shed %d crashes %d keys-seen %d\n",
-			t.ID(), figures.Ran(), figures.Shed(), figures.Crashes(), figures.KeysSeen())
+		_, _ = fmt.Fprintf(c.out, "target %s ran %d shed %d crashes %d keys-seen %d unrecorded %d\n",
+			t.ID(), figures.Ran(), figures.Shed(), figures.Crashes(), figures.KeysSeen(), figures.Unrecorded())
 	}
 	for key, n := range Duplicates(all...) {
 		_, _ = fmt.Fprintf(c.out, "idempotency key %s ran %d times\n", key, n)
--- a/stand/control.go
+++ b/stand/control.go
@@ -12,10 +12,12 @@
 )
 
 // FleetRecord is the JSON form of the counts of a fleet. Duplicates is the
-// number of idempotency keys that ran more than once on all targets together.
+// number of idempotency keys that ran more than once on all targets together,
+// among the recorded requests. Unrecorded is the number of the others.
 type FleetRecord struct {
 	Targets    []FiguresRecord `json:"targets"`
 	Duplicates int             `json:"duplicates"`
+	Unrecorded int             `json:"unrecorded"`
 }
 
 // FiguresRecord is the JSON form of the Figures of one target.
@@ -99,6 +101,7 @@
 			return
 		}
 		all = append(all, runs)
+		record.Unrecorded += g.unsaved
 		record.Targets = append(record.Targets, FiguresRecord{
 			Target: string(t.ID()), Ran: g.ran, Shed: g.shed, Crashes: g.crashes, KeysSeen: g.keysSeen,
 			Busy: g.busy, Queued: g.queued, Peak: g.peak,
--- a/stand/desk.go
+++ b/stand/desk.go
@@ -179,6 +179,8 @@
 	if len(d.runs) < d.settings.runs {
 		index = len(d.runs)
 		d.runs = append(d.runs, run)
+	} else {
+		d.figures.unsaved++
 	}
 	a.settled.Send(admission{
 		admitted: true, number: run.number, index: index, serviceTime: d.draw(),
--- a/stand/options.go
+++ b/stand/options.go
@@ -12,8 +12,8 @@
 	defaultSlots       = 4
 	defaultServiceTime = 10 * time.Millisecond
 	defaultSpread      = 0.5
-	// defaultRuns bounds the records of a Target.
-	defaultRuns = 1 << 20
+	// defaultRuns bounds the records of a Target. A record takes about 1 KB.
+	defaultRuns = 1 << 17
 	// maxBodyBytes bounds the request body that a Target reads.
 	maxBodyBytes = 64 << 20
 )
@@ -88,7 +88,7 @@
 func WithRestartAfter(d time.Duration) Option { return func(s *settings) { s.restartAfter = d } }
 
 // WithRuns bounds the number of recorded requests. Later ones are only
-// counted. The default is about a million.
+// counted. The default is 131,072.
 func WithRuns(n int) Option { return func(s *settings) { s.runs = n } }
 
 // WithLag sets how long a Platform's list lags behind its changes.
--- a/stand/run.go
+++ b/stand/run.go
@@ -70,6 +70,7 @@
 	busy     int
 	queued   int
 	peak     int
+	unsaved  int
 }
 
 // Ran returns the number of requests that occupied a slot.
@@ -91,6 +92,10 @@
 // Queued returns the number of requests that wait for a slot.
 func (f Figures) Queued() int { return f.queued }
 
+// Unrecorded returns the number of requests that ran beyond the bound of the
+// records.
+func (f Figures) Unrecorded() int { return f.unsaved }
+
 // Peak returns the greatest number of requests that were busy or queued.
 func (f Figures) Peak() int { return f.peak }
 
--- a/stand/target_test.go
+++ b/stand/target_test.go
@@ -290,6 +290,33 @@
 	}
 }
 
+// Guards against records that end at their bound without a trace.
+func TestRunsAreBounded(t *testing.T) {
+	cases := []struct {
+		name                        string
+		bound, recorded, unrecorded int
+	}{
+		{name: "below", bound: 9, recorded: 3},
+		{name: "above", bound: 2, recorded: 2, unrecorded: 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startTarget(t, newSystem(t), WithRuns(tc.bound), WithServiceTime(0, 0))
+			for range 3 {
+				if got := get(context.Background(), s.Address(), "/x", nil); got.status != 200 {
+					t.Fatalf("status %d, %v", got.status, got.err)
+				}
+			}
+			s.Close()
+			runs, _ := s.Runs(context.Background())
+			f, _ := s.Figures(context.Background())
+			if len(runs) != tc.recorded || f.Unrecorded() != tc.unrecorded || f.Ran() != 3 || f.Busy() != 0 {
+				t.Errorf("%d records, figures %+v; want %d and %d unrecorded", len(runs), f, tc.recorded, tc.unrecorded)
+			}
+		})
+	}
+}
+
 // Guards against service times that change between runs of one seed, miss the
 // median, or lack the cold start.
 func TestServiceTimes(t *testing.T) {
