--- a/stand/command.go
+++ b/stand/command.go
@@ -60,7 +60,26 @@
 	control  *server
 }
 
-// StartFleet starts the stand-ins that a YAML specification describes.
+// StartFleet starts the stand-ins that a YAML specification describes. Fields
+// that are absent keep the defaults of StartTarget. An example:
+//
+//	control: 127.0.0.1:9000
+//	platform: {address: "127.0.0.1:9001", lag: 2s}
+//	targets:
+//	  - id: catalogue-a
+//	    count: 3
+//	    service: catalogue
+//	    zone: zone-1
+//	    region: region-1
+//	    slots: 4
+//	    queue: 0
+//	    seed: 1
+//	    service-time: 10ms
+//	    spread: 0.5
+//	    cold-requests: 50
+//	    cold-factor: 4
+//	    restart-after: 1s
+//	    report-lag: 500ms
 func StartFleet(ctx context.Context, system *tasks.System, spec io.Reader) (*Fleet, error) {
 	var record specRecord
 	if err := yaml.NewDecoder(io.LimitReader(spec, maxSpecBytes), yaml.Strict()).Decode(&record); err != nil {
@@ -242,8 +261,8 @@
 			return fmt.Errorf("sum up: %w", err)
 		}
 		all = append(all, runs)
-		_, _ = fmt.Fprintf(c.out, "target %s ran %d shed %d crashes %d keys-seen %d\n",
-			t.ID(), figures.Ran(), figures.Shed(), figures.Crashes(), figures.KeysSeen())
+		_, _ = fmt.Fprintf(c.out, "target %s ran %d shed %d crashes %d keys-seen %d unrecorded %d\n",
+			t.ID(), figures.Ran(), figures.Shed(), figures.Crashes(), figures.KeysSeen(), figures.Unrecorded())
 	}
 	for key, n := range Duplicates(all...) {
 		_, _ = fmt.Fprintf(c.out, "idempotency key %s ran %d times\n", key, n)
--- a/target/dispatch.go
+++ b/target/dispatch.go
@@ -27,7 +27,13 @@
 // deadline of ctx travels in the header Rhubarbrack-Deadline, and the end of
 // ctx closes the connection, by which the target learns of a cancellation.
 // Nothing else bounds the time that a target takes.
+//
+// A request whose body has been read from is not sent again: the outcome is
+// NotRun, and the error wraps ErrSpent.
 func (c *Client) Dispatch(ctx context.Context, address string, r *Request, sink Sink) Result {
+	if r.IsSpent() {
+		return Result{outcome: NotRun, err: fmt.Errorf("target %s: %w", address, ErrSpent)}
+	}
 	x := c.newExchange(ctx, address, r)
 	defer x.close()
 	response, result := x.send()
@@ -54,6 +60,7 @@
 	address string
 	request *http.Request
 	body    *sourceBody
+	fresh   bool
 	result  Result
 
 	mutex       sync.Mutex
@@ -65,7 +72,7 @@
 }
 
 func (c *Client) newExchange(ctx context.Context, address string, r *Request) *exchange {
-	x := &exchange{client: c, address: address, body: &sourceBody{source: r.body}}
+	x := &exchange{client: c, address: address, fresh: r.fresh, body: &sourceBody{source: r.body, spent: &r.spent}}
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	target := *r.url
 	target.Scheme, target.Host, target.User = "http", address, nil
@@ -82,6 +89,9 @@
 			request.TransferEncoding = []string{"identity"}
 		}
 	}
+	if r.id != "" {
+		request.Header.Set(HeaderRequest, string(r.id))
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Header.Set(HeaderDeadline, deadline.UTC().Format(time.RFC3339Nano))
 	}
@@ -114,7 +124,11 @@
 
 // send returns the answer, or a nil response and the result.
 func (x *exchange) send() (*http.Response, Result) {
-	response, err := x.client.transport.RoundTrip(x.request)
+	via := x.client.transport
+	if x.fresh {
+		via = x.client.fresh
+	}
+	response, err := via.RoundTrip(x.request)
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
 	x.result.reused = x.reused
--- a/target/dispatch_test.go
+++ b/target/dispatch_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -249,6 +250,88 @@
 	}
 }
 
+// Guards against a non-idempotent request on a connection that the target may
+// be closing.
+func TestDispatchConnection(t *testing.T) {
+	cases := []struct {
+		name    string
+		options []RequestOption
+		reused  bool
+	}{
+		{name: "by default", reused: true},
+		{name: "fresh", options: []RequestOption{WithFreshConnection()}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			defer server.Close()
+			c := NewClient()
+			defer c.Close()
+			for i, options := range [][]RequestOption{nil, tc.options, nil} {
+				got := c.Dispatch(context.Background(), server.Listener.Addr().String(), mustRequest(t, "POST", "/x", options...), &memory{})
+				want := i == 2 || i == 1 && tc.reused
+				if got.Outcome() != Ran || got.Reused() != want {
+					t.Errorf("request %d: %v, %v, reused %v; want reused %v", i+1, got.Outcome(), got.Err(), got.Reused(), want)
+				}
+			}
+		})
+	}
+}
+
+// closable is a body that cannot be read once it has been closed.
+type closable struct {
+	io.Reader
+}
+
+func (c *closable) Close() error {
+	c.Reader = failing{}
+	return nil
+}
+
+// Guards against a request that arrives without its body, or with a part of
+// it, at the second target.
+func TestDispatchAgain(t *testing.T) {
+	cases := []struct {
+		name    string
+		first   func(t *testing.T) string
+		outcome Outcome
+		again   Outcome
+		wantErr error
+		want    string
+	}{
+		{name: "after a failed dial", first: closedAddress, outcome: NotRun, again: Ran, want: "abc"},
+		{name: "after a crash", outcome: Crashed, again: NotRun, wantErr: ErrSpent, first: func(t *testing.T) string {
+			return startRaw(t, answer("", false)).address
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			received := make(chan string, 1)
+			second := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				received <- string(body)
+			}))
+			defer second.Close()
+			c := NewClient()
+			defer c.Close()
+			r := mustRequest(t, "POST", "/x", WithBody(&closable{Reader: strings.NewReader("abc")}, 3))
+			if got := c.Dispatch(context.Background(), tc.first(t), r, &memory{}); got.Outcome() != tc.outcome {
+				t.Fatalf("first target: %v, %v; want %v", got.Outcome(), got.Err(), tc.outcome)
+			}
+			got := c.Dispatch(context.Background(), second.Listener.Addr().String(), r, &memory{})
+			if got.Outcome() != tc.again || !errors.Is(got.Err(), tc.wantErr) {
+				t.Errorf("second target: %v, %v; want %v, %v", got.Outcome(), got.Err(), tc.again, tc.wantErr)
+			}
+			if tc.want != "" && <-received != tc.want {
+				t.Errorf("the second target did not receive %q", tc.want)
+			}
+			if len(received) != 0 {
+				t.Errorf("the second target received %q", <-received)
+			}
+		})
+	}
+}
+
 // Guards against keys, hop-by-hop headers and callers' deadlines that reach a
 // target, and against a missing deadline.
 func TestDispatchHeader(t *testing.T) {
@@ -258,16 +341,17 @@
 	deadline := time.Date(2100, 1, 2, 3, 4, 5, 678, time.UTC)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	r := mustRequest(t, "GET", "/a%2Fb?c=d", WithHost("pattern.example"), WithHeader(http.Header{
+	r := mustRequest(t, "GET", "/a%2Fb?c=d", WithHost("pattern.example"), WithRequestID("r-1"), WithHeader(http.Header{
 		"Authorization": {"Bearer secret"}, "Connection": {"x-one, close"}, "X-One": {"1"}, "Te": {"trailers"},
 		"Proxy-Authorization": {"secret"}, "Rhubarbrack-Deadline": {"2000-01-01T00:00:00Z"}, "Idempotency-Key": {"k"},
+		"Rhubarbrack-Request": {"forged"}, "Rhubarbrack-Reason": {"forged"},
 	}))
 	sink := &memory{}
 	if got := c.Dispatch(ctx, s.address, r, sink); got.Outcome() != Ran {
 		t.Fatalf("Dispatch = %v, %v", got.Outcome(), got.Err())
 	}
 	want := "GET /a%2Fb?c=d HTTP/1.1\r\nHost: pattern.example\r\nIdempotency-Key: k\r\n" +
-		"Rhubarbrack-Deadline: 2100-01-02T03:04:05.000000678Z\r\n\r\n"
+		"Rhubarbrack-Deadline: 2100-01-02T03:04:05.000000678Z\r\nRhubarbrack-Request: r-1\r\n\r\n"
 	if head := <-s.heads; head != want {
 		t.Errorf("head %q, want %q", head, want)
 	}
--- a/target/request.go
+++ b/target/request.go
@@ -5,13 +5,17 @@
 	"io"
 	"net/http"
 	"net/url"
+	"sync/atomic"
+
+	"rhubarbrack/ident"
 )
 
 // UnknownLength is the body length of a request whose body is sent in chunks.
 const UnknownLength = -1
 
-// Request is one request to a target. It can be dispatched once when it has a
-// body, and any number of times otherwise.
+// Request is one request to a target. It can be dispatched until its body has
+// been read from, one dispatch after the other, and any number of times when
+// it has none.
 type Request struct {
 	method string
 	url    *url.URL
@@ -19,17 +23,22 @@
 	header http.Header
 	body   io.Reader
 	length int64
+	id     ident.RequestID
+	fresh  bool
+	spent  atomic.Bool
 }
 
 // RequestOption sets a part of a Request.
 type RequestOption func(*Request)
 
 // WithHeader sets the header. It is copied when the request is sent;
-// Authorization and hop-by-hop headers are left out.
+// Authorization, hop-by-hop headers and those that begin with Rhubarbrack-
+// are left out.
 func WithHeader(h http.Header) RequestOption { return func(r *Request) { r.header = h } }
 
 // WithBody sets the body and its length in bytes, or UnknownLength. A body
-// that also implements io.Closer is closed when the dispatch ends.
+// that also implements io.Closer is closed when a dispatch that has read from
+// it ends.
 func WithBody(body io.Reader, length int64) RequestOption {
 	return func(r *Request) { r.body, r.length = body, length }
 }
@@ -37,6 +46,15 @@
 // WithHost sets the Host header. The default is the address of the target.
 func WithHost(host string) RequestOption { return func(r *Request) { r.host = host } }
 
+// WithRequestID sets the header Rhubarbrack-Request.
+func WithRequestID(id ident.RequestID) RequestOption { return func(r *Request) { r.id = id } }
+
+// WithFreshConnection sends the request on a connection of its own. A reused
+// connection that the target closes while it is idle looks like a crash, and
+// leaves open whether a non-idempotent request ran. It costs the set-up of a
+// connection.
+func WithFreshConnection() RequestOption { return func(r *Request) { r.fresh = true } }
+
 // NewRequest returns a request for the given path with its query. It returns
 // an error when path does not start with a slash or is malformed.
 func NewRequest(method, path string, options ...RequestOption) (*Request, error) {
@@ -54,13 +72,15 @@
 	return r, nil
 }
 
-// FromHTTP returns the request that forwards r. The body of r is used up by
-// the first dispatch.
-func FromHTTP(r *http.Request) *Request {
+// FromHTTP returns the request that forwards r, changed by the options.
+func FromHTTP(r *http.Request, options ...RequestOption) *Request {
 	out := &Request{method: r.Method, url: r.URL, host: r.Host, header: r.Header}
 	if r.Body != nil && r.Body != http.NoBody {
 		out.body, out.length = r.Body, r.ContentLength
 	}
+	for _, apply := range options {
+		apply(out)
+	}
 	return out
 }
 
@@ -73,5 +93,9 @@
 // Header returns the header, which must not be changed.
 func (r *Request) Header() http.Header { return r.header }
 
-// HasBody reports whether the request has a body, which one dispatch uses up.
+// HasBody reports whether the request has a body.
 func (r *Request) HasBody() bool { return r.body != nil && r.length != 0 }
+
+// IsSpent reports whether a dispatch has read from the body, so that another
+// one cannot send it.
+func (r *Request) IsSpent() bool { return r.HasBody() && r.spent.Load() }
