Prove the control hosts with processes that are killed, frozen and lose their disks

Cause: the invariants of accepted changes were proved in process only. The test of a lost disk failed first: a replacement listed itself in its formation and never waited to be added. Change: tests start control and entry hosts as processes of their own and kill, stop and thaw them; the setting replacement: true marks a control host that waits to be added.

--- a/conf/decode.go
+++ b/conf/decode.go
@@ -36,6 +36,7 @@
 	Tokens    []operatorRecord `yaml:"operator-tokens"`
 	Limits    limitsRecord     `yaml:"limits"`
 	PlainText string           `yaml:"plain-text"`
+	Replaces  bool             `yaml:"replacement"`
 }
 
 type listenRecord struct {
@@ -122,7 +123,7 @@
 	}
 	var faults []error
 	for _, part := range []func() ([]Option, error){
-		r.listeners, r.controlHosts, r.tokens, r.limits, r.plainText, r.tlsFiles,
+		r.replacement, r.listeners, r.controlHosts, r.tokens, r.limits, r.plainText, r.tlsFiles,
 	} {
 		options, err := part()
 		out = append(out, options...)
@@ -230,6 +231,10 @@
 	return []Option{WithLimits(NewLimits(options...))}, errors.Join(faults...)
 }
 
+func (r *record) replacement() ([]Option, error) {
+	return []Option{WithReplacement(r.Replaces)}, nil
+}
+
 func (r *record) plainText() ([]Option, error) {
 	switch r.PlainText {
 	case "", plainTextLoopback:
--- a/conf/decode_test.go
+++ b/conf/decode_test.go
@@ -107,6 +107,8 @@
 		{"plain text in other words", controlText, "allowed-beyond-loopback", "yes", 15, "plain-text", "loopback-only or"},
 		{"no data directory", controlText, "data-directory: /var/lib/rhubarbrack\n", "", 1, "data-directory", "absolute"},
 		{"not among the control hosts", controlText, "host: control-1\nzone", "host: control-2\nzone", 10, "control-hosts", "holds this host"},
+		{"replacement that is listed", controlText, "host: control-1\nzone", "replacement: true\nhost: control-1\nzone", 2, "replacement",
+			"does not hold"},
 		{"token in the clear", controlText, hash, "hunter2", 14, "operator-tokens[0].sha256", "64 hexadecimal"},
 	}
 	for _, c := range cases {
--- a/conf/new.go
+++ b/conf/new.go
@@ -48,6 +48,11 @@
 // WithLimits sets the limits.
 func WithLimits(limits Limits) Option { return func(s *Settings) { s.limits = limits } }
 
+// WithReplacement marks a control host that takes the place of another one. It
+// is not listed among the control hosts and takes part once an operator has
+// added it.
+func WithReplacement(on bool) Option { return func(s *Settings) { s.replacement = on } }
+
 // WithPlainText allows plain text beyond the loopback interface.
 func WithPlainText(allowed bool) Option { return func(s *Settings) { s.plainText = allowed } }
 
@@ -155,7 +160,10 @@
 		c.require(h.address.IsValid() && !h.address.Addr().IsUnspecified() && h.address.Port() != 0,
 			field+".address", h.address, "an IP:port")
 	}
-	c.require(s.role != RoleControl || seen.Has(s.host), "control-hosts", s.host, "a list that holds this host")
+	c.require(s.role != RoleControl || s.replacement || seen.Has(s.host), "control-hosts", s.host,
+		"a list that holds this host, or replacement: true")
+	c.require(!s.replacement || s.role == RoleControl && !seen.Has(s.host), "replacement", s.replacement,
+		"true only for a control host that the list of control hosts does not hold")
 }
 
 func (s *Settings) checkPlatform(c *checker) {
--- a/conf/settings.go
+++ b/conf/settings.go
@@ -148,6 +148,8 @@
 	tokens    []Token
 	limits    Limits
 	plainText bool
+	// replacement is true for a control host that waits to be added.
+	replacement bool
 }
 
 // Role returns what the process does.
@@ -179,6 +181,10 @@
 // PlatformList returns the URL of the platform's host list, or "".
 func (s *Settings) PlatformList() string { return s.platform }
 
+// IsReplacement reports whether the control host waits to be added to a running
+// cluster.
+func (s *Settings) IsReplacement() bool { return s.replacement }
+
 // TLS returns the files for a listener. Without files it speaks plain text.
 func (s *Settings) TLS(party Listener) (Files, bool) {
 	f, ok := s.tls[party]
--- a/node/control.go
+++ b/node/control.go
@@ -78,7 +78,7 @@
 	server := rpc.NewServer()
 	c.replica, err = ctrl.StartReplica(ctx, c.system, server, s.Host(), s.DataDirectory(), ctrl.NewEngine(c.feed),
 		ctrl.WithClock(o.clock), ctrl.WithLogger(o.log), ctrl.WithObserver(c.leader),
-		ctrl.WithFormation(controlPeers(s)...), ctrl.WithWire(wire.WithTLS(c.secure.peerDial)))
+		ctrl.WithFormation(formation(s)...), ctrl.WithWire(wire.WithTLS(c.secure.peerDial)))
 	if err != nil {
 		return fmt.Errorf("start control host: %w", err)
 	}
@@ -155,6 +155,15 @@
 	}
 }
 
+// formation returns the hosts that form the cluster. A replacement waits until
+// it is added.
+func formation(s *conf.Settings) []ctrl.Peer {
+	if s.IsReplacement() {
+		return nil
+	}
+	return controlPeers(s)
+}
+
 func controlPeers(s *conf.Settings) []ctrl.Peer {
 	var out []ctrl.Peer
 	for _, h := range s.ControlHosts() {
--- /dev/null
+++ b/node/fleet_control_test.go
@@ -0,0 +1,203 @@
+package node_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"rhubarbrack/oper"
+)
+
+// leader returns the control host that leads.
+func (f *fleet) leader() *process {
+	f.t.Helper()
+	status, err := f.client(f.controls...).Status(f.context())
+	f.check(err)
+	for _, c := range status.Controls {
+		for _, p := range f.controls {
+			if c.Role == "leader" && c.Host == p.name {
+				return p
+			}
+		}
+	}
+	f.t.Fatalf("no leader in %+v", status.Controls)
+	return nil
+}
+
+// others returns the control hosts without one.
+func (f *fleet) others(without *process) []*process {
+	var out []*process
+	for _, p := range f.controls {
+		if p != without {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// putTeam puts a new version of a team and returns the outcome.
+func (f *fleet) putTeam(client *oper.Client, rate int, expected uint64, request string) (oper.OutcomeRecord, error) {
+	text := fmt.Sprintf("kind: team\nname: carvers\nrate: %d\nburst: 400\n", rate)
+	return client.PutDocument(f.context(), request, []byte(text), expected)
+}
+
+func (f *fleet) team(client *oper.Client) oper.DocumentRecord {
+	f.t.Helper()
+	d, err := client.Document(f.context(), "team", "carvers")
+	f.check(err)
+	return d
+}
+
+// Guards against control hosts that lose or revert an accepted change, or serve
+// an older one, when processes die, freeze or lose their disks.
+func TestControlFailures(t *testing.T) {
+	cases := []struct {
+		name string
+		run  func(f *fleet)
+	}{
+		{name: "leader killed", run: leaderKilled},
+		{name: "leader frozen and thawed", run: leaderFrozen},
+		{name: "disk lost, host replaced, another host killed", run: diskLost},
+		{name: "all killed and restarted", run: allRestarted},
+		{name: "operators race and resend", run: operatorsRace},
+		{name: "planned stop of the leader", run: leaderStopped},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tc.run(newFleet(t, 3, 1))
+		})
+	}
+}
+
+func leaderKilled(f *fleet) {
+	before, err := f.putTeam(f.client(f.controls...), 201, f.team(f.client(f.controls...)).Revision, "first")
+	f.check(err)
+	old := f.leader()
+	f.kill(old)
+	rest := f.client(f.others(old)...)
+	if got := f.team(rest); got.Revision != before.Revision {
+		f.t.Errorf("after the kill the team is at revision %d, want %d", got.Revision, before.Revision)
+	}
+	after, err := f.putTeam(rest, 202, before.Revision, "second")
+	f.check(err)
+	f.restart(old, "control")
+	f.until("restarted host holds the latest change", func() bool {
+		return f.team(f.client(old)).Revision == after.Revision
+	})
+}
+
+func leaderFrozen(f *fleet) {
+	old := f.leader()
+	revision := f.team(f.client(f.controls...)).Revision
+	f.signal(old, syscall.SIGSTOP)
+	rest := f.client(f.others(old)...)
+	after, err := f.putTeam(rest, 203, revision, "while-frozen")
+	f.check(err)
+	f.signal(old, syscall.SIGCONT)
+	// The thawed host must not answer from the past, not even at once.
+	if got := f.team(f.client(old)); got.Revision != after.Revision {
+		f.t.Errorf("thawed host answers with revision %d, want %d", got.Revision, after.Revision)
+	}
+}
+
+func diskLost(f *fleet) {
+	old := f.leader()
+	put, err := f.putTeam(f.client(f.controls...), 204, f.team(f.client(f.controls...)).Revision, "before-loss")
+	f.check(err)
+	f.kill(old)
+	f.check(os.RemoveAll(f.dataDirectory(old)))
+	f.restart(old, "control")
+	// Under its old name it may have voted before, so it must not take part.
+	<-old.exited
+	rest := f.others(old)
+	spare := &process{name: "control-9", address: f.addresses("peers", "operators")}
+	f.startControl(spare)
+	client := f.client(rest...)
+	f.check(client.AddControlHost(f.context(), spare.name, spare.address["peers"]))
+	f.check(client.RemoveControlHost(f.context(), old.name))
+	f.controls = append(f.controls, spare)
+	f.kill(rest[0])
+	left := f.client(rest[1], spare)
+	if got := f.team(left); got.Revision != put.Revision {
+		f.t.Errorf("after the second failure the team is at revision %d, want %d", got.Revision, put.Revision)
+	}
+	_, err = f.putTeam(left, 205, put.Revision, "after-loss")
+	f.check(err)
+}
+
+func allRestarted(f *fleet) {
+	put, err := f.putTeam(f.client(f.controls...), 206, f.team(f.client(f.controls...)).Revision, "before-restart")
+	f.check(err)
+	for _, p := range f.controls {
+		f.kill(p)
+	}
+	for _, p := range f.controls {
+		f.restart(p, "control")
+	}
+	if got := f.team(f.client(f.controls...)); got.Revision != put.Revision || !strings.Contains(got.Source, "206") {
+		f.t.Errorf("after the restart the team is %+v, want revision %d", got, put.Revision)
+	}
+}
+
+func operatorsRace(f *fleet) {
+	client := f.client(f.controls...)
+	revision := f.team(client).Revision
+	const operators = 8
+	outcomes := make([]oper.OutcomeRecord, operators)
+	errs := make([]error, operators)
+	var all sync.WaitGroup
+	for i := range operators {
+		all.Go(func() {
+			outcomes[i], errs[i] = f.putTeam(client, 300+i, revision, fmt.Sprintf("race-%d", i))
+		})
+	}
+	all.Wait()
+	won := -1
+	for i := range operators {
+		switch {
+		case errs[i] == nil && won < 0:
+			won = i
+		case errs[i] == nil:
+			f.t.Errorf("operators %d and %d both replaced revision %d", won, i, revision)
+		case !errors.Is(errs[i], oper.ErrConflict):
+			f.t.Errorf("operator %d: %v, want a conflict", i, errs[i])
+		}
+	}
+	if won < 0 {
+		f.t.Fatal("no operator won")
+	}
+	for i := range operators {
+		if errs[i] != nil && outcomes[i].Current != outcomes[won].Revision {
+			f.t.Errorf("conflict of operator %d names revision %d, want %d", i, outcomes[i].Current, outcomes[won].Revision)
+		}
+	}
+	f.kill(f.leader())
+	again, err := f.putTeam(client, 300+won, revision, fmt.Sprintf("race-%d", won))
+	f.check(err)
+	if !again.Resent || again.Revision != outcomes[won].Revision {
+		f.t.Errorf("resend through another leader = %+v, want the first outcome %+v", again, outcomes[won])
+	}
+}
+
+func leaderStopped(f *fleet) {
+	old := f.leader()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	f.signal(old, syscall.SIGTERM)
+	select {
+	case <-old.exited:
+	case <-ctx.Done():
+		f.t.Fatal("the leader did not stop")
+	}
+	if code := old.command.ProcessState.ExitCode(); code != 0 {
+		f.t.Errorf("the leader ended with code %d, want 0", code)
+	}
+	_, err := f.putTeam(f.client(f.others(old)...), 207, f.team(f.client(f.others(old)...)).Revision, "after-stop")
+	f.check(err)
+}
--- /dev/null
+++ b/node/fleet_test.go
@@ -0,0 +1,389 @@
+package node_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"rhubarbrack/cmds"
+	"rhubarbrack/codec"
+	"rhubarbrack/ident"
+	"rhubarbrack/oper"
+	"rhubarbrack/platf"
+	"rhubarbrack/prof"
+	"rhubarbrack/route"
+	"rhubarbrack/stand"
+	"rhubarbrack/tasks"
+)
+
+// argumentsVariable makes the test binary run the command line instead of the
+// tests, so that tests can kill and freeze processes of their own.
+const argumentsVariable = "RHUBARBRACK_TEST_ARGUMENTS"
+
+func TestMain(m *testing.M) {
+	if text := os.Getenv(argumentsVariable); text != "" {
+		os.Exit(cmds.Run(context.Background(), strings.Split(text, " "), os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	operatorToken = "test-operator"
+	// patience bounds every wait of these tests. It only ends a test that
+	// would hang; no check depends on it.
+	patience = 60 * time.Second
+)
+
+// process is a host that runs as a process of its own.
+type process struct {
+	name     string
+	settings string
+	address  map[string]string
+	command  *exec.Cmd
+	exited   chan struct{}
+}
+
+// fleet is a system of separate processes with stand-ins around it.
+type fleet struct {
+	t         *testing.T
+	directory string
+	system    *tasks.System
+	platform  *stand.Platform
+	targets   []*stand.Target
+	controls  []*process
+	entries   []*process
+	keys      map[ident.Team]string
+	documents map[string]codec.Sample
+}
+
+// newFleet starts the given numbers of control and entry hosts and two targets
+// of each service in each region, and puts the documents of the sample.
+func newFleet(t *testing.T, controls, entries int) *fleet {
+	t.Helper()
+	f := &fleet{
+		t: t, directory: t.TempDir(), keys: make(map[ident.Team]string),
+		system:    tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil))),
+		documents: make(map[string]codec.Sample),
+	}
+	t.Cleanup(f.stop)
+	data, err := os.ReadFile("../sample/dev.yaml")
+	f.check(err)
+	documents, err := codec.DecodeDocuments(data)
+	f.check(err)
+	f.startTargets(documents)
+	for i := range controls {
+		f.controls = append(f.controls, &process{name: fmt.Sprintf("control-%d", i+1), address: f.addresses("peers", "operators")})
+	}
+	for _, p := range f.controls {
+		f.startControl(p)
+	}
+	for i := range entries {
+		p := &process{name: fmt.Sprintf("entry-%d", i+1), address: f.addresses("callers", "peers", "operators")}
+		f.entries = append(f.entries, p)
+		f.startEntry(p, i)
+	}
+	f.setUp(documents)
+	return f
+}
+
+func (f *fleet) check(err error) {
+	f.t.Helper()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) startTargets(documents []codec.Sample) {
+	ctx := context.Background()
+	var list []platf.Target
+	for _, d := range documents {
+		service, ok := d.Document().(*prof.Service)
+		if !ok {
+			continue
+		}
+		for _, region := range []string{"north", "south"} {
+			for _, zone := range []string{"a", "b"} {
+				number := len(list) + 1
+				target, err := stand.StartTarget(ctx, f.system,
+					stand.WithID(ident.Target(fmt.Sprintf("target-%d", number))), stand.WithService(service.Service()),
+					stand.WithPlace(ident.Zone(region+"-"+zone), ident.Region(region)), stand.WithSlots(4),
+					stand.WithServiceTime(5*time.Millisecond, 0.2), stand.WithSeed(uint64(number)))
+				f.check(err)
+				entry, err := target.Entry(platf.Live)
+				f.check(err)
+				f.targets = append(f.targets, target)
+				list = append(list, entry)
+			}
+		}
+	}
+	platform, err := stand.StartPlatform(ctx, f.system, stand.WithTargets(list...))
+	f.check(err)
+	f.platform = platform
+}
+
+// addresses returns a free loopback address for each use. All are held open
+// until the last one is known, so that they differ.
+func (f *fleet) addresses(uses ...string) map[string]string {
+	out := make(map[string]string)
+	var open []net.Listener
+	for _, use := range uses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		f.check(err)
+		open = append(open, l)
+		out[use] = l.Addr().String()
+	}
+	for _, l := range open {
+		f.check(l.Close())
+	}
+	return out
+}
+
+func (f *fleet) controlHosts(hosts ...*process) string {
+	var b strings.Builder
+	b.WriteString("control-hosts:\n")
+	for _, p := range hosts {
+		fmt.Fprintf(&b, "  - host: %s\n    address: %s\n", p.name, p.address["peers"])
+	}
+	return b.String()
+}
+
+func (f *fleet) tokens() string {
+	hash := sha256.Sum256([]byte(operatorToken))
+	return fmt.Sprintf("operator-tokens:\n  - name: test\n    sha256: %s\n", hex.EncodeToString(hash[:]))
+}
+
+func (f *fleet) dataDirectory(p *process) string { return filepath.Join(f.directory, p.name) }
+
+// startControl starts a control host. A host that is not among the control
+// hosts of the fleet is a replacement.
+func (f *fleet) startControl(p *process) {
+	text := fmt.Sprintf("role: control\nhost: %s\nzone: north-a\nregion: north\ndata-directory: %s\n"+
+		"listen:\n  peers: %s\n  operators: %s\nplatform-list: %s\n%s%s",
+		p.name, f.dataDirectory(p), p.address["peers"], p.address["operators"], f.platform.URL(),
+		f.controlHosts(f.controls...), f.tokens())
+	if !slices.Contains(f.controls, p) {
+		text += "replacement: true\n"
+	}
+	f.start(p, "control", text)
+}
+
+func (f *fleet) startEntry(p *process, number int) {
+	region := []string{"north", "south"}[number%2]
+	zone := region + []string{"-a", "-b"}[number/2%2]
+	text := fmt.Sprintf("role: entry\nhost: %s\nzone: %s\nregion: %s\n"+
+		"listen:\n  callers: %s\n  peers: %s\n  operators: %s\nplatform-list: %s\n%s%s",
+		p.name, zone, region, p.address["callers"], p.address["peers"], p.address["operators"], f.platform.URL(),
+		f.controlHosts(f.controls...), f.tokens())
+	f.start(p, "entry", text)
+}
+
+func (f *fleet) start(p *process, role, text string) {
+	f.t.Helper()
+	p.settings = filepath.Join(f.directory, p.name+".yaml")
+	f.check(os.WriteFile(p.settings, []byte(text), 0o600))
+	f.restart(p, role)
+}
+
+// restart runs the process of a host by its settings.
+func (f *fleet) restart(p *process, role string) {
+	f.t.Helper()
+	log, err := os.OpenFile(filepath.Join(f.directory, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f.check(err)
+	p.command = exec.Command(os.Args[0])
+	p.command.Env = append(os.Environ(), argumentsVariable+"="+role+" -settings "+p.settings)
+	p.command.Stdout, p.command.Stderr = log, log
+	f.check(p.command.Start())
+	command, exited := p.command, make(chan struct{})
+	p.exited = exited
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(exited)
+	}()
+}
+
+// kill ends a process at once.
+func (f *fleet) kill(p *process) {
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
+func (f *fleet) signal(p *process, s syscall.Signal) {
+	f.t.Helper()
+	f.check(p.command.Process.Signal(s))
+}
+
+func (f *fleet) stop() {
+	for _, p := range append(append([]*process(nil), f.controls...), f.entries...) {
+		if p.command != nil {
+			f.kill(p)
+		}
+		if f.t.Failed() {
+			if data, err := os.ReadFile(filepath.Join(f.directory, p.name+".log")); err == nil {
+				f.t.Logf("log of %s:\n%s", p.name, data)
+			}
+		}
+	}
+	f.platform.Close()
+	for _, target := range f.targets {
+		target.Close()
+	}
+	f.system.Shutdown()
+}
+
+// client returns a client of the APIs of the given control hosts.
+func (f *fleet) client(hosts ...*process) *oper.Client {
+	var bases []string
+	for _, p := range hosts {
+		bases = append(bases, "http://"+p.address["operators"])
+	}
+	return oper.NewClient(bases, operatorToken)
+}
+
+func (f *fleet) context() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	f.t.Cleanup(cancel)
+	return ctx
+}
+
+func (f *fleet) setUp(documents []codec.Sample) {
+	f.t.Helper()
+	client, ctx := f.client(f.controls...), f.context()
+	for _, d := range documents {
+		f.documents[string(d.Document().Kind())+"/"+d.Document().Name()] = d
+		_, err := client.PutDocument(ctx, oper.NewRequestID(), []byte(d.Source()), 0)
+		f.check(err)
+		if team, ok := d.Document().(*prof.Team); ok {
+			f.issue(team.Team())
+		}
+	}
+	f.waitReady()
+}
+
+// issue issues a key for a team and returns its id.
+func (f *fleet) issue(team ident.Team) string {
+	f.t.Helper()
+	id := ident.KeyID(string(team) + "-" + strings.ToLower(oper.NewRequestID()[:6]))
+	text := route.KeyText(id, oper.NewRequestID())
+	hash := route.KeyHash(text)
+	_, err := f.client(f.controls...).IssueKey(f.context(), oper.NewRequestID(),
+		oper.KeyRecord{ID: string(id), Team: string(team), SHA256: hex.EncodeToString(hash[:])})
+	f.check(err)
+	f.keys[team] = text
+	return string(id)
+}
+
+// waitReady waits until every running entry host has all changes, every role
+// has a holder, and every service has shares.
+func (f *fleet) waitReady() {
+	f.t.Helper()
+	client, ctx := f.client(f.controls...), f.context()
+	for {
+		status, err := client.Status(ctx)
+		f.check(err)
+		held := len(status.Roles) == 6 && len(status.Shares) == 4 && len(status.Entries) == len(f.entries)
+		for _, r := range status.Roles {
+			held = held && r.Host != ""
+		}
+		if held && status.InForce == status.Revision {
+			return
+		}
+		_, err = client.InForce(ctx, status.Revision+1, 100*time.Millisecond)
+		f.check(err)
+	}
+}
+
+// request is one call of a caller.
+type request struct {
+	method, service, path, key, once, body string
+	header                                 http.Header
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int
+	outcome string
+	reason  string
+	id      string
+	body    []byte
+	err     error
+}
+
+// do sends a request to an entry host over a connection of its own.
+func (f *fleet) do(p *process, r request) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	method := r.method
+	if method == "" {
+		method = http.MethodGet
+	}
+	call, err := http.NewRequestWithContext(ctx, method, "http://"+p.address["callers"]+r.path, strings.NewReader(r.body))
+	if err != nil {
+		return answer{err: err}
+	}
+	for name, values := range r.header {
+		call.Header[name] = values
+	}
+	call.Host, call.Close = r.service+".test", true
+	if r.key != "" {
+		call.Header.Set("Authorization", "Bearer "+r.key)
+	}
+	if r.once != "" {
+		call.Header.Set("Idempotency-Key", r.once)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	response, err := transport.RoundTrip(call)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{
+		status: response.StatusCode, outcome: response.Header.Get("Rhubarbrack-Outcome"),
+		reason: response.Header.Get("Rhubarbrack-Reason"), id: response.Header.Get("Rhubarbrack-Request"),
+		body: body, err: err,
+	}
+}
+
+// runs counts the runs of a non-idempotent request at all targets.
+func (f *fleet) runs(once string) int {
+	f.t.Helper()
+	n := 0
+	for _, target := range f.targets {
+		list, err := target.Runs(f.context())
+		f.check(err)
+		for _, r := range list {
+			if r.IdempotencyKey() == once {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// until repeats a step until it reports success.
+func (f *fleet) until(what string, step func() bool) {
+	f.t.Helper()
+	ctx := f.context()
+	for !step() {
+		select {
+		case <-ctx.Done():
+			f.t.Fatalf("%s: not reached in %s", what, patience)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
