Prove requests over processes: resends, frozen and killed hosts, stops, drains, crashes

Cause: the request path was not proved under failure. Change: nine cases with separate processes: resends through every host, a key withdrawn while a host is frozen, owners killed under load, a planned stop under load, leaving and drained targets, a request that crashes targets, broken downloads, a lost majority of control hosts.

--- /dev/null
+++ b/node/fleet_entry_test.go
@@ -0,0 +1,385 @@
+package node_test
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/oper"
+	"rhubarbrack/platf"
+	"rhubarbrack/stand"
+)
+
+// Guards against requests that run twice, run without a valid key, or are
+// cut, when entry hosts and targets fail.
+func TestEntryFailures(t *testing.T) {
+	cases := []struct {
+		name    string
+		entries int
+		run     func(f *fleet)
+	}{
+		{name: "resends through every host", entries: 3, run: resends},
+		{name: "key withdrawn at a frozen host", entries: 2, run: keyWithdrawnAtFrozenHost},
+		{name: "role owners killed under load", entries: 4, run: ownersKilled},
+		{name: "planned stop under load", entries: 3, run: plannedStop},
+		{name: "leaving target", entries: 2, run: leavingTarget},
+		{name: "drained target", entries: 2, run: drainedTarget},
+		{name: "request that crashes targets", entries: 2, run: crashingRequest},
+		{name: "download from a target that breaks", entries: 2, run: brokenDownload},
+		{name: "control majority lost", entries: 2, run: majorityLost},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			tc.run(newFleet(t, 3, tc.entries))
+		})
+	}
+}
+
+func (f *fleet) deposit(once string) request {
+	return request{method: http.MethodPost, service: "commissions", path: "/deposits", key: f.keys["carvers"], once: once, body: "amount=50"}
+}
+
+func (f *fleet) page() request {
+	return request{service: "commissions", path: "/progress", key: f.keys["carvers"]}
+}
+
+func resends(f *fleet) {
+	const requests, copies = 20, 6
+	var all sync.WaitGroup
+	for i := range requests {
+		once := fmt.Sprintf("deposit-%d", i)
+		for j := range copies {
+			all.Go(func() {
+				got := f.do(f.entries[j%len(f.entries)], f.deposit(once))
+				if got.err != nil || got.outcome == "not-run" {
+					f.t.Errorf("copy %d of %s: %+v", j, once, got)
+				}
+			})
+		}
+	}
+	all.Wait()
+	for i := range requests {
+		once := fmt.Sprintf("deposit-%d", i)
+		if n := f.runs(once); n != 1 {
+			f.t.Errorf("%s ran %d times, want 1", once, n)
+		}
+		got := f.do(f.entries[i%len(f.entries)], f.deposit(once))
+		if got.status != http.StatusOK || got.reason != "replayed" {
+			f.t.Errorf("resend of %s: status %d reason %q, want the recorded answer", once, got.status, got.reason)
+		}
+	}
+}
+
+func keyWithdrawnAtFrozenHost(f *fleet) {
+	id := f.issue("schools")
+	f.waitReady()
+	frozen := f.entries[1]
+	r := request{service: "commissions", path: "/progress", key: f.keys["schools"]}
+	if got := f.do(frozen, r); got.status != http.StatusOK {
+		f.t.Fatalf("before the withdrawal: %+v", got)
+	}
+	f.signal(frozen, syscall.SIGSTOP)
+	client := f.client(f.controls...)
+	out, err := client.WithdrawKey(f.context(), oper.NewRequestID(), id)
+	f.check(err)
+	f.until("withdrawal in force", func() bool {
+		progress, err := client.InForce(f.context(), out.Revision, 0)
+		return err == nil && progress.InForce
+	})
+	f.signal(frozen, syscall.SIGCONT)
+	for range 20 {
+		if got := f.do(frozen, r); got.outcome == "ran" {
+			f.t.Fatalf("a withdrawn key was admitted after the withdrawal was in force: %+v", got)
+		}
+	}
+	f.until("thawed host serves again", func() bool { return f.do(frozen, f.page()).status == http.StatusOK })
+	if got := f.do(frozen, r); got.outcome != "not-run" || got.reason != "key-withdrawn" {
+		f.t.Errorf("withdrawn key at the thawed host: %+v, want key-withdrawn", got)
+	}
+}
+
+// load sends requests through the given hosts until stop is closed.
+func (f *fleet) load(stop <-chan struct{}, hosts func() []*process, check func(once string, got answer)) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for worker := range 8 {
+		all.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				list := hosts()
+				p := list[(worker+n)%len(list)]
+				once := ""
+				r := f.page()
+				if n%4 == 0 {
+					once = fmt.Sprintf("load-%d-%d", worker, n)
+					r = f.deposit(once)
+				}
+				check(once, f.do(p, r))
+			}
+		})
+	}
+	return &all
+}
+
+func ownersKilled(f *fleet) {
+	status, err := f.client(f.controls...).Status(f.context())
+	f.check(err)
+	held := make(map[string]int)
+	for _, r := range status.Roles {
+		held[r.Host]++
+	}
+	var victim *process
+	var rest []*process
+	for _, p := range f.entries {
+		if victim == nil && held[p.name] > 0 {
+			victim = p
+		} else {
+			rest = append(rest, p)
+		}
+	}
+	var mutex sync.Mutex
+	outcomes := make(map[string]string)
+	wrongful, total := 0, 0
+	stop := make(chan struct{})
+	all := f.load(stop, func() []*process { return rest }, func(once string, got answer) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		total++
+		if got.err != nil || got.status != http.StatusOK {
+			wrongful++
+		}
+		if once != "" {
+			outcomes[once] = got.outcome
+		}
+	})
+	f.until("load runs", func() bool { mutex.Lock(); defer mutex.Unlock(); return total > 100 })
+	f.kill(victim)
+	f.until("roles moved", func() bool {
+		status, err := f.client(f.controls...).Status(f.context())
+		f.check(err)
+		for _, r := range status.Roles {
+			if r.Host == victim.name || r.Host == "" {
+				return false
+			}
+		}
+		return true
+	})
+	mutex.Lock()
+	seen := total
+	mutex.Unlock()
+	f.until("load goes on", func() bool { mutex.Lock(); defer mutex.Unlock(); return total > seen+100 })
+	close(stop)
+	all.Wait()
+	f.t.Logf("%d requests, %d without an answer of a target", total, wrongful)
+	for once, outcome := range outcomes {
+		n := f.runs(once)
+		if n > 1 || outcome == "not-run" && n > 0 || outcome == "ran" && n != 1 {
+			f.t.Errorf("%s: outcome %s, ran %d times", once, outcome, n)
+		}
+	}
+}
+
+// lookup returns the entry hosts that a look-up at p lists.
+func (f *fleet) lookup(p *process) string {
+	f.t.Helper()
+	response, err := http.Get("http://" + p.address["callers"] + "/.rhubarbrack/lookup")
+	f.check(err)
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	f.check(err)
+	return string(body)
+}
+
+func plannedStop(f *fleet) {
+	leaving, staying := f.entries[1], []*process{f.entries[0], f.entries[2]}
+	var mutex sync.Mutex
+	total, left := 0, false
+	stop := make(chan struct{})
+	hosts := func() []*process {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if left {
+			return staying
+		}
+		return f.entries
+	}
+	all := f.load(stop, hosts, func(once string, got answer) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		total++
+		if got.err != nil || got.status != http.StatusOK {
+			f.t.Errorf("request %q during a planned stop: %+v", once, got)
+		}
+	})
+	f.until("load runs", func() bool { mutex.Lock(); defer mutex.Unlock(); return total > 100 })
+	f.signal(leaving, syscall.SIGTERM)
+	f.until("host left the look-ups", func() bool { return !strings.Contains(f.lookup(staying[0]), leaving.name) })
+	mutex.Lock()
+	left = true
+	mutex.Unlock()
+	<-leaving.exited
+	close(stop)
+	all.Wait()
+	if code := leaving.command.ProcessState.ExitCode(); code != 0 {
+		f.t.Errorf("the host ended with code %d, want 0", code)
+	}
+}
+
+// busiest returns a target of the service commissions that has run requests.
+func (f *fleet) busiest() *stand.Target {
+	f.t.Helper()
+	for _, target := range f.targets {
+		figures, err := target.Figures(f.context())
+		f.check(err)
+		if figures.Ran() > 0 {
+			return target
+		}
+	}
+	f.t.Fatal("no target ran a request")
+	return nil
+}
+
+// takesNothing checks that a target runs nothing any more while pages are
+// requested from every host.
+func (f *fleet) takesNothing(target *stand.Target) {
+	f.t.Helper()
+	before, err := target.Figures(f.context())
+	f.check(err)
+	for range 50 {
+		for _, p := range f.entries {
+			if got := f.do(p, f.page()); got.status != http.StatusOK {
+				f.t.Errorf("page: %+v", got)
+			}
+		}
+	}
+	after, err := target.Figures(f.context())
+	f.check(err)
+	if after.Ran() != before.Ran() {
+		f.t.Errorf("target ran %d requests after it had left", after.Ran()-before.Ran())
+	}
+}
+
+func (f *fleet) warmUp() {
+	for range 20 {
+		for _, p := range f.entries {
+			if got := f.do(p, f.page()); got.status != http.StatusOK {
+				f.t.Fatalf("page: %+v", got)
+			}
+		}
+	}
+}
+
+func leavingTarget(f *fleet) {
+	f.warmUp()
+	target := f.busiest()
+	f.platform.SetState(target.ID(), platf.Leaving)
+	target.SetDraining(true)
+	f.quiet(target)
+	f.takesNothing(target)
+}
+
+// quiet waits until a target has run nothing for a round of requests.
+func (f *fleet) quiet(target *stand.Target) {
+	f.t.Helper()
+	last := -1
+	f.until("target is quiet", func() bool {
+		for range 5 {
+			for _, p := range f.entries {
+				f.do(p, f.page())
+			}
+		}
+		now, err := target.Figures(f.context())
+		f.check(err)
+		same := now.Ran() == last
+		last = now.Ran()
+		return same
+	})
+}
+
+func drainedTarget(f *fleet) {
+	f.warmUp()
+	target := f.busiest()
+	client := f.client(f.controls...)
+	out, err := client.PlanDrain(f.context(), oper.NewRequestID(), oper.DrainRecord{
+		ID: "d1", Scope: "target", Name: string(target.ID()), From: clock.Wall().Now(),
+	})
+	f.check(err)
+	f.until("drain in force", func() bool {
+		progress, err := client.InForce(f.context(), out.Revision, 0)
+		return err == nil && progress.InForce
+	})
+	f.quiet(target)
+	f.takesNothing(target)
+}
+
+func crashingRequest(f *fleet) {
+	for range 6 {
+		for _, p := range f.entries {
+			got := f.do(p, request{
+				service: "commissions", path: "/progress", key: f.keys["carvers"],
+				header: http.Header{stand.HeaderCrash: {"1"}},
+			})
+			if got.outcome == "ran" {
+				f.t.Errorf("crashing request: %+v", got)
+			}
+		}
+	}
+	crashes := 0
+	for _, target := range f.targets {
+		figures, err := target.Figures(f.context())
+		f.check(err)
+		crashes += figures.Crashes()
+	}
+	if crashes > 2 {
+		f.t.Errorf("one request crashed %d targets, want 2 at most", crashes)
+	}
+}
+
+func brokenDownload(f *fleet) {
+	const size = 4 << 20
+	want := sha256.New()
+	if _, err := io.Copy(want, stand.Content("rigging.pdf", size)); err != nil {
+		f.t.Fatal(err)
+	}
+	for _, target := range f.targets {
+		target.CutDownloads(size / 3)
+	}
+	r := request{service: "commissions", path: fmt.Sprintf("/files/%d/rigging.pdf", size), key: f.keys["carvers"]}
+	whole := 0
+	for range 8 {
+		got := f.do(f.entries[0], r)
+		if got.err != nil {
+			continue
+		}
+		whole++
+		if sum := sha256.Sum256(got.body); string(sum[:]) != string(want.Sum(nil)) {
+			f.t.Errorf("an answer that ended without an error has %d bytes and another digest", len(got.body))
+		}
+	}
+	if whole == 0 {
+		f.t.Error("no download was resumed")
+	}
+}
+
+func majorityLost(f *fleet) {
+	f.kill(f.controls[0])
+	f.kill(f.controls[1])
+	f.until("keyed routes are refused", func() bool {
+		got := f.do(f.entries[0], f.page())
+		return got.outcome == "not-run" && got.reason == "view-stale"
+	})
+	f.restart(f.controls[0], "control")
+	f.until("keyed routes are served again", func() bool {
+		return f.do(f.entries[0], f.page()).status == http.StatusOK
+	})
+}
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -134,19 +135,26 @@
 	f.platform = platform
 }
 
-// addresses returns a free loopback address for each use. All are held open
-// until the last one is known, so that they differ.
+// firstPort is below the range from which the machine takes the ports of
+// outgoing connections, so that nothing else takes an address between its
+// choice and its use.
+const firstPort = 20000
+
+var nextPort atomic.Int64
+
+// addresses returns a free loopback address for each use.
 func (f *fleet) addresses(uses ...string) map[string]string {
 	out := make(map[string]string)
-	var open []net.Listener
 	for _, use := range uses {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		f.check(err)
-		open = append(open, l)
-		out[use] = l.Addr().String()
-	}
-	for _, l := range open {
-		f.check(l.Close())
+		for out[use] == "" {
+			address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				continue
+			}
+			f.check(l.Close())
+			out[use] = address
+		}
 	}
 	return out
 }
