--- a/codec/yaml_test.go
+++ b/codec/yaml_test.go
@@ -82,6 +82,8 @@
 		{"unclosed quote", "kind: \"team\n", 1, 7, "", "", "valid YAML"},
 		{"element of a list", "kind: fleet\nname: fleet\nregions:\n  - name: gulf\n    zones: [gulf-a]\nlinks:\n  - from: gulf\n    to: bey\n    forward-bytes-per-second: 1\n    backward-bytes-per-second: 1\n",
 			8, 9, "links[0].to", "bey", "a region of this document"},
+		{"number in a list of texts", "kind: fleet\nname: fleet\nregions:\n  - name: gulf\n    zones: [a, 5]\n", 5, 16, "regions[0].zones[1]", "5", "a text"},
+		{"unknown field in a list", "kind: fleet\nname: fleet\nregions:\n  - name: gulf\n    zone: a\n", 5, 5, "regions[0].zone", "zone", "name, zones"},
 		{"duration without unit", "kind: profile\nname: p\nregions: [gulf]\nclasses:\n  - name: a\n    longest-wait: '5'\n",
 			6, 19, "classes[0].longest-wait", "5", "a duration with a unit"},
 	}
--- a/prof/service_test.go
+++ b/prof/service_test.go
@@ -78,6 +78,13 @@
 			t.Errorf("rank of %s: got %d, %v, want %d, %v", c.class, rank, known, c.rank, c.known)
 		}
 	}
+	urgentFirst, err := NewProfile("p", WithRegions("gulf"), WithClass(NewClass("alert", ClassUrgent(true))), WithClass(NewClass("read")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := urgentFirst.Treatment("pilots").Class(); got != "read" {
+		t.Errorf("unlisted team: got class %q, want the first that is not urgent", got)
+	}
 	classes := []struct {
 		name  string
 		route ident.Class
--- a/state/machine_test.go
+++ b/state/machine_test.go
@@ -263,3 +263,30 @@
 		}
 	}
 }
+
+// What belongs to a deleted service must not keep its host names, nor steer a
+// later service of the same name.
+func TestServiceDeleted(t *testing.T) {
+	b := newBench(t)
+	b.must(state.NewSetShares("bells", "gulf", []state.Share{state.NewShare("bay", 1)}))
+	b.must(state.NewSetShares("charts", "gulf", []state.Share{state.NewShare("bay", 1)}))
+	old, _ := b.machine.Config().Document(prof.KindService, "bells")
+	b.must(state.NewDeleteDocument("d", old.Revision(), prof.KindService, "bells"))
+	if shares := b.machine.Config().AllShares(); len(shares) != 1 || shares[0].Service() != "charts" {
+		t.Errorf("got shares %+v, want those of charts only", shares)
+	}
+	if err := b.put("p", fmt.Sprintf(lateText, "bells.test", "bulk")).Err(); err != nil {
+		t.Errorf("another service takes the host: %v", err)
+	}
+}
+
+// A process that repeats its join while it shuts down must not get work again.
+func TestLeavingStays(t *testing.T) {
+	b := newBench(t)
+	b.must(state.NewJoin(member("edge-1", 1)))
+	b.must(state.NewLeave("edge-1", 1))
+	b.must(state.NewJoin(state.NewMember("edge-1", 1, "gulf-b", "gulf", "10.0.0.1:443", "10.0.0.1:7000")))
+	if m, _ := b.machine.Config().Member("edge-1"); m.Live() || m.Zone() != "gulf-b" {
+		t.Errorf("got %+v, want a leaving member in its new zone", m)
+	}
+}
