Bound request ids; fuzz the settings

A caller's request id is kept for 24 h and an operator's id is what makes a resend safe, so an empty or very long one is refused as invalid.

--- /dev/null
+++ b/conf/fuzz_test.go
@@ -0,0 +1,22 @@
+package conf
+
+import (
+	"errors"
+	"testing"
+
+	"rhubarbrack/codec"
+)
+
+// FuzzDecode guards against settings that end the process without saying
+// where they are wrong.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte(entryText))
+	f.Add([]byte(controlText))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		_, err := Decode(data)
+		var e *codec.DocumentError
+		if err != nil && (!errors.As(err, &e) || len(e.Faults()) == 0 || e.Faults()[0].Line() < 1) {
+			t.Fatalf("got %v, want a DocumentError with a place", err)
+		}
+	})
+}
--- a/state/claims.go
+++ b/state/claims.go
@@ -45,6 +45,9 @@
 	if _, refusal, ok := m.config.process(c.holder.Host(), c.holder.Incarnation()); !ok {
 		return refusal
 	}
+	if !validRequest(c.key.Request()) {
+		return refuse(ReasonInvalid, "request id of %d bytes: want 1 to %d", len(c.key.Request()), maxRequestID)
+	}
 	answer, err := m.claims.Claim(c.at, c.key, c.fingerprint, c.holder)
 	var mismatch *once.MismatchError
 	switch {
--- a/state/machine.go
+++ b/state/machine.go
@@ -50,6 +50,11 @@
 	if !ok {
 		return m.run(revision, command)
 	}
+	if !validRequest(op.Request()) {
+		outcome := refuse(ReasonInvalid, "request id of %d bytes: want 1 to %d", len(op.Request()), maxRequestID)
+		outcome.revision = revision
+		return outcome
+	}
 	m.requests.expire(op.At())
 	if first, ok := m.requests.find(op); ok {
 		return m.withSource(op, first)
--- a/state/requests.go
+++ b/state/requests.go
@@ -15,8 +15,12 @@
 	// fit; beyond it the oldest is forgotten, and its resend meets the check of
 	// the expected revision.
 	maxRequests = 30_000
+	// maxRequestID bounds a request id in bytes, of operators and of callers.
+	maxRequestID = 255
 )
 
+func validRequest(id ident.RequestID) bool { return id != "" && len(id) <= maxRequestID }
+
 // Request is an operator's command with its first outcome.
 type Request struct {
 	id      ident.RequestID
@@ -66,12 +70,8 @@
 	return first.outcome, true
 }
 
-// keep stores the first outcome of a command. Commands without a request id
-// are not kept.
+// keep stores the first outcome of a command.
 func (r *requests) keep(op Operator, outcome Outcome) {
-	if op.Request() == "" {
-		return
-	}
 	outcome.source = ""
 	r.add(Request{id: op.Request(), digest: digest(op), at: op.At(), outcome: outcome})
 }
