Forget waiting requests whose callers have given up

Cause: a waiting request stayed in the queue until it was first, so that cancelled requests filled the queue and asked for tokens. Change: each tick removes them. Tests cover a full queue and the longest wait. Result: go test -race -count=3 ./entry passes.

--- a/entry/rate_test.go
+++ b/entry/rate_test.go
@@ -202,6 +202,7 @@
 func TestRateHolderWithoutOwner(t *testing.T) {
 	cases := []struct {
 		name       string
+		options    []RateOption
 		view       func(f *rateFleet)
 		team       ident.Team
 		wantReason limit.Reason
@@ -210,6 +211,13 @@
 		{name: "no view", view: func(*rateFleet) {}, team: rateTestTeam, wantReason: limit.ReasonStale},
 		{name: "lease ended", view: func(f *rateFleet) { f.view(0, 1, -time.Second) }, team: rateTestTeam, wantReason: limit.ReasonStale},
 		{name: "unknown team", view: func(f *rateFleet) { f.view(0, 1, time.Hour) }, team: "texas", wantReason: limit.ReasonUnknownTeam},
+		{name: "queue full", options: []RateOption{WithRateQueue(0)}, view: func(f *rateFleet) { f.view(0, 1, time.Hour) },
+			team: rateTestTeam, wantReason: limit.ReasonQueueFull},
+		{name: "owner dead, longest wait over", options: []RateOption{WithRateMaxWait(50 * time.Millisecond)}, view: func(f *rateFleet) {
+			f.hosts[0].close()
+			f.view(0, 1, time.Hour)
+			f.hosts = f.hosts[1:]
+		}, team: rateTestTeam, wantReason: limit.ReasonNoOwner},
 		{name: "owner dead, caller gives up", view: func(f *rateFleet) {
 			f.hosts[0].close()
 			f.view(0, 1, time.Hour)
@@ -218,7 +226,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			f := startRateFleet(t, 10, 10)
+			f := startRateFleet(t, 10, 10, tc.options...)
 			tc.view(f)
 			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 			if tc.wantErr == nil {
--- a/entry/rateholder.go
+++ b/entry/rateholder.go
@@ -245,9 +245,10 @@
 }
 
 func (h *rateHolder) serveAll(now time.Time) {
-	for t := range h.queues {
+	for t, q := range h.queues {
+		q.dropEnded()
 		h.serve(t, now)
-		if h.queue(t).len() == 0 {
+		if q.len() == 0 {
 			delete(h.queues, t)
 		}
 	}
--- a/entry/ratequeue.go
+++ b/entry/ratequeue.go
@@ -43,6 +43,19 @@
 	}
 }
 
+// dropEnded removes the waiters whose callers have given up, so that they
+// neither fill the queue nor ask for tokens.
+func (q *rateQueue) dropEnded() {
+	kept := q.waiters[:0]
+	for _, w := range q.waiters[q.head:] {
+		if w.ctx.Err() == nil {
+			kept = append(kept, w)
+		}
+	}
+	clear(q.waiters[len(kept):])
+	q.waiters, q.head = kept, 0
+}
+
 func (q *rateQueue) refuseAll(v limit.Verdict) {
 	for q.len() > 0 {
 		q.first().reply.Send(v)
