--- a/entry/slot_holder.go
+++ b/entry/slot_holder.go
@@ -82,7 +82,11 @@
 	case slotSelf:
 		t.self = m.ref
 	case Changed:
+		before := t.holder()
 		t.members = m.Members()
+		if t.holder() != before {
+			t.rejoin()
+		}
 		t.follow(now)
 	case slotTicked:
 		t.tick(now)
@@ -107,6 +111,14 @@
 	return steer.NewHolder(t.members.Self(), t.members.Incarnation())
 }
 
+// rejoin forgets which owners have accepted a report. They count a host that
+// has joined under a new incarnation as another holder, and wait for it.
+func (t *slotClientTask) rejoin() {
+	for _, h := range t.regions {
+		h.accepted = 0
+	}
+}
+
 func (t *slotClientTask) region(r ident.Region) *heldRegion {
 	h, ok := t.regions[r]
 	if !ok {
--- a/entry/slot_task_test.go
+++ b/entry/slot_task_test.go
@@ -168,6 +168,21 @@
 
 func (sink) Handle(any) {}
 
+// newLoneClient returns a client task whose answers only the test sends.
+func newLoneClient(t *testing.T, faults func(*rand.Rand, string) fault) *slotClientTask {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	system := tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	t.Cleanup(func() { cancel(); system.Shutdown() })
+	ref, err := tasks.Spawn(ctx, system, "sink", sink{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := newSlotClientTask(ctx, &slotNet{faults: faults}, newSlotOptions([]SlotOption{WithSlotClock(clock.NewManual(time.Unix(0, 0)))}))
+	c.Handle(slotSelf{ref: ref})
+	return c
+}
+
 // Guards against the use of a grant that the report to a later owner does not
 // name: both owners could give the slot away.
 func TestClientUsesGrantsOfCurrentEpoch(t *testing.T) {
@@ -191,17 +206,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			ctx, cancel := context.WithCancel(context.Background())
-			defer cancel()
-			system := tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil)))
-			defer system.Shutdown()
-			ref, err := tasks.Spawn(ctx, system, "sink", sink{})
-			if err != nil {
-				t.Fatal(err)
-			}
-			n := &slotNet{faults: func(*rand.Rand, string) fault { return loseCall }}
-			c := newSlotClientTask(ctx, n, newSlotOptions([]SlotOption{WithSlotClock(clock.NewManual(time.Unix(0, 0)))}))
-			c.Handle(slotSelf{ref: ref})
+			c := newLoneClient(t, func(*rand.Rand, string) fault { return loseCall })
 			class := steer.NewClass("reads", false, 1, 0)
 			a := NewSlotAsk(testRegion, steer.NewAsk(steer.AskID{}, "s", "team", class, time.Unix(60, 0)))
 			c.Handle(slotBegin{ask: a, token: new(slotToken), reply: tasks.NewReply[slotAnswer]()})
@@ -216,6 +221,27 @@
 	}
 }
 
+// Guards against an owner that waits forever for the report of a host that
+// has joined again under a new incarnation.
+func TestClientReportsAfterRejoin(t *testing.T) {
+	reports := 0
+	c := newLoneClient(t, func(_ *rand.Rand, m string) fault {
+		if m == slotOpenMethod {
+			reports++
+		}
+		return loseCall
+	})
+	roles := map[Role]Assignment{SlotRole(testRegion): NewAssignment("h0", 1, 1)}
+	for _, i := range []ident.Incarnation{1, 1, 2, 2} {
+		c.Handle(NewChanged(NewMembers("h1", i, 1, time.Unix(1<<40, 0), nil, roles)))
+		c.Handle(slotReported{region: testRegion, epoch: 1, status: statusDone})
+	}
+	c.exchanges.Wait()
+	if reports != 2 {
+		t.Errorf("%d reports by two incarnations, want 2", reports)
+	}
+}
+
 // Guards against records that do not survive the encoding, by one request
 // through real connections between two hosts.
 func TestSlotsOverTheWire(t *testing.T) {
