--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -84,6 +84,7 @@
 	slots   int
 	median  time.Duration
 	seed    uint64
+	address string
 }
 
 var _ subcommands.Command = (*targetCommand)(nil)
@@ -110,6 +111,7 @@
 	f.IntVar(&c.slots, "slots", 4, "requests that a target runs at a time")
 	f.DurationVar(&c.median, "service-time", 10*time.Millisecond, "median time to answer")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of the service times")
+	f.StringVar(&c.address, "list", "127.0.0.1:0", "IP:port at which the list is served; port 0 takes any free one")
 }
 
 // Execute implements subcommands.Command.
@@ -143,7 +145,7 @@
 			}
 		}
 	}
-	platform, err := stand.StartPlatform(ctx, system, stand.WithTargets(list...))
+	platform, err := stand.StartPlatform(ctx, system, stand.WithTargets(list...), stand.WithAddress(c.address))
 	if err != nil {
 		return fmt.Errorf("start platform list: %w", err)
 	}
