Send unsafe requests on fresh connections, stamp commands by the monotonic clock

Cause: a target that closes an idle connection looked like a crash; the test of a frozen host passed with the lease ignored, because the poll that was under way had already carried the withdrawal; load looked for other refusal reasons than the entry hosts give. Change: requests other than GET, HEAD and OPTIONS get a connection of their own; the test ends the pending poll with another change first; load knows the reasons; commands carry the start time plus monotonic time.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -82,11 +82,20 @@
 	return x.sent(ctx, out)
 }
 
+// safeMethods are those whose requests change nothing at a target.
+var safeMethods = map[string]bool{http.MethodGet: true, http.MethodHead: true, http.MethodOptions: true}
+
 func (x *exchange) outgoing() (*target.Request, error) {
 	header := x.request.Header.Clone()
 	header.Del(HeaderTimeout)
-	header.Set(HeaderRequest, string(x.id))
-	list := []target.RequestOption{target.WithHeader(header), target.WithHost(x.request.Host)}
+	list := []target.RequestOption{
+		target.WithHeader(header), target.WithHost(x.request.Host), target.WithRequestID(x.id),
+	}
+	if !safeMethods[x.request.Method] {
+		// On a reused connection, a target that closes it as idle cannot be
+		// told from one that crashed, and the request would end as unknown.
+		list = append(list, target.WithFreshConnection())
+	}
 	if len(x.body) > 0 {
 		list = append(list, target.WithBody(bytes.NewReader(x.body), int64(len(x.body))))
 	}
--- a/ctrl/service.go
+++ b/ctrl/service.go
@@ -47,15 +47,22 @@
 type Proposer struct {
 	log   Log
 	clock clock.Clock
+	base  time.Time
 }
 
 // NewProposer returns a proposer on top of a log.
-func NewProposer(log Log, c clock.Clock) *Proposer { return &Proposer{log: log, clock: c} }
+func NewProposer(log Log, c clock.Clock) *Proposer {
+	return &Proposer{log: log, clock: c, base: c.Now()}
+}
+
+// now returns the time by the monotonic clock since the start. Claims and
+// outcomes expire by it, so a jump of the machine's clock must not reach it.
+func (p *Proposer) now() time.Time { return p.base.Add(p.clock.Now().Sub(p.base)) }
 
 // Propose commits a command. The error matches ErrNotLeader or ErrUnknown as
 // that of Replica.Propose does; refusals and conflicts are outcomes.
 func (p *Proposer) Propose(ctx context.Context, command state.Command) (state.Outcome, error) {
-	data, err := codec.EncodeCommand(state.Stamp(command, p.clock.Now()))
+	data, err := codec.EncodeCommand(state.Stamp(command, p.now()))
 	if err != nil {
 		return state.Outcome{}, fmt.Errorf("encode %s: %w", command.Kind(), err)
 	}
--- a/load/sender.go
+++ b/load/sender.go
@@ -22,9 +22,9 @@
 	outcomeUnknown = "unknown"
 
 	// reasonRate is the reason of a refusal by rate.
-	reasonRate = "rate"
+	reasonRate = "rate-exceeded"
 	// reasonRunning says that the first attempt of a resent request runs.
-	reasonRunning = "running"
+	reasonRunning = "already-running"
 
 	// idleConns is the number of idle connections kept per host.
 	idleConns = 256
--- a/node/fleet_entry_test.go
+++ b/node/fleet_entry_test.go
@@ -87,6 +87,10 @@
 	}
 	f.signal(frozen, syscall.SIGSTOP)
 	client := f.client(f.controls...)
+	// This change ends the poll that the frozen host had sent, so that the
+	// withdrawal does not reach it by that.
+	_, err := f.putTeam(client, 208, f.team(client).Revision, "before-withdrawal")
+	f.check(err)
 	out, err := client.WithdrawKey(f.context(), oper.NewRequestID(), id)
 	f.check(err)
 	f.until("withdrawal in force", func() bool {
