Call the own host without a connection

Cause: an entry host that owns the slots of its region reached itself over loopback: two calls with gob per request. Change: wire.CallLocal serves a call of the own process by value; Peers uses it for the own host.

--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -248,7 +248,7 @@
 		return state.NewOutcome(state.Refused, revision, state.WithReason(state.ReasonInvalid, err.Error()))
 	}
 	outcome := e.machine.Apply(revision, command)
-	if command.Shared() && outcome.Changed() && !outcome.Resent() {
+	if outcome.Shared() {
 		e.feed.ref.Tell(changed{
 			revision: revision, command: data, config: e.machine.Config(), history: e.historyOf(command),
 		})
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/rpc"
 
 	"github.com/juju/errors"
 
@@ -31,6 +32,9 @@
 	return &Peers{ref: ref}, nil
 }
 
+// ServeLocally makes calls to this host reach the server without a connection.
+func (p *Peers) ServeLocally(server *rpc.Server) { p.ref.Tell(serveLocally{server: server}) }
+
 // Update tells the task which members are current.
 func (p *Peers) Update(m Members) { p.ref.Tell(NewChanged(m)) }
 
@@ -41,25 +45,37 @@
 // Errors match ErrNoPeer, wire.ErrUnreachable or wire.ErrBusy when the call
 // was certainly not sent, and wire.ErrLost when it may have run.
 func (p *Peers) Call(ctx context.Context, h ident.Host, method string, args, reply any) error {
-	client, err := tasks.Ask(ctx, p.ref, func(r tasks.Reply[*wire.Client]) any {
-		return clientOf{host: h, reply: r}
-	})
+	to, err := tasks.Ask(ctx, p.ref, func(r tasks.Reply[callee]) any { return calleeOf{host: h, reply: r} })
 	if err != nil {
 		return fmt.Errorf("find entry host %s: %w", h, err)
 	}
-	if client == nil {
+	switch {
+	case to.server != nil:
+		err = wire.CallLocal(ctx, to.server, method, args, reply)
+	case to.client != nil:
+		err = to.client.Call(ctx, method, args, reply)
+	default:
 		return fmt.Errorf("call %s of %s: %w", method, h, ErrNoPeer)
 	}
-	if err := client.Call(ctx, method, args, reply); err != nil {
+	if err != nil {
 		return fmt.Errorf("entry host %s: %w", h, err)
 	}
 	return nil
 }
 
-type clientOf struct {
-	host  ident.Host
-	reply tasks.Reply[*wire.Client]
-}
+type (
+	serveLocally struct{ server *rpc.Server }
+	// callee is how an entry host is reached: by a client, or on this host by
+	// its server. Both are nil for a host that is no member.
+	callee struct {
+		client *wire.Client
+		server *rpc.Server
+	}
+	calleeOf struct {
+		host  ident.Host
+		reply tasks.Reply[callee]
+	}
+)
 
 // peer is the client of one process of an entry host.
 type peer struct {
@@ -74,6 +90,7 @@
 	options []wire.Option
 	members Members
 	clients map[ident.Host]peer
+	server  *rpc.Server
 }
 
 var _ tasks.Task = (*peers)(nil)
@@ -84,8 +101,10 @@
 	case Changed:
 		p.members = m.Members()
 		p.closeGone()
-	case clientOf:
-		m.reply.Send(p.client(m.host))
+	case serveLocally:
+		p.server = m.server
+	case calleeOf:
+		m.reply.Send(p.callee(m.host))
 	}
 }
 
@@ -99,6 +118,13 @@
 	}
 }
 
+func (p *peers) callee(h ident.Host) callee {
+	if h == p.members.Self() && p.server != nil {
+		return callee{server: p.server}
+	}
+	return callee{client: p.client(h)}
+}
+
 func (p *peers) client(h ident.Host) *wire.Client {
 	if c, ok := p.clients[h]; ok {
 		return c.client
--- a/node/dev.go
+++ b/node/dev.go
@@ -50,6 +50,9 @@
 	targets   []*stand.Target
 	keys      []devKey
 	ready     func(DevAddresses)
+	count     int
+	slots     int
+	median    time.Duration
 }
 
 // DevAddresses tells where a trial process listens, and a key of each team.
@@ -96,12 +99,21 @@
 // DevProcess sets options of the hosts in the process.
 func DevProcess(list ...Option) DevOption { return func(d *Dev) { d.options = list } }
 
+// DevTargets sets the number of stand-in targets of each service in each
+// region, their slots, and the median time in which they answer.
+func DevTargets(count, slots int, median time.Duration) DevOption {
+	return func(d *Dev) { d.count, d.slots, d.median = count, slots, median }
+}
+
 const defaultDevPort = 7300
 
 // NewDev returns a trial process with the documents of a sample, separated by
 // lines of "---". It writes what to try to out.
 func NewDev(sample []byte, out io.Writer, list ...DevOption) (*Dev, error) {
-	d := &Dev{out: out, port: defaultDevPort, ready: func(DevAddresses) {}}
+	d := &Dev{
+		out: out, port: defaultDevPort, ready: func(DevAddresses) {},
+		count: devTargets, slots: devSlots, median: devServiceTime,
+	}
 	for _, apply := range list {
 		apply(d)
 	}
@@ -183,13 +195,13 @@
 			continue
 		}
 		for _, region := range d.fleet.Regions()[:devEntries] {
-			for range devTargets {
+			for range d.count {
 				number++
 				zones := region.Zones()
 				t, err := stand.StartTarget(ctx, system,
 					stand.WithID(ident.Target(fmt.Sprintf("target-%d", number))), stand.WithService(service.Service()),
-					stand.WithPlace(zones[number%len(zones)], region.Name()), stand.WithSlots(devSlots),
-					stand.WithServiceTime(devServiceTime, 0.3), stand.WithSeed(uint64(number)))
+					stand.WithPlace(zones[number%len(zones)], region.Name()), stand.WithSlots(d.slots),
+					stand.WithServiceTime(d.median, 0.3), stand.WithSeed(uint64(number)))
 				if err != nil {
 					return nil, fmt.Errorf("stand-in target: %w", err)
 				}
--- a/node/entry.go
+++ b/node/entry.go
@@ -175,6 +175,7 @@
 	if e.slots, err = entry.StartSlotClient(ctx, e.system, e.peers, slotOptions...); err != nil {
 		return fmt.Errorf("slot client: %w", err)
 	}
+	e.peers.ServeLocally(server)
 	e.served = wire.Serve(ctx, e.listeners[conf.Peers], server, wire.WithTLS(e.secure.peerServer))
 	return nil
 }
--- a/wire/client_test.go
+++ b/wire/client_test.go
@@ -98,3 +98,41 @@
 		})
 	}
 }
+
+// Guards against a call within the process that differs from one over a
+// connection.
+func TestCallLocal(t *testing.T) {
+	cases := []struct {
+		name    string
+		method  string
+		args    any
+		timeout time.Duration
+		want    string
+		wantErr error
+		refused bool
+	}{
+		{name: "answer", method: "Echo.Say", args: new("hello"), timeout: time.Minute, want: "hello"},
+		{name: "refused", method: "Echo.Refuse", args: new(""), timeout: time.Minute, refused: true},
+		{name: "unknown method", method: "Echo.Sing", args: new(""), timeout: time.Minute, refused: true},
+		{name: "wrong argument", method: "Echo.Say", args: new(1), timeout: time.Minute, refused: true},
+		{name: "deadline", method: "Echo.Hang", args: new(""), timeout: time.Millisecond, wantErr: ErrLost},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			server := rpc.NewServer()
+			echo := &Echo{release: make(chan struct{})}
+			defer close(echo.release)
+			if err := server.Register(echo); err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), tc.timeout)
+			defer cancel()
+			var got string
+			err := CallLocal(ctx, server, tc.method, tc.args, &got)
+			var refused rpc.ServerError
+			if errors.As(err, &refused) != tc.refused || !tc.refused && !errors.Is(err, tc.wantErr) || got != tc.want {
+				t.Errorf("CallLocal = %q, %v; want %q, %v", got, err, tc.want, tc.wantErr)
+			}
+		})
+	}
+}
