Refuse hopeless asks without copying the queue

Two refusals of waiting asks had no test. Change: only the asks to refuse are collected; cases for a ban and for the loss of the last target while an ask waits.

--- a/steer/dispatch.go
+++ b/steer/dispatch.go
@@ -1,9 +1,6 @@
 package steer
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Tick refuses the asks whose time has come and grants what time has freed:
 // ramps, ended ejections and stale reports. Call it every few milliseconds
@@ -62,13 +59,20 @@
 // refuseBanned refuses asks whose fingerprint was banned while they waited,
 // and asks for which no target is left.
 func (p *Pool) refuseBanned(now time.Time) {
-	for _, w := range slices.Clone(p.expiries) {
+	var hopeless []*waiter
+	for _, w := range p.expiries {
+		_, banned := p.options.screen.Banned(now, w.ask.fingerprint)
+		if banned || p.open && p.listed && !w.service.serves(w.ask) {
+			hopeless = append(hopeless, w)
+		}
+	}
+	for _, w := range hopeless {
 		if until, banned := p.options.screen.Banned(now, w.ask.fingerprint); banned {
 			p.dequeue(w)
 			p.out = append(p.out, Refused{id: w.ask.id, reason: ReasonBanned, retryAfter: until.Sub(now)})
-		} else if p.open && p.listed && !w.service.serves(w.ask) {
-			p.refuse(w, ReasonNoTarget, greatestRetryAfter)
+			continue
 		}
+		p.refuse(w, ReasonNoTarget, greatestRetryAfter)
 	}
 }
 
--- a/steer/pool_test.go
+++ b/steer/pool_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"rhubarbrack/guard"
 	"rhubarbrack/ident"
 )
 
@@ -18,12 +19,14 @@
 // bench is an open pool with one holder whose asks are numbered in turn.
 type bench struct {
 	*Pool
+	guard  *guard.Guard
 	now    time.Time
 	number uint64
 }
 
 func newBench(slots ...int) *bench {
-	b := &bench{Pool: New("r1"), now: start}
+	g := guard.New()
+	b := &bench{Pool: New("r1", WithScreen(g)), guard: g, now: start}
 	b.SetServices(b.now, []Service{NewService("s", 0, 0)})
 	b.list(slots...)
 	b.Complete(b.now)
@@ -159,6 +162,15 @@
 			b.Lapse(b.now, "h", 1)
 			return []string{b.ask(reads, time.Second)}
 		}, want: []string{"1 ended"}},
+		{name: "the last target goes while an ask waits", slots: []int{1}, run: func(b *bench) []string {
+			b.ask(reads, time.Second)
+			return append([]string{b.ask(reads, time.Second)}, texts(b.SetTargets(b.now, nil))...)
+		}, want: []string{"2 queued", "2 no-target"}},
+		{name: "a ban while the ask waits", slots: []int{0}, run: func(b *bench) []string {
+			out := []string{b.ask(reads, time.Second, WithFingerprint(ident.Fingerprint{1}))}
+			b.guard.Import([]guard.Mark{guard.NewMark(ident.Fingerprint{1}, 2, b.now.Add(time.Hour))})
+			return append(out, b.wait(time.Millisecond)...)
+		}, want: []string{"1 queued", "1 banned"}},
 		{name: "a suspended pool grants nothing", slots: []int{1}, run: func(b *bench) []string {
 			b.Suspend()
 			out := append([]string{b.ask(reads, time.Second)}, b.wait(time.Millisecond)...)
