Add the pages for operators and a test that keeps them current

Cause: there was no page for operators, and refusals told their reason twice. Change: README.md, docs/operations.md, docs/glossary.md; cmds/docs_test.go checks their command lines, YAML blocks, reasons, HTTP statuses, events, fields, exit codes and links against the code. The commands for operators no longer repeat the reason that the API client already reports.

--- /dev/null
+++ b/cmds/docs_test.go
@@ -0,0 +1,459 @@
+package cmds
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"rhubarbrack/caller"
+	"rhubarbrack/codec"
+	"rhubarbrack/conf"
+	"rhubarbrack/route"
+)
+
+const operationsPage = "../docs/operations.md"
+
+var pages = []string{"../README.md", operationsPage, "../docs/glossary.md", "../docs/design.md", "../CONTRIBUTING.md"}
+
+func readPage(t *testing.T, path string) string {
+	t.Helper()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+// blocks returns the fenced blocks of a page in a language, without the
+// indentation of their fence.
+func blocks(page, language string) []string {
+	var out []string
+	var current strings.Builder
+	open, wanted, indent := false, false, ""
+	for line := range strings.Lines(page) {
+		text := strings.TrimSpace(line)
+		switch {
+		case !open && strings.HasPrefix(text, "```"):
+			open, wanted = true, text == "```"+language
+			indent = line[:strings.Index(line, "`")]
+		case open && text == "```":
+			if wanted {
+				out = append(out, current.String())
+			}
+			open = false
+			current.Reset()
+		case open:
+			current.WriteString(strings.TrimPrefix(line, indent))
+		}
+	}
+	return out
+}
+
+var inlineCommand = regexp.MustCompile("`(rhubarbrack [^`]+)`")
+
+// commandLines returns the command lines of rhubarbrack in the shell blocks
+// and the inline code of a page, without the name of the program.
+func commandLines(page string) [][]string {
+	var lines []string
+	for _, block := range blocks(page, "sh") {
+		lines = append(lines, strings.Split(block, "\n")...)
+	}
+	for _, match := range inlineCommand.FindAllStringSubmatch(page, -1) {
+		lines = append(lines, match[1])
+	}
+	var out [][]string
+	for _, line := range lines {
+		line, _, _ = strings.Cut(line, " #")
+		line = strings.TrimSuffix(strings.TrimSpace(line), " &")
+		for _, program := range []string{"rhubarbrack ", "go run . "} {
+			if rest, ok := strings.CutPrefix(line, program); ok {
+				out = append(out, strings.Fields(rest))
+			}
+		}
+	}
+	return out
+}
+
+func registered() map[string]subcommands.Command {
+	commander := subcommands.NewCommander(flag.NewFlagSet("rhubarbrack", flag.ContinueOnError), "rhubarbrack")
+	register(commander, console{out: io.Discard, errs: io.Discard})
+	out := make(map[string]subcommands.Command)
+	commander.VisitCommands(func(_ *subcommands.CommandGroup, c subcommands.Command) { out[c.Name()] = c })
+	return out
+}
+
+// TestCommandLines guards against command lines in the pages whose command,
+// flags, arguments or files no longer exist. Commands for operators run
+// against an API that refuses every call, so that only wrong usage and
+// missing files can fail; the others are checked up to the point where they
+// would start a process.
+func TestCommandLines(t *testing.T) {
+	api := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusUnauthorized)
+		_, _ = io.WriteString(w, `{"reason":"token-invalid"}`)
+	}))
+	defer api.Close()
+	t.Setenv("RHUBARBRACK_CONTROL", api.URL)
+	t.Setenv("RHUBARBRACK_ENTRIES", api.URL)
+	t.Setenv("RHUBARBRACK_AUTHORITY", "")
+	var lines [][]string
+	for _, page := range pages[:3] {
+		lines = append(lines, commandLines(readPage(t, page))...)
+	}
+	t.Chdir("..")
+	known, seen := registered(), make(map[string]bool)
+	for _, line := range lines {
+		name := strings.Join(line, " ")
+		c, ok := known[line[0]]
+		if !ok {
+			t.Errorf("%s: there is no such command", name)
+			continue
+		}
+		seen[line[0]] = true
+		if err := checkLine(c, line); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for name := range known {
+		if !seen[name] && name != "load" {
+			t.Errorf("no page shows the command %s", name)
+		}
+	}
+}
+
+func checkLine(c subcommands.Command, line []string) error {
+	f := flag.NewFlagSet(c.Name(), flag.ContinueOnError)
+	f.SetOutput(io.Discard)
+	c.SetFlags(f)
+	if err := f.Parse(line[1:]); err != nil {
+		return fmt.Errorf("flags: %w", err)
+	}
+	switch c := c.(type) {
+	case *roleCommand:
+		s, err := conf.Load(c.settings)
+		if err == nil && s.Role() != c.role {
+			err = fmt.Errorf("role %s", s.Role())
+		}
+		return err
+	case *targetCommand:
+		if len(splitList(c.zone)) != len(splitList(c.region)) || f.NArg() != 0 {
+			return errors.New("zones and regions differ in length, or there are arguments")
+		}
+		return nil
+	case *devCommand:
+		if f.NArg() != 1 {
+			return errors.New("want one sample file")
+		}
+		_, err := readDocuments(f.Args())
+		return err
+	}
+	return runLine(c.Name(), line)
+}
+
+func runLine(name string, line []string) error {
+	var errs bytes.Buffer
+	want := int(exitRefused)
+	if name == "check" {
+		want = int(subcommands.ExitSuccess)
+	}
+	if got := Run(context.Background(), line, io.Discard, &errs); got != want {
+		return fmt.Errorf("exit code %d, want %d: %s", got, want, errs.String())
+	}
+	return nil
+}
+
+// TestYAMLBlocks guards against settings and documents in the pages, and in
+// the sample folder, that are no longer accepted.
+func TestYAMLBlocks(t *testing.T) {
+	var texts []string
+	for _, page := range pages {
+		texts = append(texts, blocks(readPage(t, page), "yaml")...)
+	}
+	files, err := filepath.Glob("../sample/first-day/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no settings of the first day: %v", err)
+	}
+	for _, f := range append(files, "../sample/dev.yaml") {
+		texts = append(texts, readPage(t, f))
+	}
+	kinds := make(map[string]bool)
+	for _, text := range texts {
+		if isSettings(text) {
+			s, err := conf.Decode([]byte(text))
+			if err != nil {
+				t.Errorf("%v in:\n%s", err, text)
+				continue
+			}
+			kinds[string(s.Role())] = true
+			continue
+		}
+		documents, err := codec.DecodeDocuments([]byte(text))
+		if err != nil || len(documents) == 0 {
+			t.Errorf("%d documents, %v in:\n%s", len(documents), err, text)
+		}
+		for _, d := range documents {
+			kinds[string(d.Document().Kind())] = true
+		}
+	}
+	for _, want := range []string{"entry", "control", "fleet", "team", "profile", "service"} {
+		if !kinds[want] {
+			t.Errorf("no page shows an example of %s", want)
+		}
+	}
+}
+
+// constants returns the values of the typed string or number constants in the
+// Go files of a package. The types are given as they are written there.
+func constants(t *testing.T, directory string, types ...string) []string {
+	t.Helper()
+	var out []string
+	visit(t, directory, func(n ast.Node) {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || spec.Type == nil || !slices.Contains(types, expression(spec.Type)) {
+			return
+		}
+		for _, v := range spec.Values {
+			if literal, ok := v.(*ast.BasicLit); ok {
+				out = append(out, strings.Trim(literal.Value, `"`))
+			}
+		}
+	})
+	if len(out) == 0 {
+		t.Fatalf("no constants of %v in %s", types, directory)
+	}
+	return out
+}
+
+func expression(e ast.Expr) string {
+	switch e := e.(type) {
+	case *ast.Ident:
+		return e.Name
+	case *ast.SelectorExpr:
+		return expression(e.X) + "." + e.Sel.Name
+	}
+	return ""
+}
+
+// visit walks the files of a package that are not tests.
+func visit(t *testing.T, directory string, see func(ast.Node)) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(directory, "*.go"))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no Go files in %s: %v", directory, err)
+	}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.SkipObjectResolution)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			see(n)
+			return true
+		})
+	}
+}
+
+// TestReasons guards against reasons that an operator or a caller meets and
+// that the operations page does not explain.
+func TestReasons(t *testing.T) {
+	page := readPage(t, operationsPage)
+	callers, operators := section(t, page, "### What callers are told"), section(t, page, "### What operators are told")
+	cases := []struct {
+		name      string
+		directory string
+		types     []string
+		text      string
+		// unseen are reasons that stay between the system's own processes.
+		unseen []string
+	}{
+		{"route", "../route", []string{"Reason"}, callers, nil},
+		{"caller", "../caller", []string{"route.Reason"}, callers, nil},
+		{"steer", "../steer", []string{"Reason"}, callers, nil},
+		{"entry", "../entry", []string{"steer.Reason"}, callers, nil},
+		{"limit", "../limit", []string{"Reason"}, callers, nil},
+		{"state", "../state", []string{"Reason"}, operators,
+			[]string{"stale-revision", "stale-epoch", "stale-incarnation", "claim-mismatch", "claims-full", "claim-not-held"}},
+		{"shift causes", "../shift", []string{"Cause"}, section(t, page, "### status -events"), nil},
+	}
+	for _, c := range cases {
+		for _, reason := range constants(t, c.directory, c.types...) {
+			if !strings.Contains(c.text, "`"+reason+"`") && !slices.Contains(c.unseen, reason) {
+				t.Errorf("%s: the page does not explain %s", c.name, reason)
+			}
+		}
+	}
+}
+
+// section returns the text from a heading to the next one of the same or a
+// higher level.
+func section(t *testing.T, page, heading string) string {
+	t.Helper()
+	_, rest, ok := strings.Cut(page, "\n"+heading+"\n")
+	if !ok {
+		t.Fatalf("the page lacks the heading %q", heading)
+	}
+	level := strings.Index(heading, " ")
+	for at, line := 0, ""; at < len(rest); at += len(line) {
+		line, _, _ = strings.Cut(rest[at:], "\n")
+		if hashes := strings.Index(line, " "); strings.HasPrefix(line, "##") && hashes <= level {
+			return rest[:at]
+		}
+		line += "\n"
+	}
+	return rest
+}
+
+// refuser refuses every request for one reason.
+type refuser struct{ reason route.Reason }
+
+func (r refuser) Run(context.Context, route.Request, route.Exchange) route.Result {
+	return route.Refuse(r.reason, "", 0)
+}
+
+func (refuser) Record(route.Request, route.Result, time.Time, time.Duration) {}
+
+// TestStatuses guards against HTTP statuses in the operations page that differ
+// from those that callers get.
+func TestStatuses(t *testing.T) {
+	rows := section(t, readPage(t, operationsPage), "### What callers are told")
+	for _, reason := range constants(t, "../route", "Reason") {
+		if route.Reason(reason) == route.ReasonReplayed {
+			continue
+		}
+		r := refuser{reason: route.Reason(reason)}
+		request := httptest.NewRequest(http.MethodGet, "/", nil)
+		request.RemoteAddr = ""
+		answer := httptest.NewRecorder()
+		caller.NewHandler("entry-1", 1, nil, r, nil, nil, r).ServeHTTP(answer, request)
+		if row := fmt.Sprintf("| `%s` | %d |", reason, answer.Code); !strings.Contains(rows, row) {
+			t.Errorf("the page lacks the row %s", row)
+		}
+	}
+}
+
+// TestEvents guards against changes of the leader whose reason the operations
+// page does not explain.
+func TestEvents(t *testing.T) {
+	text := section(t, readPage(t, operationsPage), "### status -events")
+	found := 0
+	for _, directory := range []string{"../plan", "../ctrl"} {
+		visit(t, directory, func(n ast.Node) {
+			call, ok := n.(*ast.CallExpr)
+			if !ok || !strings.HasSuffix(expression(call.Fun), "NewChange") || len(call.Args) != 2 {
+				return
+			}
+			if literal, ok := call.Args[1].(*ast.BasicLit); ok {
+				found++
+				if reason := strings.Trim(literal.Value, `"`); !strings.Contains(text, "`"+reason+"`") {
+					t.Errorf("the page does not explain %s", reason)
+				}
+			}
+		})
+	}
+	if found == 0 {
+		t.Error("no changes of the leader were found in the code")
+	}
+}
+
+// TestExitCodes guards against exit codes that the operations page lacks or
+// that no longer exist.
+func TestExitCodes(t *testing.T) {
+	text := section(t, readPage(t, operationsPage), "## Exit codes")
+	want := constants(t, ".", "subcommands.ExitStatus")
+	for _, s := range []subcommands.ExitStatus{subcommands.ExitSuccess, subcommands.ExitFailure, subcommands.ExitUsageError} {
+		want = append(want, strconv.Itoa(int(s)))
+	}
+	var got []string
+	for _, match := range regexp.MustCompile(`(?m)^\| (\d+) \|`).FindAllStringSubmatch(text, -1) {
+		got = append(got, match[1])
+	}
+	slices.Sort(want)
+	slices.Sort(got)
+	if !slices.Equal(got, want) {
+		t.Errorf("the page has the exit codes %v, the commands have %v", got, want)
+	}
+}
+
+// TestFields guards against fields of settings and documents that the
+// reference in the operations page lacks.
+func TestFields(t *testing.T) {
+	page := readPage(t, operationsPage)
+	cases := []struct{ name, directory, heading string }{
+		{"settings", "../conf", "## Settings reference"},
+		{"documents", "../codec", "## Documents reference"},
+	}
+	for _, c := range cases {
+		var fields []string
+		visit(t, c.directory, func(n ast.Node) {
+			field, ok := n.(*ast.Field)
+			if !ok || field.Tag == nil {
+				return
+			}
+			tag := reflect.StructTag(strings.Trim(field.Tag.Value, "`")).Get("yaml")
+			if name, _, _ := strings.Cut(tag, ","); name != "" {
+				fields = append(fields, name)
+			}
+		})
+		if len(fields) == 0 {
+			t.Errorf("%s: no fields were found in the code", c.name)
+		}
+		text := section(t, page, c.heading)
+		for _, name := range fields {
+			if !regexp.MustCompile("[`.]" + name + "[`.]").MatchString(text) {
+				t.Errorf("%s: the page does not explain the field %s", c.name, name)
+			}
+		}
+	}
+}
+
+// TestLinks guards against links to pages and headings that do not exist.
+func TestLinks(t *testing.T) {
+	link := regexp.MustCompile(`\]\(([^)#]*)(#[^)]*)?\)`)
+	for _, path := range pages {
+		page := readPage(t, path)
+		for _, match := range link.FindAllStringSubmatch(page, -1) {
+			goal, text := path, page
+			if match[1] != "" {
+				goal = filepath.Join(filepath.Dir(path), match[1])
+				text = readPage(t, goal)
+			}
+			if match[2] != "" && !slices.Contains(anchors(text), match[2]) {
+				t.Errorf("%s: %s has no heading for %s", path, goal, match[2])
+			}
+		}
+	}
+}
+
+// anchors returns the anchors of the headings of a page.
+func anchors(page string) []string {
+	var out []string
+	for line := range strings.Lines(page) {
+		if heading, ok := strings.CutPrefix(strings.TrimLeft(line, "#"), " "); ok && strings.HasPrefix(line, "#") {
+			heading = strings.ToLower(strings.TrimSpace(heading))
+			out = append(out, "#"+regexp.MustCompile("[^a-z0-9 -]").ReplaceAllString(strings.ReplaceAll(heading, " ", "-"), ""))
+		}
+	}
+	return out
+}
--- a/cmds/drain.go
+++ b/cmds/drain.go
@@ -60,7 +60,7 @@
 			}
 			out, err := client.CancelDrain(ctx, c.requestID(), args[0])
 			if err != nil {
-				return fmt.Errorf("drain %s: %w", args[0], explainRefusal(err, out))
+				return fmt.Errorf("drain %s: %w", args[0], err)
 			}
 			return c.finish(ctx, client, "drain "+args[0], out)
 		}
@@ -87,7 +87,7 @@
 	}
 	out, err := client.PlanDrain(ctx, c.requestID(), record)
 	if err != nil {
-		return fmt.Errorf("drain %s: %w", id, explainRefusal(err, out))
+		return fmt.Errorf("drain %s: %w", id, err)
 	}
 	return c.finish(ctx, client, "drain "+id, out)
 }
--- a/cmds/key.go
+++ b/cmds/key.go
@@ -79,7 +79,7 @@
 	hash := route.KeyHash(text)
 	out, err := client.IssueKey(ctx, c.requestID(), oper.KeyRecord{ID: id, Team: team, SHA256: hex.EncodeToString(hash[:])})
 	if err != nil {
-		return fmt.Errorf("key %s: %w", id, explainRefusal(err, out))
+		return fmt.Errorf("key %s: %w", id, err)
 	}
 	if !c.json {
 		c.printf("key %s of team %s, shown this once:\n%s\n", id, team, text)
@@ -94,7 +94,7 @@
 func (c *keyCommand) withdraw(ctx context.Context, client *oper.Client, id string) error {
 	out, err := client.WithdrawKey(ctx, c.requestID(), id)
 	if err != nil {
-		return fmt.Errorf("key %s: %w", id, explainRefusal(err, out))
+		return fmt.Errorf("key %s: %w", id, err)
 	}
 	return c.finish(ctx, client, "key "+id, out)
 }
--- a/cmds/profile.go
+++ b/cmds/profile.go
@@ -108,7 +108,7 @@
 			c.showConflict(what, d.Source(), out)
 		}
 		if err != nil {
-			return fmt.Errorf("%s: %w", what, explainRefusal(err, out))
+			return fmt.Errorf("%s: %w", what, err)
 		}
 		if err := c.finish(ctx, client, what, out); err != nil {
 			return err
@@ -117,13 +117,6 @@
 	return nil
 }
 
-func explainRefusal(err error, out oper.OutcomeRecord) error {
-	if out.Reason != "" {
-		return fmt.Errorf("%w: %s: %s", err, out.Reason, out.Detail)
-	}
-	return err
-}
-
 // showConflict prints the current revision and how its text differs.
 func (c *profileCommand) showConflict(what, source string, out oper.OutcomeRecord) {
 	_, _ = fmt.Fprintf(c.console.errs, "%s: the current revision is %d. To replace it, use -expected %d. Differences (- current, + yours):\n%s",
@@ -242,7 +235,7 @@
 	}
 	out, err := client.DeleteDocument(ctx, c.requestID(), kind, name, expected)
 	if err != nil {
-		return fmt.Errorf("%s/%s: %w", kind, name, explainRefusal(err, out))
+		return fmt.Errorf("%s/%s: %w", kind, name, err)
 	}
 	return c.finish(ctx, client, kind+"/"+name, out)
 }
