Serve callers, operators and peers over TLS in tests of separate processes

Cause: connections to peers used an empty server name, which the certificates package refuses; a listener for callers or operators could not do without an authority. Change: a client's TLS settings come from its peer's address; servers without a file of authorities accept clients without certificates. Result: TestTLS passes with three control and two entry hosts; a peer without a certificate is refused by each of them.

--- a/certs/source.go
+++ b/certs/source.go
@@ -34,14 +34,26 @@
 }
 
 // NewFiles returns the paths of the certificate (with its intermediates), of
-// its key and of the authority's certificates.
+// its key and of the authority's certificates. A server without a file of
+// authorities accepts clients without certificates; a client needs one.
 func NewFiles(certificate, key, authority string) Files {
 	return Files{certificate: certificate, key: key, authority: authority}
 }
 
+// Certificate returns the path of the certificate.
+func (f Files) Certificate() string { return f.certificate }
+
+// Key returns the path of the key.
+func (f Files) Key() string { return f.key }
+
+// Authority returns the path of the authority's certificates, or nothing.
+func (f Files) Authority() string { return f.authority }
+
 // material is the content of the files.
 type material struct {
 	certificate, key, authority []byte
+	// anonymous is true when no file of authorities is named.
+	anonymous bool
 }
 
 func (f Files) read() (material, error) {
@@ -50,7 +62,11 @@
 		path string
 		into *[]byte
 	}{{f.certificate, &m.certificate}, {f.key, &m.key}, {f.authority, &m.authority}}
+	m.anonymous = f.authority == ""
 	for _, p := range parts {
+		if p.path == "" && m.anonymous {
+			continue
+		}
 		content, err := os.ReadFile(p.path)
 		if err != nil {
 			return material{}, fmt.Errorf("read certificates: %w", err)
@@ -67,15 +83,27 @@
 
 // identity is parsed material. It is immutable.
 type identity struct {
-	pair  *tls.Certificate
+	pair *tls.Certificate
+	// roots is nil when clients need no certificate.
 	roots *x509.CertPool
 }
 
+// clientAuth returns what a server asks of clients.
+func (i identity) clientAuth() tls.ClientAuthType {
+	if i.roots == nil {
+		return tls.NoClientCert
+	}
+	return tls.RequireAndVerifyClientCert
+}
+
 func (m material) parse() (identity, error) {
 	pair, err := tls.X509KeyPair(m.certificate, m.key)
 	if err != nil {
 		return identity{}, fmt.Errorf("parse certificate: %w", err)
 	}
+	if m.anonymous {
+		return identity{pair: &pair}, nil
+	}
 	roots := x509.NewCertPool()
 	if !roots.AppendCertsFromPEM(m.authority) {
 		return identity{}, fmt.Errorf("parse authority: %w", ErrAuthority)
@@ -186,7 +214,7 @@
 }
 
 // Server returns settings that require a certificate of the authority from
-// each client.
+// each client. Without a file of authorities, clients need none.
 func (s *Source) Server() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
@@ -195,7 +223,7 @@
 			return &tls.Config{
 				MinVersion:             tls.VersionTLS13,
 				Certificates:           []tls.Certificate{*now.pair},
-				ClientAuth:             tls.RequireAndVerifyClientCert,
+				ClientAuth:             now.clientAuth(),
 				ClientCAs:              now.roots,
 				SessionTicketsDisabled: true,
 				Time:                   s.clock.Now,
@@ -230,6 +258,9 @@
 	if len(state.PeerCertificates) == 0 {
 		return fmt.Errorf("%w: server %s sent none", ErrPeer, name)
 	}
+	if s.identity().roots == nil {
+		return fmt.Errorf("%w: no authority to check server %s", ErrPeer, name)
+	}
 	options := x509.VerifyOptions{
 		DNSName: name, Roots: s.identity().roots, Intermediates: x509.NewCertPool(), CurrentTime: s.clock.Now(),
 		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -39,7 +39,9 @@
 	go func() { done <- d.Run(ctx) }()
 	b.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
 	})
 	select {
 	case a := <-ready:
--- a/node/control.go
+++ b/node/control.go
@@ -78,7 +78,7 @@
 	server := rpc.NewServer()
 	c.replica, err = ctrl.StartReplica(ctx, c.system, server, s.Host(), s.DataDirectory(), ctrl.NewEngine(c.feed),
 		ctrl.WithClock(o.clock), ctrl.WithLogger(o.log), ctrl.WithObserver(c.leader),
-		ctrl.WithFormation(formation(s)...), ctrl.WithWire(wire.WithTLS(c.secure.peerDial)))
+		ctrl.WithFormation(formation(s)...), ctrl.WithWire(c.secure.dialOptions()...))
 	if err != nil {
 		return fmt.Errorf("start control host: %w", err)
 	}
@@ -86,7 +86,7 @@
 	if err := ctrl.Register(ctx, server, c.replica, c.feed, c.leader, o.clock); err != nil {
 		return fmt.Errorf("start control host: %w", err)
 	}
-	c.served = wire.Serve(ctx, peers, server, wire.WithTLS(c.secure.peerServer))
+	c.served = wire.Serve(ctx, peers, server, wire.WithTLS(c.secure.peers))
 	if url := s.PlatformList(); url != "" {
 		_, err = platf.StartLister(ctx, c.system, url, c.leader, platf.WithClock(o.clock), platf.WithLog(o.log))
 		if err != nil {
@@ -100,7 +100,7 @@
 	if listener == nil {
 		return nil
 	}
-	client, err := ctrl.StartClient(ctx, c.system, c.options.clock, controlPeers(c.settings), wire.WithTLS(c.secure.peerDial))
+	client, err := ctrl.StartClient(ctx, c.system, c.options.clock, controlPeers(c.settings), c.secure.dialOptions()...)
 	if err != nil {
 		return fmt.Errorf("start API: %w", err)
 	}
--- a/node/entry.go
+++ b/node/entry.go
@@ -151,10 +151,10 @@
 func (e *entryHost) startRoles(ctx context.Context) error {
 	o := e.options
 	var err error
-	if e.control, err = ctrl.StartClient(ctx, e.system, o.clock, controlPeers(e.settings), wire.WithTLS(e.secure.peerDial)); err != nil {
+	if e.control, err = ctrl.StartClient(ctx, e.system, o.clock, controlPeers(e.settings), e.secure.dialOptions()...); err != nil {
 		return fmt.Errorf("control client: %w", err)
 	}
-	if e.peers, err = entry.StartPeers(ctx, e.system, wire.WithTLS(e.secure.peerDial)); err != nil {
+	if e.peers, err = entry.StartPeers(ctx, e.system, e.secure.dialOptions()...); err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
 	rateOptions := []entry.RateOption{entry.WithRateClock(o.clock), entry.WithRateLog(o.log)}
@@ -176,7 +176,7 @@
 		return fmt.Errorf("slot client: %w", err)
 	}
 	e.peers.ServeLocally(server)
-	e.served = wire.Serve(ctx, e.listeners[conf.Peers], server, wire.WithTLS(e.secure.peerServer))
+	e.served = wire.Serve(ctx, e.listeners[conf.Peers], server, wire.WithTLS(e.secure.peers))
 	return nil
 }
 
--- a/node/fleet_entry_test.go
+++ b/node/fleet_entry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"crypto/tls"
 	"fmt"
 	"io"
 	"net/http"
@@ -109,6 +110,26 @@
 	}
 }
 
+// Guards against a path that works only in plain text, and against peers
+// without a certificate.
+func TestTLS(t *testing.T) {
+	f := newFleet(t, 3, 2, withTLS)
+	f.warmUp()
+	if got := f.do(f.entries[0], f.deposit("tls")); got.status != http.StatusOK {
+		t.Errorf("deposit over TLS: %+v", got)
+	}
+	for _, p := range append(append([]*process(nil), f.controls...), f.entries...) {
+		conn, err := tls.Dial("tcp", p.address["peers"], f.trust)
+		if err == nil {
+			// With TLS 1.3 the refusal arrives with the first read.
+			_, err = conn.Read(make([]byte, 1))
+		}
+		if err == nil {
+			t.Errorf("%s accepted a peer without a certificate", p.name)
+		}
+	}
+}
+
 // load sends requests through the given hosts until stop is closed.
 func (f *fleet) load(stop <-chan struct{}, hosts func() []*process, check func(once string, got answer)) *sync.WaitGroup {
 	var all sync.WaitGroup
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/hex"
 	"fmt"
 	"io"
@@ -19,6 +20,8 @@
 	"testing"
 	"time"
 
+	"rhubarbrack/certs"
+	"rhubarbrack/clock"
 	"rhubarbrack/cmds"
 	"rhubarbrack/codec"
 	"rhubarbrack/ident"
@@ -68,11 +71,14 @@
 	entries   []*process
 	keys      map[ident.Team]string
 	documents map[string]codec.Sample
+	// authority signs the certificates of all hosts, or is nil for plain text.
+	authority *certs.Authority
+	trust     *tls.Config
 }
 
 // newFleet starts the given numbers of control and entry hosts and two targets
 // of each service in each region, and puts the documents of the sample.
-func newFleet(t *testing.T, controls, entries int) *fleet {
+func newFleet(t *testing.T, controls, entries int, list ...fleetOption) *fleet {
 	t.Helper()
 	f := &fleet{
 		t: t, directory: t.TempDir(), keys: make(map[ident.Team]string),
@@ -80,6 +86,9 @@
 		documents: make(map[string]codec.Sample),
 	}
 	t.Cleanup(f.stop)
+	for _, apply := range list {
+		apply(f)
+	}
 	data, err := os.ReadFile("../sample/dev.yaml")
 	f.check(err)
 	documents, err := codec.DecodeDocuments(data)
@@ -100,6 +109,55 @@
 	return f
 }
 
+// fleetOption changes a fleet before it starts.
+type fleetOption func(*fleet)
+
+// withTLS gives every host certificates for all its listeners.
+func withTLS(f *fleet) {
+	authority, err := certs.NewAuthority(clock.Wall().Now())
+	f.check(err)
+	f.authority = authority
+	files := f.certificates("client")
+	f.trust, err = certs.Trust(files.Authority())
+	f.check(err)
+}
+
+func (f *fleet) certificates(name string) certs.Files {
+	pair, err := f.authority.Issue(ident.Host(name), net.IPv4(127, 0, 0, 1))
+	f.check(err)
+	files, err := pair.Write(filepath.Join(f.directory, "certificates"), name)
+	f.check(err)
+	return files
+}
+
+// tlsSettings returns the part of the settings that names certificates.
+func (f *fleet) tlsSettings(p *process) string {
+	if f.authority == nil {
+		return ""
+	}
+	files := f.certificates(p.name)
+	var b strings.Builder
+	b.WriteString("tls:\n")
+	for _, party := range []string{"callers", "operators", "peers"} {
+		if p.address[party] == "" {
+			continue
+		}
+		fmt.Fprintf(&b, "  %s:\n    certificate: %s\n    key: %s\n", party, files.Certificate(), files.Key())
+		if party == "peers" {
+			fmt.Fprintf(&b, "    authorities: %s\n", files.Authority())
+		}
+	}
+	return b.String()
+}
+
+// scheme returns the scheme of URLs of callers and operators.
+func (f *fleet) scheme() string {
+	if f.authority == nil {
+		return "http://"
+	}
+	return "https://"
+}
+
 func (f *fleet) check(err error) {
 	f.t.Helper()
 	if err != nil {
@@ -201,6 +259,7 @@
 func (f *fleet) start(p *process, role, text string) {
 	f.t.Helper()
 	p.settings = filepath.Join(f.directory, p.name+".yaml")
+	text += f.tlsSettings(p)
 	f.check(os.WriteFile(p.settings, []byte(text), 0o600))
 	f.restart(p, role)
 }
@@ -256,9 +315,10 @@
 func (f *fleet) client(hosts ...*process) *oper.Client {
 	var bases []string
 	for _, p := range hosts {
-		bases = append(bases, "http://"+p.address["operators"])
+		bases = append(bases, f.scheme()+p.address["operators"])
 	}
-	return oper.NewClient(bases, operatorToken)
+	transport := &http.Transport{TLSClientConfig: f.trust, DisableKeepAlives: true}
+	return oper.NewClient(bases, operatorToken, oper.WithHTTPClient(&http.Client{Transport: transport}))
 }
 
 func (f *fleet) context() context.Context {
@@ -338,7 +398,7 @@
 	if method == "" {
 		method = http.MethodGet
 	}
-	call, err := http.NewRequestWithContext(ctx, method, "http://"+p.address["callers"]+r.path, strings.NewReader(r.body))
+	call, err := http.NewRequestWithContext(ctx, method, f.scheme()+p.address["callers"]+r.path, strings.NewReader(r.body))
 	if err != nil {
 		return answer{err: err}
 	}
@@ -352,7 +412,7 @@
 	if r.once != "" {
 		call.Header.Set("Idempotency-Key", r.once)
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
+	transport := &http.Transport{DisableKeepAlives: true, TLSClientConfig: f.trust}
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(call)
 	if err != nil {
--- a/node/options.go
+++ b/node/options.go
@@ -13,6 +13,7 @@
 	"rhubarbrack/certs"
 	"rhubarbrack/clock"
 	"rhubarbrack/conf"
+	"rhubarbrack/wire"
 )
 
 // ErrEnded means that a part of the process ended by itself.
@@ -64,8 +65,17 @@
 // security holds the TLS settings of one process. The fields are nil where
 // plain text is used.
 type security struct {
-	callers, operators   *tls.Config
-	peerServer, peerDial *tls.Config
+	callers, operators, peers *tls.Config
+	// dial returns the settings of connections to a peer.
+	dial func(address string) *tls.Config
+}
+
+// dialOptions returns the options of connections to peers.
+func (s security) dialOptions() []wire.Option {
+	if s.dial == nil {
+		return nil
+	}
+	return []wire.Option{wire.WithTLSFor(s.dial)}
 }
 
 // loadSecurity reads the certificates that the settings name.
@@ -89,7 +99,7 @@
 		case conf.Operators:
 			out.operators = source.Server()
 		case conf.Peers:
-			out.peerServer, out.peerDial = source.Server(), source.Client("")
+			out.peers, out.dial = source.Server(), source.Client
 		}
 	}
 	return out, nil
--- a/wire/client.go
+++ b/wire/client.go
@@ -38,6 +38,13 @@
 // before the first call.
 func Dial(ctx context.Context, system *tasks.System, name, address string, list ...Option) (*Client, error) {
 	o := newOptions(list)
+	if o.securityFor != nil {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, fmt.Errorf("start client of %s: %w", address, err)
+		}
+		o.security = o.securityFor(host)
+	}
 	t := &connection{ctx: ctx, address: address, options: o}
 	ref, err := tasks.Spawn(ctx, system, name, t)
 	if err != nil {
--- a/wire/options.go
+++ b/wire/options.go
@@ -24,6 +24,7 @@
 
 type options struct {
 	security     *tls.Config
+	securityFor  func(address string) *tls.Config
 	clock        clock.Clock
 	messageBytes int64
 	serverCalls  int
@@ -38,6 +39,12 @@
 // WithTLS sets the certificates of a connection. Nil means plain TCP.
 func WithTLS(security *tls.Config) Option { return func(o *options) { o.security = security } }
 
+// WithTLSFor sets the certificates of a client by the IP address of its peer,
+// which the peer's certificate must bear.
+func WithTLSFor(security func(address string) *tls.Config) Option {
+	return func(o *options) { o.securityFor = security }
+}
+
 // WithClock sets the clock. The default is the clock of the machine.
 func WithClock(c clock.Clock) Option { return func(o *options) { o.clock = c } }
 
