--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -210,6 +210,12 @@
 }
 
 func (f *follower) polled(m polled) {
+	f.take(m)
+	f.poll()
+}
+
+// take applies the end of a poll to the view.
+func (f *follower) take(m polled) {
 	err := m.err
 	if err == nil {
 		err = f.apply(m.reply)
@@ -219,7 +225,6 @@
 			f.log.Warn("ctrl: poll failed", "error", err)
 		}
 		f.failing = true
-		f.poll()
 		return
 	}
 	if f.failing {
@@ -231,7 +236,6 @@
 	f.fresh = m.sent.Add(m.reply.Lease)
 	f.checkMembership()
 	f.publish()
-	f.poll()
 }
 
 // checkMembership ends the lease of a process that is no member, and reports
--- a/plan/shares.go
+++ b/plan/shares.go
@@ -16,6 +16,9 @@
 // leader gives up a commit.
 const issueTimeout = 6 * time.Second
 
+// openDrain stands for the length of a drain that lasts until it is cancelled.
+const openDrain = 365 * 24 * time.Hour
+
 // step is a change of shares that was decided.
 type step struct {
 	before, after shift.Shares
@@ -29,7 +32,7 @@
 		return nil
 	}
 	in := shift.NewInput(now, p.ledger, classes(s.config)...)
-	p.addDrains(in, s)
+	addDrains(now, in, s)
 	var out []Change
 	for _, service := range s.config.Services() {
 		profile, ok := s.config.Profile(service.Profile())
@@ -71,10 +74,14 @@
 
 // addDrains adds the drains of whole regions, from which load moves away ahead
 // of time. Drains of zones and targets reduce the slots instead.
-func (p *Planner) addDrains(in *shift.Input, s Situation) {
+func addDrains(now time.Time, in *shift.Input, s Situation) {
 	for _, d := range s.config.Drains() {
 		if d.State() == state.DrainPlanned && d.Scope().Kind() == state.ScopeRegion {
-			in.AddDrain(shift.NewDrain("", ident.Region(d.Scope().Name()), d.From(), d.Until()))
+			until := d.Until()
+			if until.IsZero() {
+				until = now.Add(openDrain)
+			}
+			in.AddDrain(shift.NewDrain("", ident.Region(d.Scope().Name()), d.From(), until))
 		}
 	}
 }
