--- a/route/result.go
+++ b/route/result.go
@@ -121,3 +121,15 @@
 func Refuse(reason Reason, detail string, retryAfter time.Duration) Result {
 	return Result{outcome: NotRun, reason: reason, detail: detail, retryAfter: retryAfter}
 }
+
+// Finish returns the result of a request that a front end sent by itself, once,
+// without a retry.
+func Finish(sent Sent) Result {
+	if sent.whole {
+		return Result{outcome: Ran, started: sent.started}
+	}
+	if sent.proved {
+		return Result{outcome: NotRun, reason: reasonOf(sent.ending)}
+	}
+	return Result{outcome: Unknown, reason: reasonOf(sent.ending), started: sent.started}
+}
