Measure commits over links with a delay

Cause: commits were measured on loopback only, but replicas stand in regions 12 ms apart. Change: the benchmark delays both directions of each connection and reports the mean wait of a caller.

--- a/ctrl/replica_fault_test.go
+++ b/ctrl/replica_fault_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"os"
 	"path/filepath"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"rhubarbrack/ident"
 	"rhubarbrack/store"
@@ -100,32 +100,56 @@
 }
 
 // BenchmarkCommit measures a commit on three replicas on loopback with real
-// files and syncs, for one caller and for many at once.
+// files and syncs, for one caller and for many at once, without and with the
+// one-way delay between regions.
 func BenchmarkCommit(b *testing.B) {
-	for _, callers := range []int{1, 16, 256} {
-		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
-			l, _ := trio(b)
+	cases := []struct {
+		name    string
+		callers int
+		delay   time.Duration
+	}{
+		{name: "callers=1", callers: 1},
+		{name: "callers=16", callers: 16},
+		{name: "callers=256", callers: 256},
+		{name: "callers=1/delay=12ms", callers: 1, delay: 12 * time.Millisecond},
+		{name: "callers=16/delay=12ms", callers: 16, delay: 12 * time.Millisecond},
+		{name: "callers=256/delay=12ms", callers: 256, delay: 12 * time.Millisecond},
+	}
+	for _, bc := range cases {
+		b.Run(bc.name, func(b *testing.B) {
+			l := newLab(b)
+			l.delay = bc.delay
+			l.trio()
 			p := l.leader()
-			data := make([]byte, 256)
-			done := make(chan error, callers)
-			var next atomic.Int64
 			b.ResetTimer()
-			for range callers {
-				go func() {
-					for next.Add(1) <= int64(b.N) {
-						if _, _, err := p.replica.Propose(context.Background(), data); err != nil {
-							done <- err
-							return
-						}
-					}
-					done <- nil
-				}()
-			}
-			for range callers {
-				if err := <-done; err != nil {
-					b.Error(err)
+			proposeAll(b, p, bc.callers)
+		})
+	}
+}
+
+// proposeAll commits b.N changes with a number of concurrent callers and
+// reports the mean time that a caller waits.
+func proposeAll(b *testing.B, p *process, callers int) {
+	data := make([]byte, 256)
+	done := make(chan error, callers)
+	var next, waited atomic.Int64
+	for range callers {
+		go func() {
+			for next.Add(1) <= int64(b.N) {
+				start := time.Now()
+				if _, _, err := p.replica.Propose(context.Background(), data); err != nil {
+					done <- err
+					return
 				}
+				waited.Add(int64(time.Since(start)))
 			}
-		})
+			done <- nil
+		}()
+	}
+	for range callers {
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
 	}
+	b.ReportMetric(float64(waited.Load())/float64(b.N)/1e6, "ms/wait")
 }
--- a/ctrl/replica_test.go
+++ b/ctrl/replica_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"rhubarbrack/agree"
 	"rhubarbrack/ident"
@@ -87,6 +88,7 @@
 	running   map[ident.Host]*process
 	began     chan ident.Host
 	ended     chan ident.Host
+	delay     time.Duration
 }
 
 func newLab(t testing.TB) *lab {
@@ -136,7 +138,7 @@
 	if err != nil {
 		l.t.Fatal(err)
 	}
-	served := wire.Serve(ctx, listener, server)
+	served := wire.Serve(ctx, delayed{Listener: listener, delay: l.delay}, server)
 	p.stop = func() {
 		cancel()
 		<-p.replica.Done()
@@ -216,7 +218,10 @@
 
 // trio starts three hosts that form a cluster.
 func trio(t testing.TB, list ...ReplicaOption) (*lab, []ReplicaOption) {
-	l := newLab(t)
+	return newLab(t).trio(list...)
+}
+
+func (l *lab) trio(list ...ReplicaOption) (*lab, []ReplicaOption) {
 	options := append(list, WithFormation(l.place("a", "b", "c")...))
 	for _, h := range []ident.Host{"a", "b", "c"} {
 		l.start(h, options...)
