Keep several calls in flight to a peer

Cause: a sender waited for the answer to its call before it sent what had queued up, so a commit over a link with 12 ms one way took up to two round trips more. Change: up to 8 numbered calls are in flight, and the recipient restores their order. A failed call starts a new session, so nobody waits for a lost batch.

--- a/ctrl/delay_test.go
+++ b/ctrl/delay_test.go
@@ -67,7 +67,7 @@
 func (c *delayedConn) transmit() {
 	for p := range c.parcels {
 		<-time.After(time.Until(p.due))
-		if _, err := c.Conn.Write(p.data); err != nil {
+		if _, err := c.Write(p.data); err != nil {
 			return
 		}
 	}
--- a/ctrl/peer.go
+++ b/ctrl/peer.go
@@ -48,7 +48,10 @@
 
 // Deliver takes messages. The answers to them are messages too.
 func (s *peerService) Deliver(args *BatchRecord, _ *AckRecord) error {
-	m := received{from: ident.Host(args.From), address: args.Address}
+	m := received{
+		from: ident.Host(args.From), address: args.Address, session: args.Session, sequence: args.Sequence,
+		messages: make([]agree.Message, 0, len(args.Messages)),
+	}
 	for _, r := range args.Messages {
 		m.messages = append(m.messages, r.message())
 	}
--- a/ctrl/peer_record.go
+++ b/ctrl/peer_record.go
@@ -43,10 +43,12 @@
 }
 
 // BatchRecord holds messages in the order in which the sender sent them, and
-// the sender's address.
+// the sender's address. Sequence counts the batches of a session.
 type BatchRecord struct {
 	From     string
 	Address  string
+	Session  uint64
+	Sequence uint64
 	Messages []MessageRecord
 }
 
--- a/ctrl/peer_sender.go
+++ b/ctrl/peer_sender.go
@@ -14,6 +14,9 @@
 	// queuedMessages bounds the messages that wait for a peer. The protocol
 	// repeats what is dropped.
 	queuedMessages = 256
+	// senderCalls bounds the calls in flight to a peer. With one, a message
+	// could wait a round trip before it leaves.
+	senderCalls = 8
 	// batchBytes bounds the entries of one call.
 	batchBytes = 4 << 20
 	// defaultChunkBytes is the size of the parts in which a snapshot is sent.
@@ -26,8 +29,9 @@
 	own     string
 }
 
-// sender carries messages to one peer, in order and one call at a time.
-// Snapshots go in parallel, so that they do not delay heartbeats.
+// sender carries messages to one peer. Batches are numbered, so that the peer
+// can restore their order. Snapshots go in parallel, so that they do not delay
+// heartbeats.
 type sender struct {
 	host      ident.Host
 	address   string
@@ -37,6 +41,8 @@
 	snapshots *outbox[outgoing]
 	cancel    context.CancelFunc
 	ends      []<-chan struct{}
+	session   uint64
+	sequence  uint64
 	silent    bool
 }
 
@@ -51,6 +57,8 @@
 	s := &sender{
 		host: host, address: address, options: o, client: client, cancel: cancel,
 		messages: newOutbox[outgoing](queuedMessages), snapshots: newOutbox[outgoing](1),
+		// Sessions of a later process of this host have greater numbers.
+		session: uint64(o.clock.Now().UnixNano()),
 	}
 	s.ends = []<-chan struct{}{tasks.Go(inner, s.sendMessages), tasks.Go(inner, s.sendSnapshots)}
 	return s, nil
@@ -83,36 +91,74 @@
 	<-s.client.Done()
 }
 
+// sendMessages sends what has queued up in numbered calls. It waits for the
+// ends of its calls before it returns.
 func (s *sender) sendMessages(ctx context.Context) {
 	defer s.client.Close()
+	results := make(chan error, senderCalls)
+	open := 0
+	defer func() {
+		for ; open > 0; open-- {
+			s.settle(<-results)
+		}
+	}()
 	for {
-		size := 0
-		batch, ok := s.messages.take(ctx, func(m outgoing) bool {
-			for _, e := range m.message.Entries() {
-				size += e.Size()
-			}
-			return size <= batchBytes
-		})
+		for open == senderCalls || len(results) > 0 {
+			s.settle(<-results)
+			open--
+		}
+		batch, ok := s.messages.take(ctx, withinBatch())
 		if !ok {
 			return
 		}
-		s.note(s.deliver(ctx, batch))
+		record := s.record(batch)
+		open++
+		go func() { results <- s.deliver(ctx, record) }()
 	}
 }
 
-func (s *sender) deliver(ctx context.Context, batch []outgoing) error {
-	record := BatchRecord{From: string(batch[0].message.From()), Address: batch[0].own}
+// withinBatch returns a condition that holds until the entries of the
+// messages exceed the size of a batch.
+func withinBatch() func(outgoing) bool {
+	size := 0
+	return func(m outgoing) bool {
+		for _, e := range m.message.Entries() {
+			size += e.Size()
+		}
+		return size <= batchBytes
+	}
+}
+
+func (s *sender) record(batch []outgoing) *BatchRecord {
+	record := &BatchRecord{
+		From: string(batch[0].message.From()), Address: batch[0].own, Session: s.session, Sequence: s.sequence,
+	}
+	s.sequence++
 	for _, m := range batch {
 		record.Messages = append(record.Messages, fromMessage(m.message))
 	}
+	return record
+}
+
+func (s *sender) deliver(ctx context.Context, record *BatchRecord) error {
 	call, cancel := context.WithTimeout(ctx, s.options.callTimeout)
 	defer cancel()
-	if err := s.client.Call(call, methodDeliver, &record, &AckRecord{}); err != nil {
+	if err := s.client.Call(call, methodDeliver, record, &AckRecord{}); err != nil {
 		return fmt.Errorf("send to %s: %w", s.host, err)
 	}
 	return nil
 }
 
+// settle starts a new session after a failed call: the peer must not wait for
+// a batch that is lost.
+func (s *sender) settle(err error) {
+	if err != nil {
+		s.session++
+		s.sequence = 0
+	}
+	s.note(err)
+}
+
 // note logs when the peer becomes silent and when it answers again.
 func (s *sender) note(err error) {
 	if (err != nil) == s.silent {
--- a/ctrl/replica_task.go
+++ b/ctrl/replica_task.go
@@ -42,6 +42,8 @@
 	received struct {
 		from     ident.Host
 		address  string
+		session  uint64
+		sequence uint64
 		messages []agree.Message
 	}
 )
@@ -67,6 +69,7 @@
 	machine   Machine
 	disk      *diskQueue
 	peers     *peerSet
+	order     *inOrder
 	applied   ident.Revision
 	snapshots snapshotTrigger
 	nextTag   agree.Tag
@@ -96,6 +99,7 @@
 		machine:   machine,
 		disk:      newDiskQueue(),
 		peers:     newPeerSet(ctx, system, host, o),
+		order:     newInOrder(),
 		calls:     map[agree.Tag]tasks.Reply[outcome]{},
 		positions: map[ident.Revision]position{},
 	}
@@ -177,7 +181,7 @@
 
 func (t *replicaTask) receive(m received) {
 	t.peers.learn(m.from, m.address)
-	for _, message := range m.messages {
+	for _, message := range t.order.take(m) {
 		t.step(agree.NewReceive(message))
 	}
 }
