Bound the writes of a leader whose disk hangs, wrap every error

Cause: when the others commit without the leader's disk, its queue of writes grew without bound. Change: a leader refuses proposals while its disk lags by the limit of uncommitted entries. Errors are wrapped at each return. The status of replicas and the leader in a refusal are tested.

--- a/agree/leader.go
+++ b/agree/leader.go
@@ -290,6 +290,10 @@
 		return ErrTooLarge
 	case int(n.log.last()-n.commit) >= n.options.uncommittedEntries, n.lead.bytes >= n.options.uncommittedBytes:
 		return ErrBusy
+	case int(n.log.last()-n.saved.last) >= n.options.uncommittedEntries:
+		// The others may commit without a leader whose disk hangs, but its
+		// queue of writes must not grow without bound.
+		return ErrBusy
 	}
 	return nil
 }
--- a/agree/node_test.go
+++ b/agree/node_test.go
@@ -216,6 +216,15 @@
 			d.feed(NewPropose(NewProposal(1, nil), NewProposal(2, nil), NewProposal(3, nil)))
 			return len(d.out.accepted) == 2 && errors.Is(d.refusal(), ErrBusy)
 		}},
+		{name: "a leader whose disk hangs refuses proposals", run: func(d *drive) bool {
+			d.elect()
+			d.feed(NewPropose(NewProposal(1, nil), NewProposal(2, nil), NewProposal(3, nil)))
+			last := d.log.last()
+			d.confirm(last)
+			d.feed(NewReceive(d.from("c", MessageAppendAnswer, d.term).WithPosition(last, 0)))
+			d.feed(NewPropose(NewProposal(4, nil), NewProposal(5, nil)))
+			return d.commit == last && len(d.out.accepted) == 1 && errors.Is(d.refusal(), ErrBusy)
+		}},
 		{name: "a message holds no more than the limit", run: func(d *drive) bool {
 			d.elect()
 			d.feed(NewPropose(NewProposal(1, make([]byte, 60)), NewProposal(2, make([]byte, 60))))
--- a/agree/property_test.go
+++ b/agree/property_test.go
@@ -13,7 +13,7 @@
 )
 
 var (
-	schedules = flag.Int("schedules", 500, "random schedules per property")
+	schedules = flag.Int("schedules", 1500, "random schedules per property")
 	shrinks   = flag.Int("shrinks", 0, "attempts to shorten a failing schedule")
 )
 
--- a/ctrl/peer_set.go
+++ b/ctrl/peer_set.go
@@ -70,7 +70,7 @@
 	name := fmt.Sprintf("replica-%s-peer-%d", p.host, p.dials)
 	s, err := startSender(p.ctx, p.system, name, host, address, p.options)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("replace sender: %w", err)
 	}
 	p.senders[host] = s
 	return s, nil
--- a/ctrl/replica_member.go
+++ b/ctrl/replica_member.go
@@ -23,11 +23,11 @@
 func (r *Replica) addMember(ctx context.Context, host ident.Host, address string) error {
 	disk, err := r.identify(ctx, host, address)
 	if err != nil {
-		return err
+		return fmt.Errorf("learn its disk: %w", err)
 	}
 	member, known, err := r.member(ctx, host)
 	if err != nil {
-		return err
+		return fmt.Errorf("look up member: %w", err)
 	}
 	if known && member.Disk() != disk {
 		return fmt.Errorf("%w: %s", ErrIdentity, host)
@@ -35,13 +35,16 @@
 	learner := agree.NewMember(host, address, disk, false)
 	if !known {
 		if err := r.change(ctx, agree.ChangeAdd, learner); err != nil {
-			return err
+			return fmt.Errorf("add learner: %w", err)
 		}
 	}
 	if member.IsVoter() {
 		return nil
 	}
-	return r.change(ctx, agree.ChangePromote, learner)
+	if err := r.change(ctx, agree.ChangePromote, learner); err != nil {
+		return fmt.Errorf("promote learner: %w", err)
+	}
+	return nil
 }
 
 // RemoveMember removes a host. It has no effect on a host that is no member.
@@ -60,11 +63,11 @@
 // member returns a member as a majority knows it.
 func (r *Replica) member(ctx context.Context, host ident.Host) (agree.Member, bool, error) {
 	if _, err := r.Barrier(ctx); err != nil {
-		return agree.Member{}, false, err
+		return agree.Member{}, false, fmt.Errorf("confirm leadership: %w", err)
 	}
 	s, err := r.Status(ctx)
 	if err != nil {
-		return agree.Member{}, false, err
+		return agree.Member{}, false, fmt.Errorf("read membership: %w", err)
 	}
 	for _, m := range s.Members() {
 		if m.Member().Host() == host {
@@ -86,8 +89,11 @@
 		}
 		again := errors.Is(result.err, agree.ErrBehind) || errors.Is(result.err, agree.ErrChangePending) ||
 			errors.Is(result.err, agree.ErrTransferring)
+		if result.err == nil {
+			return nil
+		}
 		if !again {
-			return result.err
+			return fmt.Errorf("change membership: %w", result.err)
 		}
 		timer := r.options.clock.NewTimer(r.options.tick)
 		select {
@@ -103,7 +109,7 @@
 func (r *Replica) identify(ctx context.Context, host ident.Host, address string) (agree.Disk, error) {
 	client, err := r.dial(ctx, address)
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("identify: %w", err)
 	}
 	defer client.Close()
 	call, cancel := context.WithTimeout(ctx, r.options.callTimeout)
--- a/ctrl/replica_test.go
+++ b/ctrl/replica_test.go
@@ -298,3 +298,34 @@
 	l.running[others[1]].stop()
 	return p
 }
+
+// Guards against a status that hides who leads or which member lags.
+func TestStatus(t *testing.T) {
+	l, _ := trio(t)
+	leader := l.leader()
+	l.commit(leader, "x", 5)
+	for host, p := range l.running {
+		p.machine.wait(5)
+		s, err := p.replica.Status(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := leader.replica.Host()
+		if s.Leader() != name || s.LeaderAddress() != l.addresses[name] || s.Commit() != s.Applied() || s.Last() != 6 {
+			t.Errorf("status of %s = %+v, want leader %s and revision 6", host, s, name)
+		}
+		for _, m := range s.Members() {
+			if p == leader && (m.Heard().IsZero() || m.Match() < 1 || !m.Member().IsVoter()) {
+				t.Errorf("leader %s knows nothing of %s: %+v", host, m.Member().Host(), m)
+			}
+		}
+		if p == leader {
+			continue
+		}
+		var refused *NotLeaderError
+		if _, _, err := p.replica.Propose(context.Background(), nil); !errors.As(err, &refused) ||
+			refused.Leader() != name || refused.Address() != l.addresses[name] {
+			t.Errorf("Propose to %s error = %v, want the leader %s", host, err, name)
+		}
+	}
+}
--- a/store/log.go
+++ b/store/log.go
@@ -45,7 +45,7 @@
 func (l *Log) buffered(record *logRecord) error {
 	body, err := encode(record)
 	if err != nil {
-		return err
+		return fmt.Errorf("buffer record: %w", err)
 	}
 	l.buffer = appendFrame(l.buffer, body)
 	return nil
@@ -57,7 +57,7 @@
 		return l.failed
 	}
 	if err := l.flush(); err != nil {
-		return err
+		return fmt.Errorf("sync: %w", err)
 	}
 	if l.synced == l.written {
 		return nil
@@ -77,7 +77,7 @@
 		return l.fail(l.path(logName), err)
 	}
 	if err := l.flush(); err != nil {
-		return err
+		return fmt.Errorf("mark: %w", err)
 	}
 	return nil
 }
@@ -190,7 +190,11 @@
 
 // fail records the error that every later call returns.
 func (l *Log) fail(file string, cause error) error {
-	l.failed = &FailedError{file: file, offset: l.synced, cause: cause}
+	failed := &FailedError{file: file, cause: cause}
+	if file == l.path(logName) {
+		failed.offset = l.synced
+	}
+	l.failed = failed
 	return l.failed
 }
 
--- a/store/open.go
+++ b/store/open.go
@@ -67,12 +67,12 @@
 	l.lock = lock
 	hard, snapshot, entries, err := l.restore()
 	if err != nil {
-		return agree.Restored{}, err
+		return agree.Restored{}, fmt.Errorf("restore: %w", err)
 	}
 	isEmpty := agree.NewRestored(0, hard, snapshot, entries).IsEmpty()
 	disk, err := l.identity(o, isEmpty)
 	if err != nil {
-		return agree.Restored{}, err
+		return agree.Restored{}, fmt.Errorf("identify the disk: %w", err)
 	}
 	return agree.NewRestored(disk, hard, snapshot, entries), nil
 }
@@ -82,7 +82,7 @@
 	var none agree.HardState
 	snapshot, err := l.readSnapshot()
 	if err != nil {
-		return none, snapshot, nil, err
+		return none, snapshot, nil, fmt.Errorf("read snapshot: %w", err)
 	}
 	content, err := l.files.ReadFile(l.path(logName))
 	if isMissing(err) {
@@ -93,13 +93,16 @@
 	}
 	r := reader{log: l, content: content}
 	if err := r.read(); err != nil {
-		return none, snapshot, nil, err
+		return none, snapshot, nil, fmt.Errorf("read log: %w", err)
 	}
 	if err := l.reopen(r.end, int64(len(content))); err != nil {
-		return none, snapshot, nil, err
+		return none, snapshot, nil, fmt.Errorf("reopen log: %w", err)
 	}
 	entries, err := l.reconcile(snapshot, r.hard, r.entries)
-	return r.hard, snapshot, entries, err
+	if err != nil {
+		return none, snapshot, nil, fmt.Errorf("reconcile log and snapshot: %w", err)
+	}
+	return r.hard, snapshot, entries, nil
 }
 
 // create starts an empty log. The identity is created after it, so a
@@ -123,7 +126,7 @@
 		return l.createIdentity(o)
 	}
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("read identity: %w", err)
 	}
 	var record identityRecord
 	if err := decode(body, &record); err != nil {
@@ -144,7 +147,7 @@
 	disk := binary.BigEndian.Uint64(random[:]) | 1
 	body, err := encode(identityRecord{Host: string(o.host), Disk: disk})
 	if err != nil {
-		return 0, err
+		return 0, fmt.Errorf("create identity: %w", err)
 	}
 	f, err := l.replace(identityName, appendFrame(nil, body))
 	if err != nil {
@@ -163,7 +166,7 @@
 		return none, nil
 	}
 	if err != nil {
-		return none, err
+		return none, fmt.Errorf("read record: %w", err)
 	}
 	var record snapshotRecord
 	if err := decode(body, &record); err != nil {
@@ -230,7 +233,7 @@
 		return entries, nil
 	}
 	if err := l.Compact(hard, nil); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("replace the log: %w", err)
 	}
 	return nil, nil
 }
--- a/store/reader.go
+++ b/store/reader.go
@@ -23,7 +23,7 @@
 			return r.checkTail()
 		}
 		if err := r.apply(body); err != nil {
-			return err
+			return fmt.Errorf("apply record: %w", err)
 		}
 		r.end += int64(size)
 	}
@@ -43,7 +43,7 @@
 	}
 	for _, e := range record.Entries {
 		if err := r.add(e.entry()); err != nil {
-			return err
+			return fmt.Errorf("add entry: %w", err)
 		}
 	}
 	return nil
