--- a/ctrl/replica_test.go
+++ b/ctrl/replica_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"rhubarbrack/agree"
 	"rhubarbrack/ident"
@@ -87,6 +88,7 @@
 	running   map[ident.Host]*process
 	began     chan ident.Host
 	ended     chan ident.Host
+	delay     time.Duration
 }
 
 func newLab(t testing.TB) *lab {
@@ -136,7 +138,7 @@
 	if err != nil {
 		l.t.Fatal(err)
 	}
-	served := wire.Serve(ctx, listener, server)
+	served := wire.Serve(ctx, delayed{Listener: listener, delay: l.delay}, server)
 	p.stop = func() {
 		cancel()
 		<-p.replica.Done()
@@ -216,7 +218,10 @@
 
 // trio starts three hosts that form a cluster.
 func trio(t testing.TB, list ...ReplicaOption) (*lab, []ReplicaOption) {
-	l := newLab(t)
+	return newLab(t).trio(list...)
+}
+
+func (l *lab) trio(list ...ReplicaOption) (*lab, []ReplicaOption) {
 	options := append(list, WithFormation(l.place("a", "b", "c")...))
 	for _, h := range []ident.Host{"a", "b", "c"} {
 		l.start(h, options...)
@@ -293,3 +298,34 @@
 	l.running[others[1]].stop()
 	return p
 }
+
+// Guards against a status that hides who leads or which member lags.
+func TestStatus(t *testing.T) {
+	l, _ := trio(t)
+	leader := l.leader()
+	l.commit(leader, "x", 5)
+	for host, p := range l.running {
+		p.machine.wait(5)
+		s, err := p.replica.Status(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		name := leader.replica.Host()
+		if s.Leader() != name || s.LeaderAddress() != l.addresses[name] || s.Commit() != s.Applied() || s.Last() != 6 {
+			t.Errorf("status of %s = %+v, want leader %s and revision 6", host, s, name)
+		}
+		for _, m := range s.Members() {
+			if p == leader && (m.Heard().IsZero() || m.Match() < 1 || !m.Member().IsVoter()) {
+				t.Errorf("leader %s knows nothing of %s: %+v", host, m.Member().Host(), m)
+			}
+		}
+		if p == leader {
+			continue
+		}
+		var refused *NotLeaderError
+		if _, _, err := p.replica.Propose(context.Background(), nil); !errors.As(err, &refused) ||
+			refused.Leader() != name || refused.Address() != l.addresses[name] {
+			t.Errorf("Propose to %s error = %v, want the leader %s", host, err, name)
+		}
+	}
+}
