--- a/codec/bench_test.go
+++ b/codec/bench_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"rhubarbrack/ident"
 	"rhubarbrack/once"
+	"rhubarbrack/prof"
 	"rhubarbrack/state"
 )
 
@@ -177,3 +179,170 @@
 		})
 	}
 }
+
+// blockMachine returns a Machine whose fleet has 27 regions with 103 zones and
+// n client blocks. The document is made without the YAML reader, which refuses
+// texts of this size.
+func blockMachine(b *testing.B, n int) *state.Machine {
+	b.Helper()
+	options := []prof.FleetOption{}
+	var text strings.Builder
+	text.WriteString("kind: fleet\nname: fleet\nclient-blocks:\n")
+	for r := range 27 {
+		var zones []ident.Zone
+		for z := r; z < 103; z += 27 {
+			zones = append(zones, ident.Zone(fmt.Sprintf("zone-%03d", z)))
+		}
+		options = append(options, prof.WithRegion(ident.Region(fmt.Sprintf("region-%02d", r)), zones...))
+	}
+	for i := range n {
+		cidr, zone := fmt.Sprintf("%d.%d.%d.0/24", 10+i>>16, i>>8&255, i&255), fmt.Sprintf("zone-%03d", i%103)
+		options = append(options, prof.WithBlock(cidr, ident.Zone(zone)))
+		fmt.Fprintf(&text, "- block: %s\n  zone: %s\n", cidr, zone)
+	}
+	fleet, err := prof.NewFleet(options...)
+	if err != nil {
+		b.Fatal(err)
+	}
+	m := state.NewMachine()
+	if err := m.Apply(1, state.Stamp(state.NewPutDocument("fleet", 0, fleet, text.String()), epoch)).Err(); err != nil {
+		b.Fatal(err)
+	}
+	return m
+}
+
+var blockCounts = []int{1000, 57_000, 570_000}
+
+// Reports the size of a snapshot by the client blocks, and the time to write
+// it.
+func BenchmarkEncodeBlocks(b *testing.B) {
+	for _, n := range blockCounts {
+		b.Run(fmt.Sprintf("blocks=%d", n), func(b *testing.B) {
+			m := blockMachine(b, n)
+			size := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				data, err := EncodeConfig(m.Config())
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "snapshot-bytes")
+		})
+	}
+}
+
+// Reports the time to read a snapshot by the client blocks, and the heap that
+// the configuration takes.
+func BenchmarkDecodeBlocks(b *testing.B) {
+	for _, n := range blockCounts {
+		b.Run(fmt.Sprintf("blocks=%d", n), func(b *testing.B) {
+			data, err := EncodeConfig(blockMachine(b, n).Config())
+			if err != nil {
+				b.Fatal(err)
+			}
+			benchDecode(b, data)
+		})
+	}
+}
+
+// Reports the heap of a configuration by the members.
+func BenchmarkDecodeMembers(b *testing.B) {
+	perMembers(b, func(b *testing.B, m *state.Machine, _ int) {
+		data, err := EncodeConfig(m.Config())
+		if err != nil {
+			b.Fatal(err)
+		}
+		benchDecode(b, data)
+	})
+}
+
+func benchDecode(b *testing.B, data []byte) {
+	b.Helper()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	config, err := DecodeConfig(data)
+	if err != nil {
+		b.Fatal(err)
+	}
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := DecodeConfig(data); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/1e6, "heap-MB")
+	runtime.KeepAlive(config)
+}
+
+// Reports the size of each kind of change that entry hosts receive.
+func BenchmarkCommandBytes(b *testing.B) {
+	samples, err := Samples()
+	if err != nil {
+		b.Fatal(err)
+	}
+	var parts []state.Share
+	for i := range 27 {
+		parts = append(parts, state.NewShare(ident.Region(fmt.Sprintf("region-%02d", i)), 1.0/27))
+	}
+	team, service := samples[1], samples[len(samples)-1]
+	cases := []struct {
+		name    string
+		command state.Command
+	}{
+		{name: "join", command: joinOf(1, 1)},
+		{name: "expire", command: state.NewExpire(host(1), 1)},
+		{name: "assign-role", command: state.NewAssignRole("slots/region-01", host(1), 7)},
+		{name: "issue-key", command: state.NewIssueKey("request-000001", "key-000001", "captains", [32]byte{1})},
+		{name: "put-team", command: state.NewPutDocument("request-000001", 1, team.Document(), team.Source())},
+		{name: "put-service", command: state.NewPutDocument("request-000001", 1, service.Document(), service.Source())},
+		{name: "shares-27-regions", command: state.NewSetShares("bells", "region-01", parts)},
+	}
+	for _, bc := range cases {
+		b.Run(bc.name, func(b *testing.B) {
+			command, size := state.Stamp(bc.command, epoch), 0
+			for b.Loop() {
+				data, err := EncodeCommand(command)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// Reports the size and the time of a snapshot of control hosts by the
+// at-most-once claims, whose results have 200 bytes.
+func BenchmarkEncodeClaims(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 50_000, 200_000} {
+		b.Run(fmt.Sprintf("claims=%d", n), func(b *testing.B) {
+			m := manyMembers(b, 10)
+			result := once.Ran(once.NewResult(201, nil, make([]byte, 200)))
+			for i := range n {
+				key := once.NewKey(ident.Team(fmt.Sprint("t", i%8)), ident.RequestID(fmt.Sprint("r", i)))
+				holder := once.NewHolder("edge-1", 1, uint64(i))
+				m.Apply(m.Revision()+1, state.Stamp(state.NewClaim(key, ident.Fingerprint{}, holder), epoch))
+				if err := m.Apply(m.Revision()+1, state.Stamp(state.NewResolve(key, holder, result), epoch)).Err(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			size := 0
+			for b.Loop() {
+				data, err := EncodeMachine(m)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "snapshot-bytes")
+		})
+	}
+}
--- a/limit/bench_test.go
+++ b/limit/bench_test.go
@@ -27,7 +27,7 @@
 
 // Reports the cost of a grant, by the number of holders of the team.
 func BenchmarkGrant(b *testing.B) {
-	for _, holders := range []int{10, 3400} {
+	for _, holders := range []int{10, 340, 3400} {
 		b.Run(fmt.Sprintf("%d holders", holders), func(b *testing.B) {
 			now := time.Unix(1000, 0)
 			o := NewOwner(1, DefaultLifetime, nil)
--- a/locate/locate_test.go
+++ b/locate/locate_test.go
@@ -152,3 +152,49 @@
 		i++
 	}
 }
+
+// fleetOf returns n hosts in 103 zones of 27 regions.
+func fleetOf(n int) (map[ident.Zone]ident.Region, []Host) {
+	regions := make(map[ident.Zone]ident.Region)
+	var hosts []Host
+	for i := range n {
+		zone, region := ident.Zone(fmt.Sprintf("zone-%d", i%103)), ident.Region(fmt.Sprintf("region-%d", i%103%27))
+		regions[zone] = region
+		hosts = append(hosts, NewHost(ident.Host(fmt.Sprintf("host-%d", i)), zone, region, "127.0.0.1:1"))
+	}
+	return regions, hosts
+}
+
+// Reports the cost of the directory that an entry host builds for each new
+// revision.
+func BenchmarkNewDirectory(b *testing.B) {
+	table, err := NewTable(nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, n := range []int{103, 1000, 3400} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			regions, hosts := fleetOf(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				NewDirectory(table, regions, hosts, time.Second)
+			}
+		})
+	}
+}
+
+// Reports the cost of the table that an entry host builds for each new fleet
+// document.
+func BenchmarkNewTable(b *testing.B) {
+	for _, n := range []int{57_000, 190_000, 570_000} {
+		b.Run(fmt.Sprintf("blocks=%d", n), func(b *testing.B) {
+			list, _ := blocks(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := NewTable(list); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/shift/sequence_test.go
+++ b/shift/sequence_test.go
@@ -139,6 +139,8 @@
 		calm                   bool
 	}{
 		{name: "4 services x 3 regions, all overloaded", services: 4, origins: 3, all: 3},
+		{name: "4 services x 27 origins x 63 sites, all overloaded", services: 4, origins: 27, all: 63},
+		{name: "4 services x 27 origins x 210 sites, all overloaded", services: 4, origins: 27, all: 210},
 		{name: "4 services x 27 origins x 630 sites, calm", services: 4, origins: 27, all: 630, calm: true},
 		{name: "4 services x 27 origins x 630 sites, all overloaded", services: 4, origins: 27, all: 630},
 	}
--- a/steer/bench_test.go
+++ b/steer/bench_test.go
@@ -31,7 +31,7 @@
 // BenchmarkDecision measures one grant and its release, with the refresh of
 // time-dependent scores at 10,000 decisions per second.
 func BenchmarkDecision(b *testing.B) {
-	for _, targets := range []int{50, 630} {
+	for _, targets := range []int{50, 200, 630} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			p, now := loaded(targets)
 			number := uint64(0)
@@ -63,7 +63,7 @@
 // BenchmarkQueued measures one release that serves a queue of eight teams,
 // and the ask that takes the free place in the queue.
 func BenchmarkQueued(b *testing.B) {
-	for _, targets := range []int{50, 630} {
+	for _, targets := range []int{50, 200, 630} {
 		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
 			p, now := loaded(targets)
 			class := NewClass("reads", false, 1000, 0)
