--- a/ctrl/bench_test.go
+++ b/ctrl/bench_test.go
@@ -346,7 +346,7 @@
 
 // Reports the commits of three replicas on loopback whose disks sync, by the
 // proposals that are under way at a time.
-func BenchmarkCommit(b *testing.B) {
+func BenchmarkCommitCost(b *testing.B) {
 	for _, parallel := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("parallel=%d", parallel), func(b *testing.B) {
 			benchReplicas(b, parallel, func(p *process) error {
