Replace certificate files at once

Cause: TestTLS failed when one host read the authority's file while the test wrote it again for the next host. Change: Pair.Write puts each file in place by a rename.

--- a/certs/authority.go
+++ b/certs/authority.go
@@ -24,8 +24,6 @@
 	validFor = 30 * 24 * time.Hour
 	// serialBits is the length of random serial numbers.
 	serialBits = 120
-	// keyMode keeps keys from other users of the machine.
-	keyMode = 0o600
 	dirMode = 0o700
 )
 
@@ -131,9 +129,30 @@
 		content []byte
 	}{{f.certificate, p.content.certificate}, {f.key, p.content.key}, {f.authority, p.content.authority}}
 	for _, part := range parts {
-		if err := os.WriteFile(part.path, part.content, keyMode); err != nil {
+		if err := replaceFile(part.path, part.content); err != nil {
 			return Files{}, fmt.Errorf("write certificates: %w", err)
 		}
 	}
 	return f, nil
 }
+
+// replaceFile puts content in place of a file at once, so that a process that
+// reads the file meanwhile gets the old content or the new one.
+func replaceFile(path string, content []byte) error {
+	file, err := os.CreateTemp(filepath.Dir(path), ".new-*")
+	if err != nil {
+		return fmt.Errorf("make temporary file: %w", err)
+	}
+	_, err = file.Write(content)
+	if closing := file.Close(); err == nil {
+		err = closing
+	}
+	if err == nil {
+		err = os.Rename(file.Name(), path)
+	}
+	if err != nil {
+		_ = os.Remove(file.Name())
+		return fmt.Errorf("replace %s: %w", path, err)
+	}
+	return nil
+}
--- a/certs/source_test.go
+++ b/certs/source_test.go
@@ -137,7 +137,7 @@
 		want, deny *tls.Config
 	}{
 		{name: "at start", change: func() error { return nil }, want: before, deny: after},
-		{name: "broken file", change: func() error { return os.WriteFile(files.key, []byte("x"), keyMode) },
+		{name: "broken file", change: func() error { return os.WriteFile(files.key, []byte("x"), 0o600) },
 			advance: time.Second, want: before, deny: after},
 		{name: "new files before the check", change: replace, want: before, deny: after},
 		{name: "new files after the check", change: func() error { return nil }, advance: time.Second, want: after, deny: before},
