--- a/ctrl/delay_test.go
+++ b/ctrl/delay_test.go
@@ -2,24 +2,27 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 )
 
 // delayed is a listener whose connections deliver what they receive after a
-// delay, as a link between regions does.
+// delay, as a link between regions does. While it is cut, they lose data
+// without a sign to either side; what has lost data stays silent.
 type delayed struct {
 	net.Listener
 	delay time.Duration
+	cut   *atomic.Bool
 }
 
 func (d delayed) Accept() (net.Conn, error) {
 	c, err := d.Listener.Accept()
-	if err != nil || d.delay == 0 {
+	if err != nil || d.delay == 0 && d.cut == nil {
 		return c, err
 	}
 	in := &delayedConn{Conn: c, parcels: make(chan parcel, 4096)}
 	out := &delayedConn{Conn: c, parcels: make(chan parcel, 4096)}
-	go in.receive(d.delay)
+	go in.receive(d.delay, d.cut)
 	go out.transmit()
 	return &link{Conn: c, in: in, out: out, delay: d.delay}, nil
 }
@@ -52,10 +55,15 @@
 }
 
 // receive reads until the connection ends.
-func (c *delayedConn) receive(delay time.Duration) {
+func (c *delayedConn) receive(delay time.Duration, cut *atomic.Bool) {
+	silent := false
 	for {
 		buffer := make([]byte, 64<<10)
 		n, err := c.Conn.Read(buffer)
+		silent = silent || cut != nil && cut.Load()
+		if silent && err == nil {
+			continue
+		}
 		c.parcels <- parcel{data: buffer[:n], due: time.Now().Add(delay), err: err}
 		if err != nil {
 			return
--- a/ctrl/replica_test.go
+++ b/ctrl/replica_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,6 +90,7 @@
 	began     chan ident.Host
 	ended     chan ident.Host
 	delay     time.Duration
+	cuts      map[ident.Host]*atomic.Bool
 }
 
 func newLab(t testing.TB) *lab {
@@ -96,6 +98,7 @@
 		t: t, system: tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil))),
 		addresses: map[ident.Host]string{}, folders: map[ident.Host]string{}, running: map[ident.Host]*process{},
 		began: make(chan ident.Host, 1024), ended: make(chan ident.Host, 1024),
+		cuts: map[ident.Host]*atomic.Bool{},
 	}
 	t.Cleanup(func() {
 		for _, p := range l.running {
@@ -138,7 +141,7 @@
 	if err != nil {
 		l.t.Fatal(err)
 	}
-	served := wire.Serve(ctx, delayed{Listener: listener, delay: l.delay}, server)
+	served := wire.Serve(ctx, delayed{Listener: listener, delay: l.delay, cut: l.cuts[h]}, server)
 	p.stop = func() {
 		cancel()
 		<-p.replica.Done()
