Form a cluster on answers of one attempt

Cause: the formation kept the answer of a host that has lost its disk since, and could form a cluster with the disk that is gone. Change: every attempt asks all hosts anew. A test starts hosts late, again and without their disks before the cluster forms.

--- a/ctrl/replica_cut_test.go
+++ b/ctrl/replica_cut_test.go
@@ -142,3 +142,41 @@
 		})
 	}
 }
+
+// Guards against a cluster that does not form when its hosts start at
+// different times.
+func TestFormation(t *testing.T) {
+	cases := []struct {
+		name   string
+		before func(l *lab, options []ReplicaOption)
+	}{
+		{name: "a host starts late", before: func(*lab, []ReplicaOption) {}},
+		{name: "a waiting host starts again", before: func(l *lab, options []ReplicaOption) {
+			l.running["a"].stop()
+			l.start("a", options...)
+		}},
+		{name: "a waiting host starts again without its disk", before: func(l *lab, options []ReplicaOption) {
+			l.running["a"].stop()
+			l.folders["a"] = l.t.TempDir()
+			l.start("a", options...)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newLab(t)
+			options := []ReplicaOption{WithFormation(l.place("a", "b", "c")...)}
+			l.start("a", options...)
+			l.start("b", options...)
+			s, err := l.running["b"].replica.Status(context.Background())
+			if err != nil || len(s.Members()) != 0 {
+				t.Errorf("status = %+v, %v; want no members before every host has answered", s, err)
+			}
+			tc.before(l, options)
+			l.start("c", options...)
+			l.commit(l.leader(), "x", 5)
+			for _, p := range l.running {
+				p.machine.wait(5)
+			}
+		})
+	}
+}
--- a/ctrl/replica_form.go
+++ b/ctrl/replica_form.go
@@ -34,8 +34,7 @@
 func newFormation(
 	system *tasks.System, host ident.Host, disk agree.Disk, task *tasks.Ref, o replicaOptions,
 ) *formation {
-	disks := map[ident.Host]agree.Disk{host: disk}
-	return &formation{system: system, host: host, disk: disk, task: task, options: o, disks: disks}
+	return &formation{system: system, host: host, disk: disk, task: task, options: o}
 }
 
 // run reports to the replica task how the formation ended, or ends with ctx.
@@ -91,9 +90,11 @@
 	return clients, nil
 }
 
-// attempt asks all hosts once and returns the first membership when it is
-// known.
+// attempt asks all hosts once and returns the first membership when all have
+// answered or one of them knows it.
 func (f *formation) attempt(ctx context.Context, clients map[ident.Host]*wire.Client) (agree.Members, bool, error) {
+	// An answer of an earlier attempt may be about a disk that is gone.
+	f.disks = map[ident.Host]agree.Disk{f.host: f.disk}
 	for host, client := range clients {
 		r, err := f.ask(ctx, client)
 		if err != nil {
