--- a/agree/leader.go
+++ b/agree/leader.go
@@ -183,8 +183,14 @@
 	if n.role != Leader || p == nil {
 		return
 	}
+	returned := !n.isInContact(m.from)
 	p.heard = n.now
 	p.round = max(p.round, m.round)
+	if returned && p.mode == installing {
+		// A snapshot sent while the peer was away is lost. Without it the peer
+		// counts for no majority, so the leader does not wait for the timeout.
+		n.sendSnapshot(m.from, p)
+	}
 	if m.reject {
 		n.onRejected(m, p)
 	} else {
--- a/agree/node_test.go
+++ b/agree/node_test.go
@@ -225,6 +225,24 @@
 			d.feed(NewPropose(NewProposal(4, nil), NewProposal(5, nil)))
 			return d.commit == last && len(d.out.accepted) == 1 && errors.Is(d.refusal(), ErrBusy)
 		}},
+		{name: "a peer that returns gets the snapshot again at once", run: func(d *drive) bool {
+			d.elect()
+			d.confirm(1)
+			d.feed(NewPropose(NewProposal(1, nil), NewProposal(2, nil)))
+			d.options.retained = 0
+			d.sync()
+			d.confirm(3)
+			d.feed(NewCompact(3, nil))
+			d.at = d.at.Add(defaultElectionTimeout / 2)
+			d.confirm(3)
+			d.pass(defaultElectionTimeout / 2)
+			sent := len(d.answers(MessageInstall))
+			m := d.from("c", MessageAppendAnswer, d.term)
+			d.feed(NewReceive(m))
+			again := len(d.answers(MessageInstall))
+			d.feed(NewReceive(m))
+			return sent == 1 && again == 1 && len(d.answers(MessageInstall)) == 0
+		}},
 		{name: "a message holds no more than the limit", run: func(d *drive) bool {
 			d.elect()
 			d.feed(NewPropose(NewProposal(1, make([]byte, 60)), NewProposal(2, make([]byte, 60))))
