--- /dev/null
+++ b/platf/bench_test.go
@@ -0,0 +1,111 @@
+package platf
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rhubarbrack/tasks"
+)
+
+// tally counts the bytes of the connections of a listener, both ways.
+type tally struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+func (t *tally) Accept() (net.Conn, error) {
+	conn, err := t.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &talliedConn{Conn: conn, tally: t}, nil
+}
+
+type talliedConn struct {
+	net.Conn
+	tally *tally
+}
+
+func (c *talliedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.tally.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *talliedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.tally.bytes.Add(int64(n))
+	return n, err
+}
+
+// polls passes the end of each poll to a benchmark.
+type polls chan struct{}
+
+func (p polls) Tell(any) { p <- struct{}{} }
+
+// Reports the bytes of one poll of the platform's list, whose answer has an
+// entity tag, and of the list itself.
+func BenchmarkPollBytes(b *testing.B) {
+	for _, changed := range []bool{false, true} {
+		for _, n := range []int{50, 630, 2520} {
+			b.Run(fmt.Sprintf("changed=%v/targets=%d", changed, n), func(b *testing.B) {
+				var record ListRecord
+				for i := range n {
+					record.Hosts = append(record.Hosts, TargetRecord{ID: fmt.Sprintf("target-%04d", i), Service: "bells",
+						Address: fmt.Sprintf("10.%d.%d.1:8080", i>>8, i&255), Zone: "zone-001", Region: "region-01", Slots: 4, State: string(Live)})
+				}
+				list, err := json.Marshal(record)
+				if err != nil {
+					b.Fatal(err)
+				}
+				var served atomic.Int64
+				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					tag := `"1"`
+					if changed {
+						tag = fmt.Sprintf("%q", fmt.Sprint(served.Add(1)))
+					}
+					w.Header().Set("ETag", tag)
+					if r.Header.Get("If-None-Match") == tag {
+						w.WriteHeader(http.StatusNotModified)
+						return
+					}
+					_, _ = w.Write(list)
+				}))
+				t := &tally{Listener: server.Listener}
+				server.Listener = t
+				server.Start()
+				defer server.Close()
+				system := tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil)))
+				defer system.Shutdown()
+				ended := make(polls)
+				l, err := StartLister(b.Context(), system, server.URL, ended, WithInterval(time.Millisecond))
+				if err != nil {
+					b.Fatal(err)
+				}
+				<-ended
+				first, done := t.bytes.Load(), 0
+				for b.Loop() {
+					<-ended
+					done++
+				}
+				b.ReportMetric(float64(t.bytes.Load()-first)/float64(done), "poll-bytes")
+				l.Stop()
+				for stopped := false; !stopped; {
+					select {
+					case <-ended:
+					case <-l.Done():
+						stopped = true
+					}
+				}
+			})
+		}
+	}
+}
