Name the benchmarks of parallel commits and confirmations

BenchmarkCommit and BenchmarkBarrier are general names that further benchmarks of the package are likely to want. Name them by what they vary and move the file with the other capacity benchmarks. They run as before.

--- a/ctrl/bench_test.go
+++ b/ctrl/capacity_test.go
@@ -431,7 +431,7 @@
 
 // Reports the commits of three replicas on loopback whose disks sync, by the
 // proposals that are under way at a time.
-func BenchmarkCommit(b *testing.B) {
+func BenchmarkParallelCommit(b *testing.B) {
 	for _, parallel := range []int{1, 8, 64} {
 		b.Run(fmt.Sprintf("parallel=%d", parallel), func(b *testing.B) {
 			benchReplicas(b, parallel, func(p *process) error {
@@ -443,7 +443,7 @@
 }
 
 // Reports the confirmations of leadership by three replicas on loopback.
-func BenchmarkBarrier(b *testing.B) {
+func BenchmarkParallelBarrier(b *testing.B) {
 	for _, parallel := range []int{1, 33, 340} {
 		b.Run(fmt.Sprintf("parallel=%d", parallel), func(b *testing.B) {
 			benchReplicas(b, parallel, func(p *process) error {
