Test that a slot owner opens without the report of a host that stays cut off

Cause: only package steer tested it; a missing take-over time in package entry would have gone unseen. Change: a case of TestOwnerRefusesCalls with a manual clock. Result: passes; fails with 'never: the owner opens without the report' when takeOver does not pass the time.

--- a/entry/slot_task_test.go
+++ b/entry/slot_task_test.go
@@ -87,6 +87,15 @@
 			}
 			return "open"
 		}, want: "closed"},
+		{name: "a host stays cut off from a new owner", call: func(f *fleet) string {
+			f.owners[1].SetServices(testRegion, []steer.Service{steer.NewService("s", 0, 0, steer.WithTimeout(time.Second))})
+			f.net.mutex.Lock()
+			f.net.faults = always(loseCall, slotOpenMethod, 1<<30)
+			f.net.mutex.Unlock()
+			f.assign(1)
+			f.advanceUntil("the owner opens without the report", func() bool { return f.status().Epoch() == 2 && f.status().IsOpen() })
+			return "open"
+		}, want: "open"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
