Use hosts of weight 0 as fallbacks in the load tool; start a trial of the whole system

Cause: an entry host lists hosts of other regions with weight 0 when there is more than one region, and the load tool refused the whole look-up, so that all requests of a run over three regions ended as unsent (11,942 of 11,942).

--- a/load/finder.go
+++ b/load/finder.go
@@ -126,8 +126,8 @@
 	p.reply.Send(f.choose(a, p.avoid))
 }
 
-// choose draws a host by weight. When all are to be avoided, it draws among
-// all.
+// choose draws a host by weight. A host of weight 0 is a fallback, used when no
+// other is allowed. When all are to be avoided, it draws among all.
 func (f *finder) choose(a *answer, avoid []string) picked {
 	if len(a.hosts) == 0 {
 		return picked{err: a.err}
@@ -137,7 +137,10 @@
 	for i, h := range a.hosts {
 		allowed[i] = !slices.Contains(avoid, h.Address)
 		if allowed[i] {
-			sum, last = sum+h.Weight, i
+			sum += h.Weight
+			if h.Weight > 0 || sum == 0 {
+				last = i
+			}
 		}
 	}
 	if last < 0 {
@@ -228,7 +231,7 @@
 		return r, fmt.Errorf("%w: %d hosts for %v s", ErrLookup, len(r.Hosts), r.TTL)
 	}
 	for _, h := range r.Hosts {
-		if _, err := netip.ParseAddrPort(h.Address); err != nil || !(h.Weight > 0) {
+		if _, err := netip.ParseAddrPort(h.Address); err != nil || !(h.Weight >= 0) {
 			return r, fmt.Errorf("%w: host %q with address %q and weight %v", ErrLookup, h.Host, h.Address, h.Weight)
 		}
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -23,6 +23,7 @@
 	clock clock.Clock
 	log   *slog.Logger
 	http  http.RoundTripper
+	wrap  func(http.RoundTripper) http.RoundTripper
 }
 
 // Option changes a default of Run.
@@ -37,6 +38,12 @@
 // WithRoundTripper replaces the HTTP transport.
 func WithRoundTripper(t http.RoundTripper) Option { return func(s *settings) { s.http = t } }
 
+// WithWrapper wraps the HTTP transport, so that a trial can observe the
+// attempts.
+func WithWrapper(wrap func(http.RoundTripper) http.RoundTripper) Option {
+	return func(s *settings) { s.wrap = wrap }
+}
+
 // runner is one run of a plan.
 type runner struct {
 	settings
@@ -60,6 +67,9 @@
 		defer transport.CloseIdleConnections()
 		s.http = transport
 	}
+	if s.wrap != nil {
+		s.http = s.wrap(s.http)
+	}
 	system := tasks.NewSystem(s.log)
 	defer system.Shutdown()
 	r := &runner{settings: s, plan: p, start: s.clock.Now(), slots: make(chan struct{}, p.inFlight)}
--- /dev/null
+++ b/node/trial_fleet_test.go
@@ -0,0 +1,158 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/codec"
+	"rhubarbrack/ident"
+	"rhubarbrack/platf"
+	"rhubarbrack/stand"
+	"rhubarbrack/tasks"
+)
+
+const (
+	trialControls = 3
+	trialEntries  = 8
+	// trialPerService is the number of targets of a service in each region.
+	trialPerService = 4
+	// trialRoles are the slot roles of three regions and four rate shards.
+	trialRoles = 7
+	// trialShares are the pairs of a service and an origin region.
+	trialShares = 12
+	// trialWork is the median time of a request at a target.
+	trialWork   = 100 * time.Millisecond
+	trialSpread = 0.3
+)
+
+var (
+	trialRegions  = []ident.Region{"north", "south", "west"}
+	trialServices = []ident.Service{"catalogue", "deposits", "schedules", "patterns"}
+)
+
+// trialFleet is a fleet of the size of a user's system.
+type trialFleet struct {
+	*fleet
+	direct  []string
+	regions map[ident.Target]ident.Region
+}
+
+func newTrialFleet(t *testing.T) *trialFleet {
+	t.Helper()
+	f := &trialFleet{
+		fleet: &fleet{
+			t: t, directory: t.TempDir(), keys: make(map[ident.Team]string),
+			system:    tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil))),
+			documents: make(map[string]codec.Sample),
+		},
+		regions: make(map[ident.Target]ident.Region),
+	}
+	t.Cleanup(f.stop)
+	data, err := os.ReadFile("../sample/trial.yaml")
+	f.check(err)
+	documents, err := codec.DecodeDocuments(data)
+	f.check(err)
+	f.startStandIns()
+	for i := range trialControls {
+		f.controls = append(f.controls, &process{name: fmt.Sprintf("control-%d", i+1), address: f.addresses("peers", "operators")})
+	}
+	for _, p := range f.controls {
+		f.startControl(p)
+	}
+	for i := range trialEntries {
+		p := &process{name: fmt.Sprintf("entry-%d", i+1), address: f.addresses("callers", "peers", "operators")}
+		f.entries = append(f.entries, p)
+		f.startTrialEntry(p, i)
+	}
+	f.putAll(documents, trialRoles, trialShares)
+	return f
+}
+
+// startStandIns starts the targets with 3 to 6 slots, and for each service one
+// that is not listed and takes the direct calls.
+func (f *trialFleet) startStandIns() {
+	var list []platf.Target
+	for _, region := range trialRegions {
+		for s, service := range trialServices {
+			for i := range trialPerService {
+				zone := ident.Zone(string(region) + []string{"-a", "-b"}[i%2])
+				target := f.startTarget(service, region, zone, 3+(i+s)%4, 0)
+				entry, err := target.Entry(platf.Live)
+				f.check(err)
+				f.targets, list = append(f.targets, target), append(list, entry)
+				f.regions[target.ID()] = region
+			}
+		}
+	}
+	for _, service := range trialServices {
+		target := f.startTarget(service, "north", "north-a", 64, 0)
+		f.targets, f.direct = append(f.targets, target), append(f.direct, target.Address())
+	}
+	platform, err := stand.StartPlatform(context.Background(), f.system, stand.WithTargets(list...))
+	f.check(err)
+	f.platform = platform
+}
+
+func (f *trialFleet) startTarget(service ident.Service, region ident.Region, zone ident.Zone, slots, queue int) *stand.Target {
+	number := len(f.targets) + 1
+	target, err := stand.StartTarget(context.Background(), f.system,
+		stand.WithID(ident.Target(fmt.Sprintf("target-%d", number))), stand.WithService(service),
+		stand.WithPlace(zone, region), stand.WithSlots(slots), stand.WithQueue(queue),
+		stand.WithServiceTime(trialWork, trialSpread), stand.WithSeed(uint64(number)), stand.WithColdStart(20, 2))
+	f.check(err)
+	return target
+}
+
+func (f *trialFleet) startTrialEntry(p *process, number int) {
+	region := string(trialRegions[number%len(trialRegions)])
+	zone := region + []string{"-a", "-b"}[number/len(trialRegions)%2]
+	f.start(p, "entry", f.entrySettings(p, zone, region))
+}
+
+// attempt is the end of one attempt of the load tool.
+type attempt struct {
+	at      time.Time
+	took    time.Duration
+	served  bool
+	reason  string
+	service string
+	path    string
+}
+
+// watch records the attempts that pass through it.
+type watch struct {
+	next     http.RoundTripper
+	mutex    *sync.Mutex
+	attempts *[]attempt
+}
+
+var _ http.RoundTripper = watch{}
+
+// RoundTrip implements http.RoundTripper.
+func (w watch) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !strings.HasSuffix(r.Host, ".test") {
+		// Look-ups and direct calls.
+		return w.next.RoundTrip(r)
+	}
+	began := clock.Wall().Now()
+	response, err := w.next.RoundTrip(r)
+	a := attempt{at: clock.Wall().Now(), reason: "no-answer", service: strings.TrimSuffix(r.Host, ".test"), path: r.URL.Path}
+	a.took = a.at.Sub(began)
+	if err == nil {
+		a.reason = response.Header.Get("Rhubarbrack-Reason")
+		a.served = response.Header.Get("Rhubarbrack-Outcome") == "ran"
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	*w.attempts = append(*w.attempts, a)
+	return response, err
+}
