--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -36,6 +36,7 @@
 	dispatcher Dispatcher
 	id         ident.RequestID
 	body       []byte
+	most       int64
 	status     int
 	started    bool
 	chunked    bool
@@ -52,6 +53,7 @@
 
 // Body implements route.Exchange.
 func (x *exchange) Body(_ context.Context, limit int64) ([32]byte, error) {
+	limit = min(limit, x.most)
 	if x.request.ContentLength > limit {
 		return [32]byte{}, fmt.Errorf("%d bytes: %w", x.request.ContentLength, route.ErrBodyTooLarge)
 	}
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -37,11 +37,16 @@
 	clock       clock.Clock
 	slots       chan struct{}
 	numbers     atomic.Uint64
+	bodyBytes   int64
 }
 
 // defaultRequests bounds the requests under way at one entry host.
 const defaultRequests = 4096
 
+// defaultBodyBytes bounds the body of a request. It is kept in memory, so that
+// a request can be sent to a second target.
+const defaultBodyBytes = 64 << 20
+
 // Option sets a part of a handler.
 type Option func(*Handler)
 
@@ -51,6 +56,9 @@
 // WithRequests bounds the requests under way. The default is 4,096.
 func WithRequests(n int) Option { return func(h *Handler) { h.slots = make(chan struct{}, n) } }
 
+// WithBodyBytes bounds the body of a request. A service may set less.
+func WithBodyBytes(n int64) Option { return func(h *Handler) { h.bodyBytes = n } }
+
 // NewHandler returns a handler. The ids of requests start with the host and the
 // incarnation of the process, so that they are unique and lead to the host
 // that can explain them.
@@ -60,7 +68,7 @@
 	h := &Handler{
 		prefix: fmt.Sprintf("%s-%x", host, uint64(incarnation)), views: views, router: router,
 		directories: directories, dispatcher: dispatcher, recorder: recorder, clock: clock.Wall(),
-		slots: make(chan struct{}, defaultRequests),
+		slots: make(chan struct{}, defaultRequests), bodyBytes: defaultBodyBytes,
 	}
 	for _, apply := range list {
 		apply(h)
@@ -92,7 +100,7 @@
 		refuse(w, id, route.Refuse(ReasonBadTimeout, err.Error(), 0))
 		return
 	}
-	x := &exchange{writer: w, request: r, dispatcher: h.dispatcher, id: id}
+	x := &exchange{writer: w, request: r, dispatcher: h.dispatcher, id: id, most: h.bodyBytes}
 	out := h.router.Run(r.Context(), request, x)
 	h.recorder.Record(request, out, began, h.clock.Now().Sub(began))
 	switch {
--- a/cmds/drain.go
+++ b/cmds/drain.go
@@ -85,6 +85,11 @@
 		}
 		record.Until = &until
 	}
+	// Durations count from now, so a repetition must name the times.
+	c.repeat = " -from " + from.Format(time.RFC3339Nano)
+	if record.Until != nil {
+		c.repeat += " -until " + record.Until.Format(time.RFC3339Nano)
+	}
 	out, err := client.PlanDrain(ctx, c.requestID(), record)
 	if err != nil {
 		return fmt.Errorf("drain %s: %w", id, err)
--- a/cmds/key.go
+++ b/cmds/key.go
@@ -18,7 +18,8 @@
 // keyCommand issues, withdraws and lists keys.
 type keyCommand struct {
 	operator
-	id string
+	id   string
+	text string
 }
 
 var _ subcommands.Command = (*keyCommand)(nil)
@@ -41,6 +42,7 @@
 // SetFlags implements subcommands.Command.
 func (c *keyCommand) SetFlags(f *flag.FlagSet) {
 	c.setChangeFlags(f)
+	f.StringVar(&c.text, "key", "", "text of the key, to repeat an issue whose outcome is unknown")
 	f.StringVar(&c.id, "id", "", "public id of the key to issue; the default is the team and a random part")
 }
 
@@ -75,7 +77,15 @@
 	if id == "" {
 		id = team + "-" + strings.ToLower(rand.Text()[:idLength])
 	}
-	text := route.KeyText(ident.KeyID(id), rand.Text())
+	text := c.text
+	if text == "" {
+		text = route.KeyText(ident.KeyID(id), rand.Text())
+	}
+	if known, _, _ := strings.Cut(text, "."); known != id {
+		return fmt.Errorf("%w: the key does not belong to the id %s", errUsage, id)
+	}
+	// The same key must be sent again, or the request id counts as reused.
+	c.repeat = fmt.Sprintf(" -id %s -key %s", id, text)
 	hash := route.KeyHash(text)
 	out, err := client.IssueKey(ctx, c.requestID(), oper.KeyRecord{ID: id, Team: team, SHA256: hex.EncodeToString(hash[:])})
 	if err != nil {
--- a/cmds/operator.go
+++ b/cmds/operator.go
@@ -33,6 +33,8 @@
 	json      bool
 	wait      bool
 	request   string
+	// repeat holds the other flags that a repetition of the command needs.
+	repeat string
 }
 
 func (o *operator) setFlags(f *flag.FlagSet) {
@@ -101,7 +103,7 @@
 		return exitRefused
 	case errors.Is(err, oper.ErrUnavailable):
 		if o.request != "" {
-			_, _ = fmt.Fprintf(o.console.errs, "%s: to learn the outcome, repeat the command with -request %s\n", name, o.request)
+			_, _ = fmt.Fprintf(o.console.errs, "%s: to learn the outcome, repeat the command with -request %s%s\n", name, o.request, o.repeat)
 		}
 		return exitUnavailable
 	}
--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -39,14 +40,11 @@
 	if len(hosts) == 0 {
 		return nil, errors.New("start control client: no control hosts")
 	}
-	t := &guide{}
+	t := &guide{ctx: ctx, system: system, options: list}
 	for _, p := range hosts {
-		w, err := wire.Dial(ctx, system, "ctrl-client-"+string(p.Host()), p.Address(), list...)
-		if err != nil {
-			return nil, fmt.Errorf("control host %s: %w", p.Host(), err)
+		if err := t.add(p.Host(), p.Address()); err != nil {
+			return nil, err
 		}
-		t.hosts = append(t.hosts, p.Host())
-		t.clients = append(t.clients, w)
 	}
 	ref, err := tasks.Spawn(ctx, system, "ctrl-client", t)
 	if err != nil {
@@ -67,14 +65,19 @@
 	candidateOf struct{ reply tasks.Reply[candidate] }
 	// called tells the task how a call to a candidate ended.
 	called struct {
-		number int
-		served bool
-		leader ident.Host
+		number  int
+		served  bool
+		leader  ident.Host
+		address string
 	}
 )
 
-// guide is the task behind Client.
+// guide is the task behind Client. It begins with the control hosts of the
+// settings and learns of others when an answer names them as the leader.
 type guide struct {
+	ctx     context.Context
+	system  *tasks.System
+	options []wire.Option
 	hosts   []ident.Host
 	clients []*wire.Client
 	current int
@@ -89,19 +92,33 @@
 		m.reply.Send(candidate{number: g.current, client: g.clients[g.current]})
 	case called:
 		if !m.served && m.number == g.current {
-			g.current = g.next(m.leader)
+			g.current = g.next(m.leader, m.address)
 		}
 	}
 }
 
+func (g *guide) add(host ident.Host, address string) error {
+	w, err := wire.Dial(g.ctx, g.system, "ctrl-client-"+string(host), address, g.options...)
+	if err != nil {
+		return fmt.Errorf("control host %s: %w", host, err)
+	}
+	g.hosts = append(g.hosts, host)
+	g.clients = append(g.clients, w)
+	return nil
+}
+
 // next returns the host that was named as the leader, or else the following
 // one.
-func (g *guide) next(leader ident.Host) int {
+func (g *guide) next(leader ident.Host, address string) int {
 	for i, h := range g.hosts {
 		if h == leader && i != g.current {
 			return i
 		}
 	}
+	known := slices.Contains(g.hosts, leader)
+	if !known && leader != "" && address != "" && g.add(leader, address) == nil {
+		return len(g.hosts) - 1
+	}
 	return (g.current + 1) % len(g.hosts)
 }
 
@@ -123,7 +140,7 @@
 	defer cancel()
 	var reply PollReply
 	err = to.client.Call(ctx, pollService+".Poll", &args, &reply)
-	c.ref.Tell(called{number: to.number, served: err == nil && reply.Verdict == VerdictServed, leader: reply.Leader})
+	c.ref.Tell(called{number: to.number, served: err == nil && reply.Verdict == VerdictServed, leader: reply.Leader, address: reply.Address})
 	if err != nil {
 		return PollReply{}, fmt.Errorf("poll control host: %w", err)
 	}
@@ -187,7 +204,7 @@
 		err = to.client.Call(callCtx, pollService+".InForce", &InForceArgs{Revision: revision, Wait: maxPollWait}, &reply)
 		cancel()
 		served := err == nil && reply.Verdict == VerdictServed
-		c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader})
+		c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader, address: reply.Address})
 		if served && reply.Reached {
 			return nil
 		}
@@ -241,7 +258,7 @@
 		err = to.client.Call(callCtx, pollService+".Read", &ReadArgs{Kind: kind, Name: name}, &reply)
 		cancel()
 		served := err == nil && reply.Verdict == VerdictServed
-		c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader})
+		c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader, address: reply.Address})
 		if served {
 			config, err := codec.DecodeConfig(reply.Config)
 			if err != nil {
@@ -269,7 +286,7 @@
 		var reply MemberReply
 		err = to.client.Call(callCtx, pollService+".Member", &args, &reply)
 		cancel()
-		c.ref.Tell(called{number: to.number, served: err == nil && reply.Verdict != VerdictNotLeader, leader: reply.Leader})
+		c.ref.Tell(called{number: to.number, served: err == nil && reply.Verdict != VerdictNotLeader, leader: reply.Leader, address: reply.Address})
 		if err == nil && reply.Verdict == VerdictServed {
 			return nil
 		}
@@ -293,7 +310,7 @@
 	args := ProposeArgs{Command: data, Timeout: proposeTimeout}
 	err = to.client.Call(ctx, pollService+".Propose", &args, &reply)
 	served := err == nil && reply.Verdict != VerdictNotLeader
-	c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader})
+	c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader, address: reply.Address})
 	if err != nil {
 		return ProposeReply{}, fmt.Errorf("call control host: %w", err)
 	}
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"rhubarbrack/codec"
 	"rhubarbrack/ident"
@@ -12,9 +13,9 @@
 )
 
 // maxDeltas is the number of shared commands that a control host keeps for
-// entry hosts that are behind. At 14,000 changes a day it covers the better
-// part of an hour; older followers get a snapshot.
-const maxDeltas = 512
+// entry hosts that are behind. At 14,000 changes a day it covers three and a
+// half hours; older followers get a snapshot.
+const maxDeltas = 2048
 
 // Feed is the task that hands changes of the configuration to entry hosts and
 // to the tasks of the control host. The engine of the replica feeds it.
@@ -54,10 +55,12 @@
 // Wait returns when the configuration is newer than the revision, or when ctx
 // ends.
 func (f *Feed) Wait(ctx context.Context, revision ident.Revision) {
-	number, err := tasks.Ask(ctx, f.ref, func(r tasks.Reply[ident.Revision]) any {
+	_, err := tasks.Ask(ctx, f.ref, func(r tasks.Reply[ident.Revision]) any {
 		return waitFor{revision: revision, ctx: ctx, reply: r}
 	})
-	_, _ = number, err
+	if err != nil {
+		f.ref.Tell(dropEnded{})
+	}
 }
 
 // Since returns what changed after the revision.
@@ -98,7 +101,7 @@
 type Changes struct {
 	revision ident.Revision
 	deltas   []Delta
-	config   *state.Config
+	snapshot []byte
 }
 
 // Revision returns the revision that the changes lead to.
@@ -107,9 +110,9 @@
 // Deltas returns the shared commands in order.
 func (c Changes) Deltas() []Delta { return c.deltas }
 
-// Snapshot returns the whole configuration when the deltas do not reach back
-// far enough.
-func (c Changes) Snapshot() (*state.Config, bool) { return c.config, c.config != nil }
+// Snapshot returns the encoded configuration when the deltas do not reach back
+// far enough, and nothing otherwise.
+func (c Changes) Snapshot() []byte { return c.snapshot }
 
 type (
 	// changed carries an applied shared command.
@@ -128,7 +131,9 @@
 		key   documentKey
 		reply tasks.Reply[[]state.Version]
 	}
-	configOf struct {
+	// dropEnded tells that a wait has ended without a change.
+	dropEnded struct{}
+	configOf  struct {
 		reply tasks.Reply[*state.Config]
 	}
 	waitFor struct {
@@ -149,8 +154,12 @@
 	deltas  []Delta
 	base    ident.Revision
 	waiting []waitFor
+	ended   int
 	sinks   []ConfigSink
 	history map[documentKey][]state.Version
+	// encoded is the snapshot of revision encodedAt.
+	encoded   []byte
+	encodedAt ident.Revision
 }
 
 var _ tasks.Task = (*feed)(nil)
@@ -173,6 +182,8 @@
 		f.history = make(map[documentKey][]state.Version)
 		f.keep(m.history)
 		f.publish(m.config)
+	case dropEnded:
+		f.dropEnded()
 	case configOf:
 		m.reply.Send(f.config)
 	case waitFor:
@@ -192,6 +203,17 @@
 	}
 }
 
+// dropEnded forgets the waits that have ended. It looks at all of them once
+// half may have ended, so that each wait costs little.
+func (f *feed) dropEnded() {
+	f.ended++
+	if f.ended < len(f.waiting)/2 {
+		return
+	}
+	f.ended = 0
+	f.waiting = slices.DeleteFunc(f.waiting, func(w waitFor) bool { return w.ctx.Err() != nil })
+}
+
 func (f *feed) publish(config *state.Config) {
 	f.config = config
 	kept := f.waiting[:0]
@@ -216,14 +238,29 @@
 	case revision >= latest:
 		return Changes{revision: latest}
 	case revision < f.base || revision == 0:
-		return Changes{revision: latest, config: f.config}
+		return f.whole()
 	}
 	for i, d := range f.deltas {
 		if d.Revision > revision {
 			return Changes{revision: latest, deltas: f.deltas[i:len(f.deltas):len(f.deltas)]}
 		}
 	}
-	return Changes{revision: latest, config: f.config}
+	return f.whole()
+}
+
+// whole returns the snapshot of the latest revision. It is encoded once per
+// revision, since the hosts of a zone may all ask for it at the same time.
+func (f *feed) whole() Changes {
+	latest := f.config.Revision()
+	if f.encoded == nil || f.encodedAt != latest {
+		data, err := codec.EncodeConfig(f.config)
+		if err != nil {
+			f.encoded = nil
+			return Changes{}
+		}
+		f.encoded, f.encodedAt = data, latest
+	}
+	return Changes{revision: latest, snapshot: f.encoded}
 }
 
 // Engine applies committed commands to the replicated state and passes the
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -228,10 +228,17 @@
 	// lease any more, since another process may already have their roles.
 	expiring map[ident.Host]ident.Incarnation
 	targets  platf.List
-	waiting  []awaitForce
+	waiting  []*waiter
 	events   []Event
 }
 
+// waiter waits until a revision is in force. It keeps the members that are
+// still behind, so that a poll costs no look at all members.
+type waiter struct {
+	awaitForce
+	behind map[ident.Host]struct{}
+}
+
 var _ tasks.Task = (*leader)(nil)
 
 // Handle implements tasks.Task.
@@ -243,6 +250,9 @@
 		l.leads, l.expiring = true, make(map[ident.Host]ident.Incarnation)
 		l.sessions.begin(l.clock.Now())
 		l.planner.Reset()
+		for _, w := range l.waiting {
+			l.fill(w)
+		}
 		l.log.Info("ctrl: leadership began", "term", m.term)
 	case ended:
 		l.leads = false
@@ -250,13 +260,18 @@
 	case *state.Config:
 		l.config = m
 		l.forget()
+		for _, w := range l.waiting {
+			l.fill(w)
+		}
 		l.wake()
 	case platf.List:
 		l.targets = m
 	case renewal:
 		l.renew(m)
 	case awaitForce:
-		l.waiting = append(l.waiting, m)
+		w := &waiter{awaitForce: m}
+		l.fill(w)
+		l.waiting = append(l.waiting, w)
 		l.wake()
 	case statusAsk:
 		m.reply.Send(l.status())
@@ -286,7 +301,7 @@
 	l.sessions.renew(m.args.Host, session{
 		incarnation: m.args.Incarnation, renewed: m.arrived, revision: m.args.Revision, demand: m.args.Demand,
 	})
-	l.wake()
+	l.caughtUp(m.args, ok && known.Incarnation() == m.args.Incarnation)
 	if first := l.membership(m.args); len(first) > 0 {
 		l.act(first...)
 	}
@@ -318,12 +333,35 @@
 	}
 }
 
+// fill finds the members that are behind a waiter's revision. A revision that
+// is not in the configuration yet has everybody behind.
+func (l *leader) fill(w *waiter) {
+	w.behind = make(map[ident.Host]struct{})
+	for _, h := range l.sessions.behind(l.config.Members(), w.revision) {
+		w.behind[h] = struct{}{}
+	}
+}
+
+// caughtUp notes what the process of a member has applied.
+func (l *leader) caughtUp(args PollArgs, member bool) {
+	done := false
+	for _, w := range l.waiting {
+		if member && args.Revision >= w.revision {
+			delete(w.behind, args.Host)
+		}
+		done = done || len(w.behind) == 0 || w.ctx.Err() != nil
+	}
+	if done {
+		l.wake()
+	}
+}
+
 func (l *leader) wake() {
 	kept := l.waiting[:0]
 	for _, w := range l.waiting {
 		switch {
 		case w.ctx.Err() != nil:
-		case l.leads && l.reached(w.revision):
+		case l.leads && len(w.behind) == 0 && l.config.Revision() >= w.revision:
 			w.reply.Send(Progress{reached: true})
 		default:
 			kept = append(kept, w)
@@ -332,10 +370,6 @@
 	l.waiting = kept
 }
 
-func (l *leader) reached(revision ident.Revision) bool {
-	return l.sessions.inForce(l.config.Members(), l.config.Revision()) >= revision
-}
-
 func (l *leader) status() LeaderStatus {
 	copied := sessions{began: l.sessions.began, known: make(map[ident.Host]session, len(l.sessions.known))}
 	for h, s := range l.sessions.known {
--- a/ctrl/record.go
+++ b/ctrl/record.go
@@ -62,8 +62,10 @@
 // PollReply is the answer of Follow.Poll: either the deltas after the asked
 // revision or a snapshot.
 type PollReply struct {
-	Verdict  Verdict
-	Leader   ident.Host
+	Verdict Verdict
+	Leader  ident.Host
+	// Address is where the leader is reached, or empty when unknown.
+	Address  string
 	Revision ident.Revision
 	Snapshot []byte
 	Deltas   []Delta
@@ -80,8 +82,10 @@
 
 // ProposeReply is the answer of Follow.Propose.
 type ProposeReply struct {
-	Verdict  Verdict
-	Leader   ident.Host
+	Verdict Verdict
+	Leader  ident.Host
+	// Address is where the leader is reached, or empty when unknown.
+	Address  string
 	Revision ident.Revision
 	Outcome  []byte
 	Error    string
@@ -97,6 +101,8 @@
 type InForceReply struct {
 	Verdict Verdict
 	Leader  ident.Host
+	// Address is where the leader is reached, or empty when unknown.
+	Address string
 	Reached bool
 	Behind  []ident.Host
 }
@@ -139,8 +145,10 @@
 // ReadReply is the answer of Follow.Read: the state as of a revision that a
 // majority confirmed after the call.
 type ReadReply struct {
-	Verdict  Verdict
-	Leader   ident.Host
+	Verdict Verdict
+	Leader  ident.Host
+	// Address is where the leader is reached, or empty when unknown.
+	Address  string
 	Config   []byte
 	History  []VersionRecord
 	InForce  ident.Revision
@@ -163,5 +171,7 @@
 type MemberReply struct {
 	Verdict Verdict
 	Leader  ident.Host
+	// Address is where the leader is reached, or empty when unknown.
+	Address string
 	Error   string
 }
--- a/ctrl/service.go
+++ b/ctrl/service.go
@@ -38,6 +38,8 @@
 	AddMember(ctx context.Context, host ident.Host, address string) error
 	// RemoveMember removes a control host.
 	RemoveMember(ctx context.Context, host ident.Host) error
+	// Transfer hands the leadership to another voter.
+	Transfer(ctx context.Context, target ident.Host) error
 }
 
 var _ Log = (*Replica)(nil)
@@ -110,7 +112,8 @@
 	ctx, cancel = context.WithTimeout(s.ctx, barrierTimeout)
 	defer cancel()
 	if _, err := s.log.Barrier(ctx); err != nil {
-		reply.Verdict, reply.Leader = VerdictNotLeader, leaderOf(err)
+		reply.Verdict = VerdictNotLeader
+		reply.Leader, reply.Address = leaderOf(err)
 		return nil
 	}
 	changes, err := s.feed.Since(ctx, args.Revision)
@@ -123,19 +126,8 @@
 		reply.Verdict = VerdictNotLeader
 		return nil
 	}
-	return s.fill(changes, lease, reply)
-}
-
-func (s *Service) fill(changes Changes, lease time.Duration, reply *PollReply) error {
-	if config, ok := changes.Snapshot(); ok {
-		data, err := codec.EncodeConfig(config)
-		if err != nil {
-			return fmt.Errorf("encode snapshot: %w", err)
-		}
-		reply.Snapshot = data
-	}
 	reply.Verdict, reply.Lease = VerdictServed, lease
-	reply.Revision, reply.Deltas = changes.Revision(), changes.Deltas()
+	reply.Revision, reply.Deltas, reply.Snapshot = changes.Revision(), changes.Deltas(), changes.Snapshot()
 	return nil
 }
 
@@ -150,7 +142,8 @@
 	defer cancel()
 	outcome, err := s.proposer.Propose(ctx, command)
 	if err != nil {
-		reply.Verdict, reply.Leader, reply.Error = verdictOf(err), leaderOf(err), err.Error()
+		reply.Verdict, reply.Error = verdictOf(err), err.Error()
+		reply.Leader, reply.Address = leaderOf(err)
 		return nil
 	}
 	data, err := codec.EncodeOutcome(outcome)
@@ -181,7 +174,8 @@
 	ctx, cancel := context.WithTimeout(s.ctx, barrierTimeout)
 	defer cancel()
 	if _, err := s.log.Barrier(ctx); err != nil {
-		reply.Verdict, reply.Leader = VerdictNotLeader, leaderOf(err)
+		reply.Verdict = VerdictNotLeader
+		reply.Leader, reply.Address = leaderOf(err)
 		return nil
 	}
 	status, err := s.leader.Status(ctx)
@@ -211,11 +205,22 @@
 	ctx, cancel := context.WithTimeout(s.ctx, min(max(args.Timeout, 0), maxProposeTimeout))
 	defer cancel()
 	err := s.changeMember(ctx, args)
+	if args.Remove && err != nil {
+		// A leader cannot remove itself. After the transfer the caller asks the
+		// next one.
+		if status, fault := s.log.Status(ctx); fault == nil && status.Leader() == args.Host {
+			err = errors.Annotate(s.log.Transfer(ctx, ""), "hand over before removal")
+			if err == nil {
+				err = ErrNotLeader
+			}
+		}
+	}
 	switch {
 	case err == nil:
 		reply.Verdict = VerdictServed
 	case errors.Is(err, ErrNotLeader):
-		reply.Verdict, reply.Leader = VerdictNotLeader, leaderOf(err)
+		reply.Verdict = VerdictNotLeader
+		reply.Leader, reply.Address = leaderOf(err)
 	default:
 		reply.Verdict, reply.Error = VerdictUnknown, err.Error()
 	}
@@ -267,10 +272,11 @@
 	return VerdictUnknown
 }
 
-func leaderOf(err error) ident.Host {
+// leaderOf returns the leader that an error names, and where it is reached.
+func leaderOf(err error) (ident.Host, string) {
 	var refused *NotLeaderError
 	if errors.As(err, &refused) {
-		return refused.Leader()
+		return refused.Leader(), refused.Address()
 	}
-	return ""
+	return "", ""
 }
--- a/entry/members.go
+++ b/entry/members.go
@@ -101,6 +101,12 @@
 	}
 }
 
+// WithFresh returns the same members with another end of the lease.
+func (m Members) WithFresh(fresh time.Time) Members {
+	m.fresh = fresh
+	return m
+}
+
 // Self returns the host that this process runs on.
 func (m Members) Self() ident.Host { return m.self }
 
--- a/node/control.go
+++ b/node/control.go
@@ -11,6 +11,7 @@
 	"rhubarbrack/caller"
 	"rhubarbrack/conf"
 	"rhubarbrack/ctrl"
+	"rhubarbrack/meter"
 	"rhubarbrack/oper"
 	"rhubarbrack/plan"
 	"rhubarbrack/platf"
@@ -33,11 +34,16 @@
 	if err != nil {
 		return err
 	}
-	operators, err := listen(ctx, s, conf.Operators, secure.operators)
+	operators, err := listen(ctx, s, conf.Operators, secure.listener(conf.Operators))
 	if err != nil {
 		_ = peers.Close()
 		return err
 	}
+	metrics, err := listen(ctx, s, conf.Metrics, secure.listener(conf.Metrics))
+	if err != nil {
+		_, _ = peers.Close(), operators.Close()
+		return err
+	}
 	// The parts outlive ctx, so that the leadership can be handed over.
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -47,6 +53,7 @@
 	if err := c.start(inner, peers, operators); err != nil {
 		return err
 	}
+	c.startMetrics(metrics)
 	o.ready()
 	return c.wait(ctx, stop)
 }
@@ -62,6 +69,7 @@
 	leader   *ctrl.Leader
 	served   <-chan struct{}
 	api      *caller.Server
+	metrics  *caller.Server
 }
 
 func (c *control) start(ctx context.Context, peers, operators net.Listener) error {
@@ -86,7 +94,7 @@
 	if err := ctrl.Register(ctx, server, c.replica, c.feed, c.leader, o.clock); err != nil {
 		return fmt.Errorf("start control host: %w", err)
 	}
-	c.served = wire.Serve(ctx, peers, server, wire.WithTLS(c.secure.peers))
+	c.served = wire.Serve(ctx, peers, server, wire.WithTLS(c.secure.servers[conf.Peers]))
 	if url := s.PlatformList(); url != "" {
 		_, err = platf.StartLister(ctx, c.system, url, c.leader, platf.WithClock(o.clock), platf.WithLog(o.log))
 		if err != nil {
@@ -108,6 +116,30 @@
 	return nil
 }
 
+// startMetrics serves the figures of the replica as gauges.
+func (c *control) startMetrics(listener net.Listener) {
+	if listener == nil {
+		return
+	}
+	gauges := meter.New()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if status, err := c.replica.Status(r.Context()); err == nil {
+			gauges.SetGauge("term", int64(status.Term()))
+			gauges.SetGauge("revision-committed", int64(status.Commit()))
+			gauges.SetGauge("revision-applied", int64(status.Applied()))
+			gauges.SetGauge("revision-snapshot", int64(status.Snapshot()))
+			gauges.SetGauge("control-hosts", int64(len(status.Members())))
+			leads := int64(0)
+			if status.Leader() == c.settings.Host() {
+				leads = 1
+			}
+			gauges.SetGauge("leads", leads)
+		}
+		gauges.Handler().ServeHTTP(w, r)
+	})
+	c.metrics = serveHTTP(listener, handler, c.settings, c.options)
+}
+
 // wait returns when ctx has ended and the host has stopped, or when the
 // replica has failed.
 func (c *control) wait(ctx context.Context, stop func()) error {
@@ -125,11 +157,14 @@
 	}
 	c.options.log.Info("node: control host stops", "host", c.settings.Host())
 	c.handOver(ctx)
-	if c.api != nil {
-		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferTimeout)
-		defer cancel()
-		if err := c.api.Shutdown(closing); err != nil {
-			c.options.log.Warn("node: API closed with calls under way", "error", err)
+	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferTimeout)
+	defer cancel()
+	for _, server := range []*caller.Server{c.api, c.metrics} {
+		if server == nil {
+			continue
+		}
+		if err := server.Shutdown(closing); err != nil {
+			c.options.log.Warn("node: server closed with calls under way", "error", err)
 		}
 	}
 	stop()
--- a/node/entry.go
+++ b/node/entry.go
@@ -108,14 +108,7 @@
 	}
 	e.listeners = make(map[conf.Listener]net.Listener)
 	for _, party := range conf.Listeners() {
-		secure := e.secure.callers
-		switch party {
-		case conf.Operators:
-			secure = e.secure.operators
-		case conf.Peers, conf.Metrics:
-			secure = nil
-		}
-		l, err := listen(ctx, e.settings, party, secure)
+		l, err := listen(ctx, e.settings, party, e.secure.listener(party))
 		if err != nil {
 			return err
 		}
@@ -176,7 +169,7 @@
 		return fmt.Errorf("slot client: %w", err)
 	}
 	e.peers.ServeLocally(server)
-	e.served = wire.Serve(ctx, e.listeners[conf.Peers], server, wire.WithTLS(e.secure.peers))
+	e.served = wire.Serve(ctx, e.listeners[conf.Peers], server, wire.WithTLS(e.secure.servers[conf.Peers]))
 	return nil
 }
 
@@ -233,7 +226,7 @@
 	router := route.New(e.follower, rates{holder: e.holder}, e.picker, slots{client: e.slots}, e.claims, e.ledger,
 		route.WithClock(o.clock))
 	handler := caller.NewHandler(e.self.Host(), e.self.Incarnation(), e.follower, router, e.hub, e.targets, e,
-		caller.WithClock(o.clock))
+		caller.WithClock(o.clock), caller.WithBodyBytes(s.Limits().BodyBytes()))
 	e.front = serveHTTP(e.listeners[conf.Callers], handler, s, o)
 	e.servers = append(e.servers, e.front)
 	if l := e.listeners[conf.Operators]; l != nil {
--- a/node/hub.go
+++ b/node/hub.go
@@ -60,6 +60,10 @@
 	// released holds the epochs of the roles that this host has given up.
 	released map[state.RoleName]ident.Epoch
 	giveUp   []state.Role
+	// current holds the members of the latest revision, listed with as many
+	// released roles.
+	current entry.Members
+	listed  int
 }
 
 var _ tasks.Task = (*hub)(nil)
@@ -174,7 +178,18 @@
 	h.giveUp = nil
 }
 
+// members returns the members of the view. The lists are built once for each
+// revision and set of released roles; a poll that brings nothing new only
+// renews the lease.
 func (h *hub) members(view route.View) entry.Members {
+	if h.current.Revision() == view.Config().Revision() && h.listed == len(h.released) {
+		return h.current.WithFresh(view.FreshUntil())
+	}
+	h.current, h.listed = h.listMembers(view), len(h.released)
+	return h.current
+}
+
+func (h *hub) listMembers(view route.View) entry.Members {
 	var members []entry.Member
 	for _, m := range view.Config().Members() {
 		members = append(members, entry.NewMember(m.Host(), m.Incarnation(), m.Region(), m.PeerAddress()))
--- a/node/options.go
+++ b/node/options.go
@@ -65,11 +65,20 @@
 // security holds the TLS settings of one process. The fields are nil where
 // plain text is used.
 type security struct {
-	callers, operators, peers *tls.Config
+	servers map[conf.Listener]*tls.Config
 	// dial returns the settings of connections to a peer.
 	dial func(address string) *tls.Config
 }
 
+// listener returns the settings of a listener, or nil for plain text. Package
+// wire secures the connections of peers by itself.
+func (s security) listener(party conf.Listener) *tls.Config {
+	if party == conf.Peers {
+		return nil
+	}
+	return s.servers[party]
+}
+
 // dialOptions returns the options of connections to peers.
 func (s security) dialOptions() []wire.Option {
 	if s.dial == nil {
@@ -80,8 +89,8 @@
 
 // loadSecurity reads the certificates that the settings name.
 func loadSecurity(s *conf.Settings, o options) (security, error) {
-	var out security
-	for _, party := range []conf.Listener{conf.Callers, conf.Operators, conf.Peers} {
+	out := security{servers: make(map[conf.Listener]*tls.Config)}
+	for _, party := range conf.Listeners() {
 		files, ok := s.TLS(party)
 		if !ok {
 			continue
@@ -93,13 +102,9 @@
 		if err != nil {
 			return security{}, fmt.Errorf("certificates for %s: %w", party, err)
 		}
-		switch party {
-		case conf.Callers:
-			out.callers = source.Server()
-		case conf.Operators:
-			out.operators = source.Server()
-		case conf.Peers:
-			out.peers, out.dial = source.Server(), source.Client
+		out.servers[party] = source.Server()
+		if party == conf.Peers {
+			out.dial = source.Client
 		}
 	}
 	return out, nil
--- a/stand/command.go
+++ b/stand/command.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 	"time"
 
@@ -111,6 +112,9 @@
 		if r.Count > 1 {
 			id = fmt.Sprintf("%s-%d", r.ID, i+1)
 		}
+		if slices.ContainsFunc(f.targets, func(t *Target) bool { return t.ID() == ident.Target(id) }) {
+			return fmt.Errorf("target %s: the id is used twice", id)
+		}
 		t, err := StartTarget(ctx, system, r.options(id, uint64(i))...)
 		if err != nil {
 			return fmt.Errorf("target %s: %w", id, err)
