--- a/agree/check_test.go
+++ b/agree/check_test.go
@@ -134,9 +134,10 @@
 	}
 }
 
-// checkReads finds a stale read and two reads or writes in the wrong order. It
-// takes quadratic time, whereas the general check may take exponential time to
-// prove that a history is wrong.
+// checkReads finds a stale read and two reads or writes in the wrong order. As
+// the order of the writes is given, a history without these is linearizable.
+// The check takes quadratic time, whereas the general one may take exponential
+// time to prove that a history is wrong.
 func (w *world) checkReads(history []porcupine.Operation) {
 	orderOf := func(op porcupine.Operation) int {
 		if in := op.Input.(registerInput); in.write {
