--- a/certs/authority.go
+++ b/certs/authority.go
@@ -24,7 +24,7 @@
 	validFor = 30 * 24 * time.Hour
 	// serialBits is the length of random serial numbers.
 	serialBits = 120
-	dirMode = 0o700
+	dirMode    = 0o700
 )
 
 // Authority is a certificate authority in memory, for tests and trials.
--- a/codec/applier.go
+++ b/codec/applier.go
@@ -43,14 +43,9 @@
 	return a.machine.Apply(revision, command)
 }
 
-// Snapshot returns the bytes of the whole state.
-func (a *Applier) Snapshot() ([]byte, error) {
-	data, err := EncodeMachine(a.machine)
-	if err != nil {
-		return nil, fmt.Errorf("snapshot: %w", err)
-	}
-	return data, nil
-}
+// Snapshot returns a function that encodes the whole state as it is now. The
+// function may run in another goroutine.
+func (a *Applier) Snapshot() func() ([]byte, error) { return FreezeMachine(a.machine) }
 
 // Restore replaces the state by that of a snapshot taken at the revision. On
 // an error the state stays as it was.
--- a/codec/applier_test.go
+++ b/codec/applier_test.go
@@ -49,7 +49,7 @@
 			t.Errorf("%s: got %+v, %v, want status %q", c.name, got, err, c.status)
 		}
 	}
-	data, err := a.Snapshot()
+	data, err := a.Snapshot()()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/codec/snapshot.go
+++ b/codec/snapshot.go
@@ -141,18 +141,27 @@
 
 // EncodeMachine returns the bytes of a whole Machine. Equal Machines give
 // equal bytes.
-func EncodeMachine(m *state.Machine) ([]byte, error) {
-	config, err := configRecordOf(m.Config())
-	if err != nil {
-		return nil, fmt.Errorf("encode machine: %w", err)
-	}
-	return seal(machineKind, &machineRecord{
-		Revision: uint64(m.Revision()), Config: *config,
-		Claims:    convert(m.Claims().Records(), onceRecordOf),
-		Requests:  convert(m.Requests(), requestRecordOf),
-		Histories: convert(m.Histories(), historyRecordOf),
-		Ended:     convert(m.EndedProcesses(), endedRecordOf),
-	})
+func EncodeMachine(m *state.Machine) ([]byte, error) { return FreezeMachine(m)() }
+
+// FreezeMachine returns a function that encodes the Machine as it is now. The
+// function may run in another goroutine while the Machine goes on; freezing
+// copies only lists of records.
+func FreezeMachine(m *state.Machine) func() ([]byte, error) {
+	revision, config := m.Revision(), m.Config()
+	claims, requests, histories, ended := m.Claims().Records(), m.Requests(), m.Histories(), m.EndedProcesses()
+	return func() ([]byte, error) {
+		record, err := configRecordOf(config)
+		if err != nil {
+			return nil, fmt.Errorf("encode machine: %w", err)
+		}
+		return seal(machineKind, &machineRecord{
+			Revision: uint64(revision), Config: *record,
+			Claims:    convert(claims, onceRecordOf),
+			Requests:  convert(requests, requestRecordOf),
+			Histories: convert(histories, historyRecordOf),
+			Ended:     convert(ended, endedRecordOf),
+		})
+	}
 }
 
 // DecodeMachine reads a Machine from bytes of EncodeMachine. The options must
--- a/ctrl/feed.go
+++ b/ctrl/feed.go
@@ -266,35 +266,33 @@
 // Engine applies committed commands to the replicated state and passes the
 // shared ones on to the feed. The replica's task owns it.
 type Engine struct {
-	machine *state.Machine
+	applier *codec.Applier
 	feed    *Feed
 }
 
 var _ Machine = (*Engine)(nil)
 
 // NewEngine returns an engine with an empty state.
-func NewEngine(feed *Feed) *Engine {
-	return &Engine{machine: state.NewMachine(), feed: feed}
-}
+func NewEngine(feed *Feed) *Engine { return &Engine{applier: codec.NewApplier(), feed: feed} }
 
-// Apply implements Machine. The result is a state.Outcome.
+// Apply implements Machine. The result is a state.Outcome, or an error for a
+// command that this program does not know.
 func (e *Engine) Apply(revision ident.Revision, data []byte) any {
-	command, err := codec.DecodeCommand(data)
-	if err != nil {
-		// Every replica fails in the same way, so the states stay equal.
-		return state.NewOutcome(state.Refused, revision, state.WithReason(state.ReasonInvalid, err.Error()))
-	}
-	outcome := e.machine.Apply(revision, command)
-	if outcome.Shared() {
+	result := e.applier.Apply(revision, data)
+	if outcome, ok := result.(state.Outcome); ok && outcome.Shared() {
 		e.feed.ref.Tell(changed{
-			revision: revision, command: data, config: e.machine.Config(), history: e.historyOf(command),
+			revision: revision, command: data, config: e.applier.Machine().Config(), history: e.historyOf(data),
 		})
 	}
-	return outcome
+	return result
 }
 
 // historyOf returns the history of the document that a command changed.
-func (e *Engine) historyOf(command state.Command) []state.History {
+func (e *Engine) historyOf(data []byte) []state.History {
+	command, err := codec.DecodeCommand(data)
+	if err != nil {
+		return nil
+	}
 	var key documentKey
 	switch c := command.(type) {
 	case state.PutDocument:
@@ -304,25 +302,18 @@
 	default:
 		return nil
 	}
-	return []state.History{state.NewHistory(key.kind, key.name, e.machine.History(key.kind, key.name))}
+	return []state.History{state.NewHistory(key.kind, key.name, e.applier.Machine().History(key.kind, key.name))}
 }
 
 // Snapshot implements Machine.
-func (e *Engine) Snapshot() ([]byte, error) {
-	data, err := codec.EncodeMachine(e.machine)
-	if err != nil {
-		return nil, fmt.Errorf("encode state: %w", err)
-	}
-	return data, nil
-}
+func (e *Engine) Snapshot() func() ([]byte, error) { return e.applier.Snapshot() }
 
 // Restore implements Machine.
 func (e *Engine) Restore(revision ident.Revision, data []byte) error {
-	machine, err := codec.DecodeMachine(data)
-	if err != nil {
-		return fmt.Errorf("decode state at revision %d: %w", revision, err)
+	if err := e.applier.Restore(revision, data); err != nil {
+		return fmt.Errorf("restore state: %w", err)
 	}
-	e.machine = machine
+	machine := e.applier.Machine()
 	e.feed.ref.Tell(restored{config: machine.Config(), history: machine.Histories()})
 	return nil
 }
--- a/ctrl/machine.go
+++ b/ctrl/machine.go
@@ -10,10 +10,14 @@
 // every host.
 type Machine interface {
 	// Apply carries out a committed change and returns its result, which
-	// Replica.Propose passes on. The data must not be modified.
+	// Replica.Propose passes on. The data must not be modified. A result that
+	// is an error ends the replica: the machine does not know the change,
+	// which hosts of another version may have applied.
 	Apply(revision ident.Revision, data []byte) any
-	// Snapshot returns the encoded state.
-	Snapshot() ([]byte, error)
+	// Snapshot returns a function that encodes the state as it is now. The
+	// function runs in another goroutine while the machine goes on, because a
+	// large state takes longer to encode than an election timeout.
+	Snapshot() func() ([]byte, error)
 	// Restore replaces the state by that of a snapshot taken after the
 	// revision.
 	Restore(revision ident.Revision, data []byte) error
--- a/ctrl/replica_snapshot.go
+++ b/ctrl/replica_snapshot.go
@@ -28,14 +28,32 @@
 
 // maybeSnapshot compacts the log when it has grown enough.
 func (t *replicaTask) maybeSnapshot() {
-	if t.fault != nil || !t.snapshots.isDue(t.applied) {
+	if t.fault != nil || t.encoding || !t.snapshots.isDue(t.applied) {
 		return
 	}
 	t.snapshots.reset(t.applied)
-	data, err := t.machine.Snapshot()
-	if err != nil {
-		t.fail(fmt.Errorf("take snapshot %d: %w", t.applied, err))
+	t.encoding = true
+	encode, revision := t.machine.Snapshot(), t.applied
+	go func() {
+		data, err := encode()
+		t.self.Tell(snapshotReady{revision: revision, data: data, err: err})
+	}()
+}
+
+// snapshotReady carries the snapshot of a revision.
+type snapshotReady struct {
+	revision ident.Revision
+	data     []byte
+	err      error
+}
+
+// compact hands an encoded snapshot to the node, which ignores it when it has
+// installed a newer one meanwhile.
+func (t *replicaTask) compact(m snapshotReady) {
+	t.encoding = false
+	if m.err != nil {
+		t.fail(fmt.Errorf("take snapshot %d: %w", m.revision, m.err))
 		return
 	}
-	t.step(agree.NewCompact(t.applied, data))
+	t.step(agree.NewCompact(m.revision, m.data))
 }
--- a/ctrl/replica_task.go
+++ b/ctrl/replica_task.go
@@ -63,7 +63,9 @@
 
 // replicaTask owns the node and the machine.
 type replicaTask struct {
-	self      *tasks.Ref
+	self *tasks.Ref
+	// encoding is true while a snapshot is being encoded.
+	encoding  bool
 	options   replicaOptions
 	node      *agree.Node
 	machine   Machine
@@ -128,6 +130,8 @@
 		t.receive(m)
 	case chunk:
 		t.receiveChunk(m)
+	case snapshotReady:
+		t.compact(m)
 	case formed:
 		t.step(agree.NewForm(m.members))
 	case formationFailed:
@@ -271,6 +275,10 @@
 	if e.Kind() == agree.EntryData {
 		value = t.machine.Apply(e.Revision(), e.Data())
 	}
+	if err, ok := value.(error); ok {
+		t.fail(fmt.Errorf("apply change: %w", err))
+		return
+	}
 	t.applied = e.Revision()
 	t.snapshots.add(e.Size())
 	if p, ok := t.positions[e.Revision()]; ok {
--- a/ctrl/replica_test.go
+++ b/ctrl/replica_test.go
@@ -43,7 +43,10 @@
 	return len(j.changes)
 }
 
-func (j *journal) Snapshot() ([]byte, error) { return []byte(strings.Join(j.changes, "\n")), nil }
+func (j *journal) Snapshot() func() ([]byte, error) {
+	text := strings.Join(j.changes, "\n")
+	return func() ([]byte, error) { return []byte(text), nil }
+}
 
 func (j *journal) Restore(_ ident.Revision, data []byte) error {
 	j.mutex.Lock()
