--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -6,7 +6,7 @@
 	"log/slog"
 	"time"
 
-	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
 
 	"rhubarbrack/agree"
 	"rhubarbrack/clock"
@@ -23,6 +23,8 @@
 	leadInterval = 200 * time.Millisecond
 	// leadTimeout bounds the commit of one batch of its changes.
 	leadTimeout = 5 * time.Second
+	// maxLeadProposals bounds the changes of a batch that are under way.
+	maxLeadProposals = 64
 	// maxEvents is the number of repairs that the leader remembers.
 	maxEvents = 256
 )
@@ -424,27 +426,36 @@
 	return out
 }
 
-// commit runs in its own goroutine.
+// commit runs in its own goroutine. The changes of a batch do not depend on
+// each other, so they share round trips: a region's loss ends the membership
+// of all its hosts at once.
 func (l *leader) commit(ctx context.Context, proposer *Proposer, changes []plan.Change) []Event {
-	var events []Event
-	for _, c := range changes {
-		event := Event{kind: c.Command().Kind(), detail: detailOf(c.Command()), reason: c.Reason()}
-		outcome, err := proposer.Propose(ctx, c.Command())
-		if err == nil {
-			err = outcome.Err()
-		}
-		if err != nil {
-			event.err = err.Error()
-		}
-		event.at = l.clock.Now()
-		events = append(events, event)
-		if errors.Is(err, ErrNotLeader) {
-			break
-		}
+	events := make([]Event, len(changes))
+	var group errgroup.Group
+	group.SetLimit(maxLeadProposals)
+	for i, c := range changes {
+		group.Go(func() error {
+			events[i] = l.commitOne(ctx, proposer, c)
+			return nil
+		})
 	}
+	_ = group.Wait()
 	return events
 }
 
+func (l *leader) commitOne(ctx context.Context, proposer *Proposer, c plan.Change) Event {
+	event := Event{kind: c.Command().Kind(), detail: detailOf(c.Command()), reason: c.Reason()}
+	outcome, err := proposer.Propose(ctx, c.Command())
+	if err == nil {
+		err = outcome.Err()
+	}
+	if err != nil {
+		event.err = err.Error()
+	}
+	event.at = l.clock.Now()
+	return event
+}
+
 func (l *leader) committed(m committed) {
 	l.busy = false
 	for _, e := range m.events {
