--- a/node/dev.go
+++ b/node/dev.go
@@ -395,6 +395,6 @@
 	fmt.Fprintf(&b, "  curl -i -H 'Host: commissions.test' %s/catalogue\n", a.entries[0])
 	fmt.Fprintf(&b, "  curl -i -H 'Host: commissions.test' -H \"Authorization: Bearer $KEY_CARVERS\" %s/progress\n", a.entries[1])
 	fmt.Fprintf(&b, "  curl -i -H 'Host: commissions.test' -H \"Authorization: Bearer $KEY_CARVERS\" -H 'Idempotency-Key: d-1' -d amount=50 %s/deposits\n", a.entries[0])
-	fmt.Fprintf(&b, "  rhubarbrack status\n\nPress Ctrl-C to stop.\n")
+	fmt.Fprintf(&b, "  rhubarbrack status    (or: go run . status)\n\nPress Ctrl-C to stop.\n")
 	_, _ = io.WriteString(d.out, b.String())
 }
--- a/node/fleet_control_test.go
+++ b/node/fleet_control_test.go
@@ -66,6 +66,7 @@
 		{name: "all killed and restarted", run: allRestarted},
 		{name: "operators race and resend", run: operatorsRace},
 		{name: "planned stop of the leader", run: leaderStopped},
+		{name: "leader removed for a host that no settings name", run: leaderRemoved},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -201,3 +202,25 @@
 	_, err := f.putTeam(f.client(f.others(old)...), 207, f.team(f.client(f.others(old)...)).Revision, "after-stop")
 	f.check(err)
 }
+
+func leaderRemoved(f *fleet) {
+	spare := &process{name: "control-9", address: f.addresses("peers", "operators")}
+	f.startControl(spare)
+	client := f.client(f.controls...)
+	f.check(client.AddControlHost(f.context(), spare.name, spare.address["peers"]))
+	old := f.leader()
+	f.check(client.RemoveControlHost(f.context(), old.name))
+	f.kill(old)
+	rest := f.others(old)
+	f.controls = append(f.controls, spare)
+	f.kill(rest[0])
+	// Whichever of the two leads, the other one and the entry host find it.
+	for _, p := range []*process{rest[1], spare} {
+		put, err := f.putTeam(f.client(p), 400, f.team(f.client(p)).Revision, "through-"+p.name)
+		f.check(err)
+		f.until("change in force at the entry host", func() bool {
+			progress, err := f.client(p).InForce(f.context(), put.Revision, 0)
+			return err == nil && progress.InForce
+		})
+	}
+}
