--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -10,8 +10,8 @@
 	"rhubarbrack/state"
 )
 
-// Reports the cost of converting the members of a view, which an entry host
-// does for each poll.
+// Reports the cost of listing the members of a view, which an entry host does
+// for each change.
 func BenchmarkViewMembers(b *testing.B) {
 	for _, n := range []int{100, 1000, 3400} {
 		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
@@ -27,7 +27,7 @@
 			view := route.NewView(m.Config(), time.Unix(1e9, 0))
 			b.ReportAllocs()
 			for b.Loop() {
-				h.members(view)
+				h.listMembers(view)
 			}
 		})
 	}
