Do not pass over targets that the pool itself had filled

Cause: a report of a target without a free slot excluded it until the next report, half a second later, also when the pool's own grants had filled it and had ended since. With two thirds of the slots in use, targets are often full when they are probed, so that up to half of a service's slots lay idle and requests queued for more than a second.

Change: a report of a full target counts only when the pool's own grants did not fill the target at or after the time of the report.

TestHealth has a case that fails without the change (0 of 20 instead of 10).

--- a/steer/health.go
+++ b/steer/health.go
@@ -16,6 +16,8 @@
 
 	inFlight int
 	room     int
+	// fullUntil is when the pool's own grants last filled the target.
+	fullUntil time.Time
 
 	// Sources that say the target is leaving.
 	saidLeaving bool
@@ -84,7 +86,21 @@
 	if !t.reported || now.Sub(t.report.at) > reportAge {
 		return false
 	}
-	return !t.report.healthy || t.report.load >= 1
+	return !t.report.healthy || t.report.load >= 1 && !t.filledAt(t.report.at)
+}
+
+// filledAt reports whether the pool's own grants filled the target at or after
+// the time of a report. A full target is then no news: the pool knows when its
+// slots are free again, and must not pass them over until the next report.
+func (t *target) filledAt(at time.Time) bool {
+	return t.inFlight >= t.entry.slots || !t.fullUntil.Before(at)
+}
+
+// leaveFull notes the time when a grant of a filled target ends.
+func (t *target) leaveFull(now time.Time) {
+	if t.inFlight >= t.entry.slots {
+		t.fullUntil = now
+	}
 }
 
 // score returns the utilisation that one more grant would cause, with a
--- a/steer/health_test.go
+++ b/steer/health_test.go
@@ -63,6 +63,26 @@
 			failing(b, EndingLeaving, 1)
 			b.Observe(b.now, NewReport("t0", b.now.Add(-time.Second), true, 0, false))
 		}, want: 0},
+		{name: "reported full while the pool's own grants filled it", run: func(b *bench) {
+			for range 4 {
+				b.ask(reads, time.Hour, WithAvoid("t1"))
+			}
+			b.wait(time.Millisecond)
+			b.report("t0", true, 1, false)
+			for n := range b.number {
+				b.release(n+1, EndingOK)
+			}
+		}, want: 10},
+		{name: "reported full after the pool's own grants ended", run: func(b *bench) {
+			for range 4 {
+				b.ask(reads, time.Hour, WithAvoid("t1"))
+			}
+			for n := range b.number {
+				b.release(n+1, EndingOK)
+			}
+			b.wait(time.Millisecond)
+			b.report("t0", true, 1, false)
+		}, want: 0},
 		{name: "drained", run: func(b *bench) { b.SetDrains(b.now, ident.NewSet[ident.Target]("t0")) }, want: 0},
 		{name: "drained before it was listed", run: func(b *bench) {
 			b.SetTargets(b.now, nil)
--- a/steer/pool.go
+++ b/steer/pool.go
@@ -312,6 +312,7 @@
 func (p *Pool) uncount(now time.Time, g *grant, r Result) {
 	t := g.target
 	p.inFlight--
+	t.leaveFull(now)
 	t.inFlight--
 	wasEjected := t.ejected
 	t.observe(now, g, r, p.options)
