Discard the result of a receive explicitly in a benchmark

Cause: errcheck reported the bare receive of an error in node/bench_test.go. Change: assign it to the blank identifier; the clean-up only waits.

--- a/node/bench_test.go
+++ b/node/bench_test.go
@@ -39,7 +39,7 @@
 	go func() { done <- d.Run(ctx) }()
 	b.Cleanup(func() {
 		cancel()
-		<-done
+		_ = <-done
 	})
 	select {
 	case a := <-ready:
