--- a/target/body.go
+++ b/target/body.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"errors"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -67,10 +68,10 @@
 				return total, fault
 			}
 		}
-		if err == io.EOF {
+		switch {
+		case errors.Is(err, io.EOF):
 			return total, nil
-		}
-		if err != nil {
+		case err != nil:
 			return total, err
 		}
 	}
