Let the tasks keep up with the clock of the slot tests

Cause: TestDisturbedCalls failed now and then on a busy machine: the test moved its clock 200,000 steps without a task being scheduled. Change: after each step the test asks the owner and the clients for their state. Condition and bound are as before.

--- a/entry/slot_test.go
+++ b/entry/slot_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand"
 	"net/rpc"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -211,7 +212,9 @@
 		steer.WithFingerprint(ident.Fingerprint{1})))
 }
 
-// advanceUntil moves the clock in small steps until the condition holds.
+// advanceUntil moves the clock in small steps until the condition holds. After
+// each step the owner and the clients have handled what had reached them, so
+// that the clock does not run away from tasks on a busy machine.
 func (f *fleet) advanceUntil(what string, condition func() bool) {
 	f.t.Helper()
 	for range 200_000 {
@@ -219,6 +222,13 @@
 			return
 		}
 		f.clock.Advance(5 * time.Millisecond)
+		runtime.Gosched()
+		f.status()
+		for _, c := range f.clients {
+			if _, err := c.Use(f.ctx); err != nil {
+				f.t.Fatal(err)
+			}
+		}
 	}
 	f.t.Fatalf("never: %s", what)
 }
