Move the roles of a silent host before its membership ends

Change: a lease of 1.5 s for roles beside the one of 3 s for the view; the leader gives the roles of a silent host to others and withholds its lease for roles until that is committed.

--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -154,6 +154,7 @@
 
 	config  *state.Config
 	fresh   time.Time
+	acting  time.Time
 	served  bool
 	leaving bool
 	failing bool
@@ -188,7 +189,7 @@
 	if !f.served {
 		return route.View{}
 	}
-	return route.NewView(f.config, f.fresh)
+	return route.NewView(f.config, f.fresh).WithActing(f.acting)
 }
 
 // poll sends one poll from a goroutine that reports to the task.
@@ -233,7 +234,7 @@
 	f.failing, f.served = false, true
 	// The lease counts from when the poll was sent: the leader confirmed its
 	// majority after that.
-	f.fresh = m.sent.Add(m.reply.Lease)
+	f.fresh, f.acting = m.sent.Add(m.reply.Lease), m.sent.Add(m.reply.RoleLease)
 	f.checkMembership()
 	f.publish()
 }
@@ -247,7 +248,7 @@
 		f.joined = true
 		return
 	}
-	f.fresh = time.Time{}
+	f.fresh, f.acting = time.Time{}, time.Time{}
 	if f.joined && !f.expired {
 		f.expired = true
 		f.log.Warn("ctrl: membership ended", "incarnation", self.Incarnation(), "revision", f.config.Revision())
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -38,42 +39,6 @@
 	Reset()
 }
 
-// Event is a repair or a step of a plan that the leader made.
-type Event struct {
-	at     time.Time
-	kind   string
-	detail string
-	reason string
-	err    string
-}
-
-// At returns when the change was committed or failed.
-func (e Event) At() time.Time { return e.at }
-
-// Kind returns the kind of the command.
-func (e Event) Kind() string { return e.kind }
-
-// Detail returns what was changed.
-func (e Event) Detail() string { return e.detail }
-
-// Reason returns why.
-func (e Event) Reason() string { return e.reason }
-
-// Err returns why the change was not made, or nothing.
-func (e Event) Err() string { return e.err }
-
-// Progress tells which entry hosts have applied a revision.
-type Progress struct {
-	reached bool
-	behind  []ident.Host
-}
-
-// Reached reports whether every entry host with a lease has applied it.
-func (p Progress) Reached() bool { return p.reached }
-
-// Behind returns the hosts that have not.
-func (p Progress) Behind() []ident.Host { return p.behind }
-
 // Leader is the task that acts while this control host leads: it tracks the
 // sessions of entry hosts, expires them, and commits what the planner decides.
 type Leader struct {
@@ -116,13 +81,16 @@
 // Done returns a channel that is closed when the task has ended.
 func (l *Leader) Done() <-chan struct{} { return l.ref.Done() }
 
-// renew records a poll. It returns the lease that the process gets, which is
-// zero unless it is a member, and whether this host leads.
-func (l *Leader) renew(ctx context.Context, args PollArgs, arrived time.Time) (time.Duration, bool) {
-	renewed, err := tasks.Ask(ctx, l.ref, func(r tasks.Reply[renewed]) any {
+// renew records a poll and returns the leases that the process gets, which are
+// zero unless it is a member.
+func (l *Leader) renew(ctx context.Context, args PollArgs, arrived time.Time) renewed {
+	granted, err := tasks.Ask(ctx, l.ref, func(r tasks.Reply[renewed]) any {
 		return renewal{args: args, arrived: arrived, reply: r}
 	})
-	return renewed.lease, err == nil && renewed.leads
+	if err != nil {
+		return renewed{}
+	}
+	return granted
 }
 
 // note records a poll without an answer.
@@ -160,35 +128,6 @@
 	return status, nil
 }
 
-// LeaderStatus is what the leader task knows. It is a copy.
-type LeaderStatus struct {
-	leads    bool
-	config   *state.Config
-	sessions sessions
-	inForce  ident.Revision
-	events   []Event
-}
-
-// Leads reports whether this host leads.
-func (s LeaderStatus) Leads() bool { return s.leads }
-
-// InForce returns the revision that every entry host with a lease has applied.
-func (s LeaderStatus) InForce() ident.Revision { return s.inForce }
-
-// Applied returns the revision that the process of a member has applied.
-func (s LeaderStatus) Applied(h ident.Host) ident.Revision { return s.sessions.known[h].revision }
-
-func (s LeaderStatus) applied() map[ident.Host]ident.Revision {
-	out := make(map[ident.Host]ident.Revision, len(s.sessions.known))
-	for h, e := range s.sessions.known {
-		out[h] = e.revision
-	}
-	return out
-}
-
-// Events returns the latest changes that the leader made, oldest first.
-func (s LeaderStatus) Events() []Event { return s.events }
-
 type (
 	leadTick struct{}
 	useLog   struct{ log Log }
@@ -200,8 +139,8 @@
 		reply   tasks.Reply[renewed]
 	}
 	renewed struct {
-		lease time.Duration
-		leads bool
+		lease, roles time.Duration
+		leads        bool
 	}
 	awaitForce struct {
 		revision ident.Revision
@@ -229,9 +168,12 @@
 	// expiring holds the processes whose end is being committed. They get no
 	// lease any more, since another process may already have their roles.
 	expiring map[ident.Host]ident.Incarnation
-	targets  platf.List
-	waiting  []*waiter
-	events   []Event
+	// moving holds the processes whose roles are being given to others. They
+	// get no lease for roles until the configuration shows that they have none.
+	moving  map[ident.Host]ident.Incarnation
+	targets platf.List
+	waiting []*waiter
+	events  []Event
 }
 
 // waiter waits until a revision is in force. It keeps the members that are
@@ -250,6 +192,7 @@
 		l.proposer = NewProposer(m.log, l.clock)
 	case began:
 		l.leads, l.expiring = true, make(map[ident.Host]ident.Incarnation)
+		l.moving = make(map[ident.Host]ident.Incarnation)
 		l.sessions.begin(l.clock.Now())
 		l.planner.Reset()
 		for _, w := range l.waiting {
@@ -294,12 +237,7 @@
 		return
 	}
 	known, ok := l.config.Member(m.args.Host)
-	if ok && known.Incarnation() == m.args.Incarnation {
-		m.reply.Send(renewed{leads: true, lease: Lease})
-	} else {
-		// A process that is no member yet is not counted by inForce.
-		m.reply.Send(renewed{leads: true})
-	}
+	m.reply.Send(l.grant(m.args, ok && known.Incarnation() == m.args.Incarnation))
 	l.sessions.renew(m.args.Host, session{
 		incarnation: m.args.Incarnation, renewed: m.arrived, revision: m.args.Revision, demand: m.args.Demand,
 	})
@@ -309,6 +247,19 @@
 	}
 }
 
+// grant returns the leases of a process that has polled. One that is no member
+// yet gets none, since inForce does not count it.
+func (l *leader) grant(args PollArgs, member bool) renewed {
+	out := renewed{leads: true}
+	if member {
+		out.lease = Lease
+		if l.moving[args.Host] != args.Incarnation {
+			out.roles = RoleLease
+		}
+	}
+	return out
+}
+
 // membership returns the change that a poll implies: a process joins with its
 // first poll and leaves with the first that says so.
 func (l *leader) membership(args PollArgs) []plan.Change {
@@ -333,6 +284,12 @@
 			delete(l.expiring, h)
 		}
 	}
+	for _, r := range l.config.Roles() {
+		if incarnation, ok := l.moving[r.Host()]; ok && incarnation == r.Incarnation() {
+			return
+		}
+	}
+	clear(l.moving)
 }
 
 // fill finds the members that are behind a waiter's revision. A revision that
@@ -394,6 +351,7 @@
 	members := l.config.Members()
 	list := []plan.SituationOption{
 		plan.WithDemand(l.sessions.demand(members)), plan.WithExpired(l.sessions.expired(members, now)),
+		plan.WithSilent(l.silent(members, now)),
 	}
 	if l.targets.Received() {
 		list = append(list, plan.WithTargets(planTargets(l.targets)))
@@ -404,9 +362,7 @@
 		return
 	}
 	for _, c := range changes {
-		if e, ok := c.Command().(state.Expire); ok {
-			l.expiring[e.Host()] = e.Incarnation()
-		}
+		l.fence(c.Command())
 	}
 	l.busy = true
 	proposer := l.proposer
@@ -417,6 +373,30 @@
 	}()
 }
 
+// silent returns the members that may not act for roles: those whose lease for
+// them has ended, and those whose roles are being moved already.
+func (l *leader) silent(members []state.Member, now time.Time) []state.Member {
+	out := l.sessions.silent(members, now)
+	for _, m := range members {
+		if l.moving[m.Host()] == m.Incarnation() && !slices.Contains(out, m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// fence notes whose leases end with a command, before it is proposed.
+func (l *leader) fence(command state.Command) {
+	switch c := command.(type) {
+	case state.Expire:
+		l.expiring[c.Host()] = c.Incarnation()
+	case state.AssignRole:
+		if r, ok := l.config.Role(c.Role()); ok && !r.Vacant() {
+			l.moving[r.Host()] = r.Incarnation()
+		}
+	}
+}
+
 // planTargets converts the platform's list.
 func planTargets(list platf.List) []plan.Target {
 	out := make([]plan.Target, 0, len(list.Targets()))
--- a/ctrl/record.go
+++ b/ctrl/record.go
@@ -69,8 +69,10 @@
 	Revision ident.Revision
 	Snapshot []byte
 	Deltas   []Delta
-	// Lease is counted by the asking process from when it sent the call.
-	Lease time.Duration
+	// Lease is counted by the asking process from when it sent the call. So is
+	// RoleLease, during which it may act for its roles.
+	Lease     time.Duration
+	RoleLease time.Duration
 }
 
 // ProposeArgs are the arguments of Follow.Propose.
--- a/ctrl/service.go
+++ b/ctrl/service.go
@@ -121,12 +121,12 @@
 		reply.Verdict = VerdictNotLeader
 		return nil
 	}
-	lease, leads := s.leader.renew(ctx, *args, arrived)
-	if !leads {
+	granted := s.leader.renew(ctx, *args, arrived)
+	if !granted.leads {
 		reply.Verdict = VerdictNotLeader
 		return nil
 	}
-	reply.Verdict, reply.Lease = VerdictServed, lease
+	reply.Verdict, reply.Lease, reply.RoleLease = VerdictServed, granted.lease, granted.roles
 	reply.Revision, reply.Deltas, reply.Snapshot = changes.Revision(), changes.Deltas(), changes.Snapshot()
 	return nil
 }
--- a/ctrl/session.go
+++ b/ctrl/session.go
@@ -12,6 +12,11 @@
 	// Lease is how long an entry host may act on its view, counted from when
 	// it sent the poll that confirmed it.
 	Lease = 3 * time.Second
+	// RoleLease is how long an entry host may act for its roles after it sent
+	// a poll. It is shorter than Lease, so that the roles of a host that died
+	// move before the requests that wait for them run out of time. Several
+	// polls fit in.
+	RoleLease = 1500 * time.Millisecond
 	// sessionMargin covers the difference in rate between the clocks of the
 	// leader and of an entry host during one lease.
 	sessionMargin = 200 * time.Millisecond
@@ -48,13 +53,27 @@
 	s.known[h] = e
 }
 
-// last returns until when the process of a member may still hold a lease.
-func (s *sessions) last(m state.Member) time.Time {
+// renewed returns when the process of a member may have renewed its lease last.
+func (s *sessions) renewed(m state.Member) time.Time {
 	renewed := s.began
 	if e, ok := s.known[m.Host()]; ok && e.incarnation == m.Incarnation() && e.renewed.After(renewed) {
 		renewed = e.renewed
 	}
-	return renewed.Add(Lease + sessionMargin)
+	return renewed
+}
+
+// last returns until when the process of a member may still hold a lease.
+func (s *sessions) last(m state.Member) time.Time { return s.renewed(m).Add(Lease + sessionMargin) }
+
+// silent returns the members that may not act for their roles any more.
+func (s *sessions) silent(members []state.Member, now time.Time) []state.Member {
+	var out []state.Member
+	for _, m := range members {
+		if now.After(s.renewed(m).Add(RoleLease + sessionMargin)) {
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 // expired returns the members whose lease has certainly ended.
--- a/ctrl/session_test.go
+++ b/ctrl/session_test.go
@@ -31,7 +31,9 @@
 	leads   int
 	waiting []leasePoll
 	fresh   time.Time
+	acting  time.Time
 	expired bool
+	moved   bool
 }
 
 type leasePoll struct {
@@ -82,11 +84,20 @@
 		if end := p.sent.Add(Lease); end.After(w.fresh) {
 			w.fresh = end
 		}
+		if end := p.sent.Add(RoleLease); !w.moved && end.After(w.acting) {
+			w.acting = end
+		}
 	}
 	w.waiting = kept
 }
 
 func (w *leaseWorld) expire() string {
+	if !w.moved && len(w.hosts[w.leads].silent([]state.Member{w.member}, w.now)) > 0 {
+		if w.now.Before(w.acting) {
+			return fmt.Sprintf("the leader moved roles at %v whose lease lasts until %v", w.now, w.acting)
+		}
+		w.moved = true
+	}
 	if w.expired || len(w.hosts[w.leads].expired([]state.Member{w.member}, w.now)) == 0 {
 		return ""
 	}
--- a/entry/members.go
+++ b/entry/members.go
@@ -84,12 +84,14 @@
 	incarnation ident.Incarnation
 	revision    ident.Revision
 	fresh       time.Time
+	acting      time.Time
 	members     []Member
 	roles       map[Role]Assignment
 }
 
 // NewMembers returns the members as seen by the process incarnation of host
-// self. The lease is fresh until the given time of the local clock.
+// self. The lease, and the one for roles unless WithLeases says otherwise, is
+// fresh until the given time of the local clock.
 func NewMembers(self ident.Host, incarnation ident.Incarnation, revision ident.Revision,
 	fresh time.Time, members []Member, roles map[Role]Assignment,
 ) Members {
@@ -97,13 +99,14 @@
 	slices.SortFunc(sorted, func(a, b Member) int { return cmp.Compare(a.host, b.host) })
 	return Members{
 		self: self, incarnation: incarnation, revision: revision,
-		fresh: fresh, members: sorted, roles: roles,
+		fresh: fresh, acting: fresh, members: sorted, roles: roles,
 	}
 }
 
-// WithFresh returns the same members with another end of the lease.
-func (m Members) WithFresh(fresh time.Time) Members {
-	m.fresh = fresh
+// WithLeases returns the same members with other ends of the lease of the view
+// and of the lease for roles.
+func (m Members) WithLeases(fresh, acting time.Time) Members {
+	m.fresh, m.acting = fresh, acting
 	return m
 }
 
@@ -142,11 +145,11 @@
 	return a, ok
 }
 
-// Owns reports whether this process has the role, its lease being fresh at
-// now, and under which epoch.
+// Owns reports whether this process has the role, its lease for roles being
+// fresh at now, and under which epoch.
 func (m Members) Owns(r Role, now time.Time) (ident.Epoch, bool) {
 	a, ok := m.roles[r]
-	if !ok || a.host != m.self || a.incarnation != m.incarnation || !m.Fresh(now) {
+	if !ok || a.host != m.self || a.incarnation != m.incarnation || !now.Before(m.acting) {
 		return 0, false
 	}
 	return a.epoch, true
--- a/node/hub.go
+++ b/node/hub.go
@@ -183,10 +183,10 @@
 // renews the lease.
 func (h *hub) members(view route.View) entry.Members {
 	if h.current.Revision() == view.Config().Revision() && h.listed == len(h.released) {
-		return h.current.WithFresh(view.FreshUntil())
+		return h.current.WithLeases(view.FreshUntil(), view.ActingUntil())
 	}
 	h.current, h.listed = h.listMembers(view), len(h.released)
-	return h.current
+	return h.current.WithLeases(view.FreshUntil(), view.ActingUntil())
 }
 
 func (h *hub) listMembers(view route.View) entry.Members {
--- a/plan/planner.go
+++ b/plan/planner.go
@@ -68,8 +68,7 @@
 	return out
 }
 
-// roles assign the roles that have no holder. A role of a member that is being
-// ended follows once it is vacant.
+// roles assign the roles that have no holder, or a silent one.
 func roles(s Situation) []Change {
 	fleet, ok := s.config.Fleet()
 	if !ok {
@@ -80,25 +79,31 @@
 		regions = append(regions, r.Name())
 	}
 	var out []Change
-	wanted := roster.Plan(members(s), assignments(s.config), roster.Roles(regions, RateShards), never)
+	wanted := roster.Plan(members(s), assignments(s.config), roster.Roles(regions, RateShards), s.isSilent)
 	for _, a := range wanted {
 		name := state.RoleName(a.Role().Name())
-		epoch := ident.Epoch(1)
+		epoch, reason := ident.Epoch(1), "role-vacant"
 		if r, ok := s.config.Role(name); ok {
 			epoch = r.Epoch() + 1
+			if !r.Vacant() {
+				reason = "holder-silent"
+			}
 		}
-		out = append(out, NewChange(state.NewAssignRole(name, a.Host(), epoch), "role-vacant"))
+		out = append(out, NewChange(state.NewAssignRole(name, a.Host(), epoch), reason))
 	}
 	return out
 }
 
-// never is the answer to whether a holder has ended: the state machine makes
-// roles vacant when it ends a member, so a held role never moves here.
-func never(roster.Assignment) bool { return false }
+// isSilent reports whether the holder of a role may not act for it any more.
+func (s Situation) isSilent(a roster.Assignment) bool {
+	return slices.ContainsFunc(s.silent, func(m state.Member) bool {
+		return m.Host() == a.Host() && m.Incarnation() == a.Incarnation()
+	})
+}
 
 func members(s Situation) []roster.Member {
 	ending := make(map[ident.Host]bool)
-	for _, m := range s.expired {
+	for _, m := range slices.Concat(s.expired, s.silent) {
 		ending[m.Host()] = true
 	}
 	return slices.DeleteFunc(rosterMembers(s.config), func(m roster.Member) bool { return ending[m.Host()] })
--- a/plan/situation.go
+++ b/plan/situation.go
@@ -59,6 +59,7 @@
 	targets []Target
 	listed  bool
 	expired []state.Member
+	silent  []state.Member
 }
 
 // SituationOption sets a part of a situation.
@@ -77,6 +78,12 @@
 	return func(s *Situation) { s.expired = members }
 }
 
+// WithSilent sets the members that may not act for roles any more. Their roles
+// are given to others.
+func WithSilent(members []state.Member) SituationOption {
+	return func(s *Situation) { s.silent = members }
+}
+
 // NewSituation returns a situation with the configuration and the revision
 // that every entry host with a lease has applied.
 func NewSituation(config *state.Config, inForce ident.Revision, list ...SituationOption) Situation {
--- a/route/ports.go
+++ b/route/ports.go
@@ -37,6 +37,7 @@
 type View struct {
 	config *state.Config
 	fresh  time.Time
+	acting time.Time
 }
 
 // NewView returns a view whose lease ends at fresh, by the local clock.
@@ -44,6 +45,15 @@
 	return View{config: config, fresh: fresh}
 }
 
+// WithActing returns the view with the end of the lease for roles.
+func (v View) WithActing(t time.Time) View {
+	v.acting = t
+	return v
+}
+
+// ActingUntil returns until when the host may act for its roles.
+func (v View) ActingUntil() time.Time { return v.acting }
+
 // Config returns the configuration.
 func (v View) Config() *state.Config { return v.config }
 
