--- a/caller/handler.go
+++ b/caller/handler.go
@@ -120,7 +120,7 @@
 	}
 	limit, err := timeout(r.Header)
 	if err != nil {
-		return route.Request{}, err
+		return route.Request{}, fmt.Errorf("parse request: %w", err)
 	}
 	if limit > 0 {
 		list = append(list, route.WithDeadline(now.Add(limit)))
--- a/cmds/check.go
+++ b/cmds/check.go
@@ -55,7 +55,7 @@
 func checkFile(name string) (string, error) {
 	data, err := readFile(name)
 	if err != nil {
-		return "", err
+		return "", fmt.Errorf("check file: %w", err)
 	}
 	if isSettings(string(data)) {
 		s, err := conf.Decode(data)
--- a/cmds/drain.go
+++ b/cmds/drain.go
@@ -49,14 +49,14 @@
 	return c.do(ctx, "drain", func(ctx context.Context, client *oper.Client) error {
 		action, args, err := verb(f, "plan", "cancel", "list")
 		if err != nil {
-			return err
+			return fmt.Errorf("arguments: %w", err)
 		}
 		switch action {
 		case "list":
 			return c.list(ctx, client)
 		case "cancel":
 			if err := need(args, "ID"); err != nil {
-				return err
+				return fmt.Errorf("arguments: %w", err)
 			}
 			out, err := client.CancelDrain(ctx, c.requestID(), args[0])
 			if err != nil {
@@ -65,7 +65,7 @@
 			return c.finish(ctx, client, "drain "+args[0], out)
 		}
 		if err := need(args, "ID", "target|zone|region", "NAME"); err != nil {
-			return err
+			return fmt.Errorf("arguments: %w", err)
 		}
 		return c.plan(ctx, client, args[0], args[1], args[2])
 	})
--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -47,7 +47,7 @@
 	return c.do(ctx, "explain", func(ctx context.Context, _ *oper.Client) error {
 		record, err := c.find(ctx, f.Arg(0))
 		if err != nil {
-			return err
+			return fmt.Errorf("explain: %w", err)
 		}
 		if c.json {
 			return c.printJSON(record)
@@ -63,7 +63,7 @@
 	for _, base := range splitList(c.entries) {
 		client, err := c.client(base)
 		if err != nil {
-			return oper.ExplainRecord{}, err
+			return oper.ExplainRecord{}, fmt.Errorf("entry host %s: %w", base, err)
 		}
 		one, cancel := context.WithTimeout(ctx, waitStep)
 		record, err := client.Explain(one, id)
--- a/cmds/host.go
+++ b/cmds/host.go
@@ -40,11 +40,11 @@
 	return c.do(ctx, "control-host", func(ctx context.Context, client *oper.Client) error {
 		action, args, err := verb(f, "add", "remove")
 		if err != nil {
-			return err
+			return fmt.Errorf("arguments: %w", err)
 		}
 		if action == "add" {
 			if err := need(args, "HOST", "IP:PORT"); err != nil {
-				return err
+				return fmt.Errorf("arguments: %w", err)
 			}
 			if err := client.AddControlHost(ctx, args[0], args[1]); err != nil {
 				return fmt.Errorf("add %s: %w", args[0], err)
@@ -53,7 +53,7 @@
 			return nil
 		}
 		if err := need(args, "HOST"); err != nil {
-			return err
+			return fmt.Errorf("arguments: %w", err)
 		}
 		if err := client.RemoveControlHost(ctx, args[0]); err != nil {
 			return fmt.Errorf("remove %s: %w", args[0], err)
--- a/cmds/key.go
+++ b/cmds/key.go
@@ -51,19 +51,19 @@
 	return c.do(ctx, "key", func(ctx context.Context, client *oper.Client) error {
 		action, args, err := verb(f, "issue", "withdraw", "list")
 		if err != nil {
-			return err
+			return fmt.Errorf("arguments: %w", err)
 		}
 		if action == "list" {
 			return c.list(ctx, client)
 		}
 		if action == "issue" {
 			if err := need(args, "TEAM"); err != nil {
-				return err
+				return fmt.Errorf("arguments: %w", err)
 			}
 			return c.issue(ctx, client, args[0])
 		}
 		if err := need(args, "ID"); err != nil {
-			return err
+			return fmt.Errorf("arguments: %w", err)
 		}
 		return c.withdraw(ctx, client, args[0])
 	})
@@ -96,7 +96,7 @@
 		return c.finish(ctx, client, "key "+id, out)
 	}
 	if err := c.printJSON(map[string]string{"id": id, "team": team, "key": text}); err != nil {
-		return err
+		return fmt.Errorf("key %s: %w", id, err)
 	}
 	return c.finish(ctx, client, "key "+id, out)
 }
--- a/cmds/profile.go
+++ b/cmds/profile.go
@@ -56,7 +56,7 @@
 	return c.do(ctx, "profile", func(ctx context.Context, client *oper.Client) error {
 		action, args, err := verb(f, "put", "get", "list", "history", "delete")
 		if err != nil {
-			return err
+			return fmt.Errorf("arguments: %w", err)
 		}
 		switch action {
 		case "put":
@@ -65,7 +65,7 @@
 			return c.list(ctx, client, args)
 		}
 		if err := need(args, "[KIND/]NAME"); err != nil {
-			return err
+			return fmt.Errorf("arguments: %w", err)
 		}
 		kind, name := documentName(args[0])
 		switch action {
@@ -90,7 +90,7 @@
 func (c *profileCommand) put(ctx context.Context, client *oper.Client, files []string) error {
 	documents, err := readDocuments(files)
 	if err != nil {
-		return err
+		return fmt.Errorf("put: %w", err)
 	}
 	request := c.requestID()
 	for i, d := range documents {
@@ -101,7 +101,7 @@
 		}
 		expected, err := c.expectedRevision(ctx, client, d.Document())
 		if err != nil {
-			return err
+			return fmt.Errorf("%s: %w", what, err)
 		}
 		out, err := client.PutDocument(ctx, id, []byte(d.Source()), expected)
 		if errors.Is(err, oper.ErrConflict) {
@@ -111,7 +111,7 @@
 			return fmt.Errorf("%s: %w", what, err)
 		}
 		if err := c.finish(ctx, client, what, out); err != nil {
-			return err
+			return fmt.Errorf("%s: %w", what, err)
 		}
 	}
 	return nil
@@ -147,7 +147,7 @@
 	for _, name := range files {
 		data, err := readFile(name)
 		if err != nil {
-			return nil, err
+			return nil, fmt.Errorf("documents: %w", err)
 		}
 		documents, err := codec.DecodeDocuments(data)
 		if err != nil {
--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -62,7 +62,7 @@
 func (c *devCommand) run(ctx context.Context, sample string) error {
 	data, err := readFile(sample)
 	if err != nil {
-		return err
+		return fmt.Errorf("sample: %w", err)
 	}
 	d, err := node.NewDev(data, c.console.out, node.DevPort(c.port), node.DevDirectory(c.data))
 	if err != nil {
@@ -139,7 +139,7 @@
 			for range c.count {
 				entry, err := c.start(ctx, system, service, zone, regions[i], len(list)+1)
 				if err != nil {
-					return err
+					return fmt.Errorf("targets of %s: %w", service, err)
 				}
 				list = append(list, entry)
 			}
--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -43,7 +43,7 @@
 	t := &guide{ctx: ctx, system: system, options: list}
 	for _, p := range hosts {
 		if err := t.add(p.Host(), p.Address()); err != nil {
-			return nil, err
+			return nil, fmt.Errorf("start control client: %w", err)
 		}
 	}
 	ref, err := tasks.Spawn(ctx, system, "ctrl-client", t)
@@ -134,7 +134,7 @@
 func (c *Client) poll(ctx context.Context, args PollArgs) (PollReply, error) {
 	to, err := c.candidate(ctx)
 	if err != nil {
-		return PollReply{}, err
+		return PollReply{}, fmt.Errorf("poll control host: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -197,7 +197,7 @@
 	for {
 		to, err := c.candidate(ctx)
 		if err != nil {
-			return err
+			return fmt.Errorf("wait until revision %d is in force: %w", revision, err)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		var reply InForceReply
@@ -251,7 +251,7 @@
 	for {
 		to, err := c.candidate(ctx)
 		if err != nil {
-			return State{}, err
+			return State{}, fmt.Errorf("read state: %w", err)
 		}
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		var reply ReadReply
@@ -279,7 +279,7 @@
 	for {
 		to, err := c.candidate(ctx)
 		if err != nil {
-			return err
+			return fmt.Errorf("change control host %s: %w", host, err)
 		}
 		args := MemberArgs{Host: host, Address: address, Remove: address == "", Timeout: callTimeout}
 		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
@@ -302,7 +302,7 @@
 func (c *Client) proposeOnce(ctx context.Context, data []byte) (ProposeReply, error) {
 	to, err := c.candidate(ctx)
 	if err != nil {
-		return ProposeReply{}, err
+		return ProposeReply{}, fmt.Errorf("call control host: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -295,7 +295,7 @@
 	for _, d := range reply.Deltas {
 		next, err := replay(config, d)
 		if err != nil {
-			return err
+			return fmt.Errorf("apply changes: %w", err)
 		}
 		config = next
 	}
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -110,7 +110,7 @@
 	}
 	status, err := l.Status(context.WithoutCancel(ctx))
 	if err != nil {
-		return Progress{}, err
+		return Progress{}, fmt.Errorf("wait for revision %d: %w", revision, err)
 	}
 	if !status.leads {
 		return Progress{}, fmt.Errorf("wait for revision %d: %w", revision, ErrNotLeader)
--- a/node/control.go
+++ b/node/control.go
@@ -28,21 +28,21 @@
 	o := newOptions(list)
 	secure, err := loadSecurity(s, o)
 	if err != nil {
-		return err
+		return fmt.Errorf("control host: %w", err)
 	}
 	peers, err := listen(ctx, s, conf.Peers, nil)
 	if err != nil {
-		return err
+		return fmt.Errorf("control host: %w", err)
 	}
 	operators, err := listen(ctx, s, conf.Operators, secure.listener(conf.Operators))
 	if err != nil {
 		_ = peers.Close()
-		return err
+		return fmt.Errorf("control host: %w", err)
 	}
 	metrics, err := listen(ctx, s, conf.Metrics, secure.listener(conf.Metrics))
 	if err != nil {
 		_, _ = peers.Close(), operators.Close()
-		return err
+		return fmt.Errorf("control host: %w", err)
 	}
 	// The parts outlive ctx, so that the leadership can be handed over.
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -51,7 +51,7 @@
 	defer system.Shutdown()
 	c := &control{settings: s, options: o, secure: secure, system: system}
 	if err := c.start(inner, peers, operators); err != nil {
-		return err
+		return fmt.Errorf("control host: %w", err)
 	}
 	c.startMetrics(metrics)
 	o.ready()
--- a/node/dev.go
+++ b/node/dev.go
@@ -150,7 +150,7 @@
 	defer system.Shutdown()
 	platform, err := d.startStandIns(ctx, system)
 	if err != nil {
-		return err
+		return fmt.Errorf("run trial process: %w", err)
 	}
 	ended := make(chan error, 1+devEntries)
 	started := d.startHosts(ctx, platform.URL(), ended)
@@ -287,18 +287,18 @@
 	for _, s := range d.documents {
 		revision, err := d.put(ctx, client, s)
 		if err != nil {
-			return err
+			return fmt.Errorf("set up: %w", err)
 		}
 		last = max(last, revision)
 		if team, ok := s.Document().(*prof.Team); ok {
 			if revision, err = d.issue(ctx, client, team.Team()); err != nil {
-				return err
+				return fmt.Errorf("set up: %w", err)
 			}
 			last = max(last, revision)
 		}
 	}
 	if err := d.waitReady(ctx, client, last); err != nil {
-		return err
+		return fmt.Errorf("set up: %w", err)
 	}
 	d.tell()
 	d.ready(d.addresses())
--- a/node/entry.go
+++ b/node/entry.go
@@ -38,8 +38,11 @@
 	o := newOptions(list)
 	for {
 		err := runIncarnation(ctx, s, o)
+		if err == nil {
+			return nil
+		}
 		if !errors.Is(err, errExpired) {
-			return err
+			return fmt.Errorf("entry host: %w", err)
 		}
 		o.log.Warn("node: entry host starts again under a new incarnation", "host", s.Host())
 	}
@@ -53,11 +56,11 @@
 	defer stop()
 	if err := e.open(inner); err != nil {
 		e.close()
-		return err
+		return fmt.Errorf("open entry host: %w", err)
 	}
 	if err := e.start(inner); err != nil {
 		e.close()
-		return err
+		return fmt.Errorf("start entry host: %w", err)
 	}
 	o.ready()
 	select {
@@ -104,13 +107,13 @@
 func (e *entryHost) open(ctx context.Context) error {
 	var err error
 	if e.secure, err = loadSecurity(e.settings, e.options); err != nil {
-		return err
+		return fmt.Errorf("certificates: %w", err)
 	}
 	e.listeners = make(map[conf.Listener]net.Listener)
 	for _, party := range conf.Listeners() {
 		l, err := listen(ctx, e.settings, party, e.secure.listener(party))
 		if err != nil {
-			return err
+			return fmt.Errorf("listeners: %w", err)
 		}
 		if l != nil {
 			e.listeners[party] = l
--- a/oper/client.go
+++ b/oper/client.go
@@ -86,23 +86,29 @@
 // Document returns a document.
 func (c *Client) Document(ctx context.Context, kind, name string) (DocumentRecord, error) {
 	var out DocumentRecord
-	err := c.get(ctx, documentPath(kind, name), &out)
-	return out, err
+	if err := c.get(ctx, documentPath(kind, name), &out); err != nil {
+		return out, fmt.Errorf("read %s %s: %w", kind, name, err)
+	}
+	return out, nil
 }
 
 // Documents returns all documents of a kind, or of all kinds when it is empty,
 // without their texts.
 func (c *Client) Documents(ctx context.Context, kind string) ([]DocumentRecord, error) {
 	var out []DocumentRecord
-	err := c.get(ctx, "/v1/documents?kind="+url.QueryEscape(kind), &out)
-	return out, err
+	if err := c.get(ctx, "/v1/documents?kind="+url.QueryEscape(kind), &out); err != nil {
+		return out, fmt.Errorf("list documents: %w", err)
+	}
+	return out, nil
 }
 
 // History returns the versions of a document, oldest first.
 func (c *Client) History(ctx context.Context, kind, name string) ([]VersionRecord, error) {
 	var out []VersionRecord
-	err := c.get(ctx, documentPath(kind, name)+"/history", &out)
-	return out, err
+	if err := c.get(ctx, documentPath(kind, name)+"/history", &out); err != nil {
+		return out, fmt.Errorf("read history of %s %s: %w", kind, name, err)
+	}
+	return out, nil
 }
 
 func documentPath(kind, name string) string {
@@ -122,8 +128,10 @@
 // Keys returns the keys on record.
 func (c *Client) Keys(ctx context.Context) ([]KeyRecord, error) {
 	var out []KeyRecord
-	err := c.get(ctx, "/v1/keys", &out)
-	return out, err
+	if err := c.get(ctx, "/v1/keys", &out); err != nil {
+		return out, fmt.Errorf("list keys: %w", err)
+	}
+	return out, nil
 }
 
 // PlanDrain plans a drain.
@@ -139,30 +147,38 @@
 // Status returns the state of the system.
 func (c *Client) Status(ctx context.Context) (StatusRecord, error) {
 	var out StatusRecord
-	err := c.get(ctx, "/v1/status", &out)
-	return out, err
+	if err := c.get(ctx, "/v1/status", &out); err != nil {
+		return out, fmt.Errorf("read status: %w", err)
+	}
+	return out, nil
 }
 
 // Events returns the changes that the leader made by itself, oldest first.
 func (c *Client) Events(ctx context.Context) ([]EventRecord, error) {
 	var out []EventRecord
-	err := c.get(ctx, "/v1/events", &out)
-	return out, err
+	if err := c.get(ctx, "/v1/events", &out); err != nil {
+		return out, fmt.Errorf("read events: %w", err)
+	}
+	return out, nil
 }
 
 // InForce waits up to the given time for a revision to be in force.
 func (c *Client) InForce(ctx context.Context, revision uint64, wait time.Duration) (ProgressRecord, error) {
 	var out ProgressRecord
-	err := c.get(ctx, fmt.Sprintf("/v1/in-force?revision=%d&wait=%s", revision, wait), &out)
-	return out, err
+	if err := c.get(ctx, fmt.Sprintf("/v1/in-force?revision=%d&wait=%s", revision, wait), &out); err != nil {
+		return out, fmt.Errorf("read progress of revision %d: %w", revision, err)
+	}
+	return out, nil
 }
 
 // Explain returns a request and the decisions on its way. The base URLs of the
 // client must be those of entry hosts.
 func (c *Client) Explain(ctx context.Context, id string) (ExplainRecord, error) {
 	var out ExplainRecord
-	err := c.get(ctx, "/v1/explain/"+url.PathEscape(id), &out)
-	return out, err
+	if err := c.get(ctx, "/v1/explain/"+url.PathEscape(id), &out); err != nil {
+		return out, fmt.Errorf("explain %s: %w", id, err)
+	}
+	return out, nil
 }
 
 // AddControlHost adds a control host at an address.
@@ -191,8 +207,10 @@
 
 func (c *Client) change(ctx context.Context, method, path, id string, body []byte) (OutcomeRecord, error) {
 	var out OutcomeRecord
-	err := c.call(ctx, method, path, id, body, &out)
-	return out, err
+	if err := c.call(ctx, method, path, id, body, &out); err != nil {
+		return out, fmt.Errorf("send change %s: %w", id, err)
+	}
+	return out, nil
 }
 
 func (c *Client) get(ctx context.Context, path string, out any) error {
@@ -206,8 +224,11 @@
 	for round := 0; ; round++ {
 		for _, base := range c.bases {
 			err := c.callOne(ctx, method, base+path, id, body, out)
+			if err == nil {
+				return nil
+			}
 			if !errors.Is(err, ErrUnavailable) {
-				return err
+				return fmt.Errorf("call API: %w", err)
 			}
 			last = err
 		}
--- a/tasks/task_test.go
+++ b/tasks/task_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"runtime"
 	"testing"
 	"time"
 
@@ -103,7 +104,7 @@
 	done := Every(ctx, manual, time.Second, r, 1)
 	for range 3 {
 		for manual.Timers() == 0 {
-			time.Sleep(time.Millisecond)
+			runtime.Gosched()
 		}
 		manual.Advance(time.Second)
 		<-c.ticks
