--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"rhubarbrack/load"
+	"rhubarbrack/stand"
 )
 
 // The exit codes besides those of package subcommands.
@@ -55,6 +56,7 @@
 	c.Register(&explainCommand{operator: operator{console: to}}, "operators")
 	c.Register(&devCommand{console: to}, "trials")
 	c.Register(&targetCommand{console: to}, "trials")
+	c.Register(stand.NewCommand(to.out), "trials")
 	c.Register(load.NewCommand(to.out), "trials")
 }
 
--- a/node/dev.go
+++ b/node/dev.go
@@ -148,7 +148,10 @@
 	o := newOptions(d.options)
 	system := tasks.NewSystem(o.log)
 	defer system.Shutdown()
-	platform, err := d.startStandIns(ctx, system)
+	// The stand-ins outlive the hosts, which finish their requests.
+	standing, stopStandIns := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopStandIns()
+	platform, err := d.startStandIns(standing, system)
 	if err != nil {
 		return fmt.Errorf("run trial process: %w", err)
 	}
