--- a/cmds/docs_test.go
+++ b/cmds/docs_test.go
@@ -10,6 +10,7 @@
 	"go/parser"
 	"go/token"
 	"io"
+	"log/slog"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -27,7 +28,10 @@
 	"rhubarbrack/caller"
 	"rhubarbrack/codec"
 	"rhubarbrack/conf"
+	"rhubarbrack/load"
 	"rhubarbrack/route"
+	"rhubarbrack/stand"
+	"rhubarbrack/tasks"
 )
 
 const operationsPage = "../docs/operations.md"
@@ -134,7 +138,7 @@
 		}
 	}
 	for name := range known {
-		if !seen[name] && name != "load" {
+		if !seen[name] {
 			t.Errorf("no page shows the command %s", name)
 		}
 	}
@@ -166,9 +170,42 @@
 		_, err := readDocuments(f.Args())
 		return err
 	}
+	switch c.Name() {
+	case "load":
+		return checkPlan(f.Lookup("plan").Value.String())
+	case "stand":
+		return checkStandIns(f.Lookup("spec").Value.String())
+	}
 	return runLine(c.Name(), line)
 }
 
+func checkPlan(name string) error {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	_, err = load.ReadPlan(bytes.NewReader(data))
+	return err
+}
+
+// checkStandIns starts the stand-ins on free ports instead of those of the
+// file.
+func checkStandIns(name string) error {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return err
+	}
+	text := regexp.MustCompile(`127\.0\.0\.1:\d+`).ReplaceAllString(string(data), "127.0.0.1:0")
+	system := tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	defer system.Shutdown()
+	f, err := stand.StartFleet(context.Background(), system, strings.NewReader(text))
+	if err != nil {
+		return err
+	}
+	f.Close()
+	return nil
+}
+
 func runLine(name string, line []string) error {
 	var errs bytes.Buffer
 	want := int(exitRefused)
