--- a/node/dev.go
+++ b/node/dev.go
@@ -393,6 +393,7 @@
 	for _, k := range d.keys {
 		fmt.Fprintf(&b, "  export KEY_%s=%s\n", strings.ToUpper(strings.ReplaceAll(string(k.team), "-", "_")), k.text)
 	}
+	fmt.Fprintf(&b, "  export TARGET=%s # a stand-in of the first service, for direct calls\n", d.targets[0].Address())
 	fmt.Fprintf(&b, "\nTry, in another terminal:\n\n")
 	fmt.Fprintf(&b, "  curl '%s/.rhubarbrack/lookup?service=commissions'\n", a.entries[0])
 	fmt.Fprintf(&b, "  curl -i -H 'Host: commissions.test' %s/catalogue\n", a.entries[0])
