Refuse at once what exceeds a team's limit by one host's arrivals alone

Change: each holder keeps a bucket of the team's rate and burst, with 200 ms of refill as slack, for what arrives at its host; a request that finds it empty is refused before it waits.

--- a/limit/holder.go
+++ b/limit/holder.go
@@ -158,6 +158,11 @@
 		return h.Take(t, now, now)
 	}
 	p.count(now)
+	if !p.arrivals.admit(p.limit, h.patience, now) {
+		// Without this, a team over its rate would wait in vain while the
+		// owner is replaced.
+		return Refuse(ReasonRate, p.limit.wait(1))
+	}
 	if behind {
 		return h.wait(p, now, now)
 	}
--- a/limit/purse.go
+++ b/limit/purse.go
@@ -49,6 +49,8 @@
 	demand  float64
 	counted time.Time
 	seen    time.Time
+
+	arrivals arrivals
 }
 
 // expire drops tokens whose lifetime has passed.
