--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -130,22 +130,63 @@
 	return found, nil
 }
 
-// poll calls one control host. The caller repeats it.
-func (c *Client) poll(ctx context.Context, args PollArgs) (PollReply, error) {
+// answer is a reply that says whether the control host could serve the call.
+type answer interface {
+	// header returns the verdict and, for another host's call, the leader.
+	header() (verdict Verdict, leader ident.Host, address string)
+}
+
+// call asks the control host that led last. An error that matches ErrNotLeader
+// means that it does not lead and did nothing; the next call goes to another
+// host. Errors that match errNoCandidate are final. The reply must be a new one
+// for each call, and is valid only without an error.
+func (c *Client) call(ctx context.Context, timeout time.Duration, method string, args any, reply answer) error {
 	to, err := c.candidate(ctx)
 	if err != nil {
-		return PollReply{}, fmt.Errorf("poll control host: %w", err)
+		return fmt.Errorf("%w: %w", errNoCandidate, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var reply PollReply
-	err = to.client.Call(ctx, pollService+".Poll", &args, &reply)
-	c.ref.Tell(called{number: to.number, served: err == nil && reply.Verdict == VerdictServed, leader: reply.Leader, address: reply.Address})
-	if err != nil {
-		return PollReply{}, fmt.Errorf("poll control host: %w", err)
+	if err := to.client.Call(ctx, pollService+"."+method, args, reply); err != nil {
+		// A late answer may still be written to the reply, so it is not read.
+		c.ref.Tell(called{number: to.number})
+		return fmt.Errorf("call control host: %w", err)
 	}
-	if reply.Verdict != VerdictServed {
-		return PollReply{}, fmt.Errorf("poll control host: %w", ErrNotLeader)
+	verdict, leader, address := reply.header()
+	served := verdict != VerdictNotLeader
+	c.ref.Tell(called{number: to.number, served: served, leader: leader, address: address})
+	if !served {
+		return fmt.Errorf("call control host: %w", ErrNotLeader)
+	}
+	return nil
+}
+
+// errNoCandidate means that the client has ended, or ctx before the call.
+const errNoCandidate = errors.ConstError("no control host to call")
+
+// repeat makes attempts until one is done, which it tells by true or by an
+// error that matches errNoCandidate. It returns the error of ctx when that ends
+// first.
+func (c *Client) repeat(ctx context.Context, attempt func() (bool, error)) error {
+	for {
+		done, err := attempt()
+		if done {
+			return nil
+		}
+		if errors.Is(err, errNoCandidate) {
+			return err
+		}
+		if err := pause(ctx, c.clock); err != nil {
+			return err
+		}
+	}
+}
+
+// poll calls one control host. The caller repeats it.
+func (c *Client) poll(ctx context.Context, args PollArgs) (PollReply, error) {
+	var reply PollReply
+	if err := c.call(ctx, callTimeout, "Poll", &args, &reply); err != nil {
+		return PollReply{}, fmt.Errorf("poll: %w", err)
 	}
 	return reply, nil
 }
@@ -162,14 +203,15 @@
 	}
 	unknown := false
 	for {
-		reply, err := c.proposeOnce(ctx, data)
+		var reply ProposeReply
+		err := c.call(ctx, callTimeout, "Propose", &ProposeArgs{Command: data, Timeout: proposeTimeout}, &reply)
 		if err == nil && reply.Verdict == VerdictServed {
 			return decodeOutcome(command, reply.Outcome)
 		}
 		if err == nil && reply.Verdict == VerdictInvalid {
 			return state.Outcome{}, fmt.Errorf("propose %s: %s", command.Kind(), reply.Error)
 		}
-		unknown = unknown || errors.Is(err, wire.ErrLost) || reply.Verdict == VerdictUnknown
+		unknown = unknown || errors.Is(err, wire.ErrLost) || err == nil && reply.Verdict == VerdictUnknown
 		if pause(ctx, c.clock) != nil {
 			return state.Outcome{}, proposeError(ctx, command, unknown)
 		}
@@ -194,27 +236,22 @@
 // InForce waits until every entry host with a lease has applied the revision.
 // It returns the error of ctx when that ends first.
 func (c *Client) InForce(ctx context.Context, revision ident.Revision) error {
-	for {
-		to, err := c.candidate(ctx)
-		if err != nil {
-			return fmt.Errorf("wait until revision %d is in force: %w", revision, err)
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		var reply InForceReply
-		err = to.client.Call(callCtx, pollService+".InForce", &InForceArgs{Revision: revision, Wait: maxPollWait}, &reply)
-		cancel()
-		served := err == nil && reply.Verdict == VerdictServed
-		c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader, address: reply.Address})
-		if served && reply.Reached {
-			return nil
-		}
-		if served {
-			continue
-		}
-		if err := pause(ctx, c.clock); err != nil {
-			return fmt.Errorf("wait until revision %d is in force: %w", revision, err)
+	args := InForceArgs{Revision: revision, Wait: maxPollWait}
+	err := c.repeat(ctx, func() (bool, error) {
+		for {
+			var reply InForceReply
+			if err := c.call(ctx, callTimeout, "InForce", &args, &reply); err != nil {
+				return false, err
+			}
+			if reply.Reached {
+				return true, nil
+			}
 		}
+	})
+	if err != nil {
+		return fmt.Errorf("wait until revision %d is in force: %w", revision, err)
 	}
+	return nil
 }
 
 // State is the replicated state as of a revision that a majority confirmed
@@ -248,73 +285,44 @@
 // Read returns the state from the leader, with the history of a document when
 // its kind is not empty. It tries again until ctx ends.
 func (c *Client) Read(ctx context.Context, kind, name string) (State, error) {
-	for {
-		to, err := c.candidate(ctx)
-		if err != nil {
-			return State{}, fmt.Errorf("read state: %w", err)
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	var record ReadReply
+	err := c.repeat(ctx, func() (bool, error) {
 		var reply ReadReply
-		err = to.client.Call(callCtx, pollService+".Read", &ReadArgs{Kind: kind, Name: name}, &reply)
-		cancel()
-		served := err == nil && reply.Verdict == VerdictServed
-		c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader, address: reply.Address})
-		if served {
-			config, err := codec.DecodeConfig(reply.Config)
-			if err != nil {
-				return State{}, fmt.Errorf("decode configuration: %w", err)
-			}
-			return State{config: config, record: reply}, nil
-		}
-		if err := pause(ctx, c.clock); err != nil {
-			return State{}, fmt.Errorf("read state: no control host leads: %w", err)
+		if err := c.call(ctx, callTimeout, "Read", &ReadArgs{Kind: kind, Name: name}, &reply); err != nil {
+			return false, err
 		}
+		record = reply
+		return true, nil
+	})
+	if err != nil {
+		return State{}, fmt.Errorf("read state: no control host leads: %w", err)
 	}
+	config, err := codec.DecodeConfig(record.Config)
+	if err != nil {
+		return State{}, fmt.Errorf("decode configuration: %w", err)
+	}
+	return State{config: config, record: record}, nil
 }
 
 // ChangeMember adds a control host at an address, or removes it when the
 // address is empty. It tries again until the change is made or ctx ends.
 func (c *Client) ChangeMember(ctx context.Context, host ident.Host, address string) error {
 	reason := "no control host leads"
-	for {
-		to, err := c.candidate(ctx)
-		if err != nil {
-			return fmt.Errorf("change control host %s: %w", host, err)
-		}
-		args := MemberArgs{Host: host, Address: address, Remove: address == "", Timeout: callTimeout}
-		callCtx, cancel := context.WithTimeout(ctx, 2*callTimeout)
+	args := MemberArgs{Host: host, Address: address, Remove: address == "", Timeout: callTimeout}
+	err := c.repeat(ctx, func() (bool, error) {
 		var reply MemberReply
-		err = to.client.Call(callCtx, pollService+".Member", &args, &reply)
-		cancel()
-		c.ref.Tell(called{number: to.number, served: err == nil && reply.Verdict != VerdictNotLeader, leader: reply.Leader, address: reply.Address})
-		if err == nil && reply.Verdict == VerdictServed {
-			return nil
+		if err := c.call(ctx, 2*callTimeout, "Member", &args, &reply); err != nil {
+			return false, err
 		}
 		if reply.Error != "" {
 			reason = reply.Error
 		}
-		if err := pause(ctx, c.clock); err != nil {
-			return fmt.Errorf("change control host %s: %s: %w", host, reason, err)
-		}
-	}
-}
-
-func (c *Client) proposeOnce(ctx context.Context, data []byte) (ProposeReply, error) {
-	to, err := c.candidate(ctx)
+		return reply.Verdict == VerdictServed, nil
+	})
 	if err != nil {
-		return ProposeReply{}, fmt.Errorf("call control host: %w", err)
+		return fmt.Errorf("change control host %s: %s: %w", host, reason, err)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var reply ProposeReply
-	args := ProposeArgs{Command: data, Timeout: proposeTimeout}
-	err = to.client.Call(ctx, pollService+".Propose", &args, &reply)
-	served := err == nil && reply.Verdict != VerdictNotLeader
-	c.ref.Tell(called{number: to.number, served: served, leader: reply.Leader, address: reply.Address})
-	if err != nil {
-		return ProposeReply{}, fmt.Errorf("call control host: %w", err)
-	}
-	return reply, nil
+	return nil
 }
 
 // pause returns after the retry pause, or the error of ctx when that ends
--- a/ctrl/record.go
+++ b/ctrl/record.go
@@ -177,3 +177,13 @@
 	Address string
 	Error   string
 }
+
+func (r *PollReply) header() (Verdict, ident.Host, string) { return r.Verdict, r.Leader, r.Address }
+
+func (r *ProposeReply) header() (Verdict, ident.Host, string) { return r.Verdict, r.Leader, r.Address }
+
+func (r *InForceReply) header() (Verdict, ident.Host, string) { return r.Verdict, r.Leader, r.Address }
+
+func (r *ReadReply) header() (Verdict, ident.Host, string) { return r.Verdict, r.Leader, r.Address }
+
+func (r *MemberReply) header() (Verdict, ident.Host, string) { return r.Verdict, r.Leader, r.Address }
