Write a reply only when its call has succeeded

Cause: net/rpc writes to the reply of a call that was given up when the answer arrives late; one caller worked around it, others read the reply all the same. Change: wire.Client and CallLocal receive into a value of their own and copy it on success; the workaround in the rate owners is gone.

--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -138,8 +138,8 @@
 
 // call asks the control host that led last. An error that matches ErrNotLeader
 // means that it does not lead and did nothing; the next call goes to another
-// host. Errors that match errNoCandidate are final. The reply must be a new one
-// for each call, and is valid only without an error.
+// host. Errors that match errNoCandidate are final. The reply is valid only
+// without an error.
 func (c *Client) call(ctx context.Context, timeout time.Duration, method string, args any, reply answer) error {
 	to, err := c.candidate(ctx)
 	if err != nil {
@@ -148,7 +148,6 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := to.client.Call(ctx, pollService+"."+method, args, reply); err != nil {
-		// A late answer may still be written to the reply, so it is not read.
 		c.ref.Tell(called{number: to.number})
 		return fmt.Errorf("call control host: %w", err)
 	}
--- a/entry/rateowners.go
+++ b/entry/rateowners.go
@@ -306,13 +306,8 @@
 	tasks.Go(o.ctx, func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, o.options.recall)
 		defer cancel()
-		// A late answer writes to the reply after the call has failed, so
-		// the message gets a copy only when it has succeeded.
-		var reply RateReport
-		if err := o.peers.Call(ctx, h.Host(), methodHoldings, &args, &reply); err != nil {
+		if err := o.peers.Call(ctx, h.Host(), methodHoldings, &args, &m.report); err != nil {
 			m.err = fmt.Errorf("ask %s for holdings of shard %d: %w", h.Host(), shard, err)
-		} else {
-			m.report = reply
 		}
 		o.self.Tell(m)
 	})
--- a/wire/client.go
+++ b/wire/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"time"
 
 	"github.com/juju/errors"
@@ -64,7 +65,8 @@
 func (c *Client) Done() <-chan struct{} { return c.ref.Done() }
 
 // Call invokes a method of the peer. The context must have a deadline, which
-// bounds the call. Errors match ErrUnreachable or ErrBusy when the call was
+// bounds the call. The reply is written only when there is no error, also if an
+// answer arrives late. Errors match ErrUnreachable or ErrBusy when the call was
 // certainly not sent, ErrLost when it may have run.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	if _, ok := ctx.Deadline(); !ok {
@@ -77,9 +79,14 @@
 		return fmt.Errorf("call %s of %s: %w", method, c.address, ErrBusy)
 	}
 	result := make(chan error, 1)
-	c.ref.Tell(invoke{method: method, args: args, reply: reply, result: result})
+	// net/rpc goes on to write to the reply of a call that was given up.
+	received := reflect.New(reflect.TypeOf(reply).Elem()).Interface()
+	c.ref.Tell(invoke{method: method, args: args, reply: received, result: result})
 	select {
 	case err := <-result:
+		if err == nil {
+			err = assign(reply, received)
+		}
 		if err != nil {
 			return fmt.Errorf("call %s of %s: %w", method, c.address, err)
 		}
--- a/wire/client_test.go
+++ b/wire/client_test.go
@@ -14,7 +14,7 @@
 )
 
 // Echo is the service that the tests call.
-type Echo struct{ release chan struct{} }
+type Echo struct{ release, written chan struct{} }
 
 // Say returns its argument.
 func (e *Echo) Say(args *string, reply *string) error {
@@ -25,6 +25,14 @@
 // Refuse returns an error.
 func (e *Echo) Refuse(_ *string, _ *string) error { return errors.New("refused") }
 
+// Late writes its answer when the test releases it, and tells that it has.
+func (e *Echo) Late(_ *string, reply *string) error {
+	<-e.release
+	*reply = "late"
+	e.written <- struct{}{}
+	return nil
+}
+
 // Hang answers when the test releases it.
 func (e *Echo) Hang(_ *string, _ *string) error {
 	<-e.release
@@ -136,3 +144,73 @@
 		})
 	}
 }
+
+// Guards against an answer that is written after its call was given up, when
+// the caller uses the reply for something else already.
+func TestLateAnswer(t *testing.T) {
+	type caller func(ctx context.Context, method string, reply *string) error
+	cases := []struct {
+		name  string
+		start func(t *testing.T, server *rpc.Server) caller
+	}{
+		{name: "over a connection", start: func(t *testing.T, server *rpc.Server) caller {
+			t.Helper()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			served := Serve(ctx, listener, server)
+			system := tasks.NewSystem(slog.New(slog.NewTextHandler(io.Discard, nil)))
+			c, err := Dial(ctx, system, "late", listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() {
+				stop()
+				<-c.Done()
+				<-served
+				system.Shutdown()
+			})
+			return func(ctx context.Context, method string, reply *string) error {
+				return c.Call(ctx, method, new("said"), reply)
+			}
+		}},
+		{name: "within the process", start: func(_ *testing.T, server *rpc.Server) caller {
+			return func(ctx context.Context, method string, reply *string) error {
+				return CallLocal(ctx, server, method, new("said"), reply)
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			server := rpc.NewServer()
+			echo := &Echo{release: make(chan struct{}), written: make(chan struct{}, 1)}
+			if err := server.Register(echo); err != nil {
+				t.Fatal(err)
+			}
+			call := tc.start(t, server)
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			reply := "before"
+			if err := call(ctx, "Echo.Late", &reply); !errors.Is(err, ErrLost) {
+				t.Fatalf("call = %v, want %v", err, ErrLost)
+			}
+			close(echo.release)
+			<-echo.written
+			// The late answer travels beside these calls and before the last.
+			for range 100 {
+				var said string
+				long, cancel := context.WithTimeout(context.Background(), time.Minute)
+				err := call(long, "Echo.Say", &said)
+				cancel()
+				if err != nil || said != "said" {
+					t.Fatalf("call after the late one = %q, %v", said, err)
+				}
+			}
+			if reply != "before" {
+				t.Errorf("reply is %q after a late answer, want it unchanged", reply)
+			}
+		})
+	}
+}
--- a/wire/local.go
+++ b/wire/local.go
@@ -9,17 +9,21 @@
 
 // CallLocal invokes a method of a server of the same process, without a
 // connection and without encoding. Arguments and reply are copied one level
-// deep, so the method must not change what they refer to. Errors match
-// ErrLost when ctx ends first; the reply must not be read then.
+// deep, so the method must not change what they refer to. The reply is written
+// only when there is no error. Errors match ErrLost when ctx ends first.
 func CallLocal(ctx context.Context, server *rpc.Server, method string, args, reply any) error {
-	c := &localCodec{method: method, args: args, reply: reply, result: make(chan error, 1)}
+	c := &localCodec{method: method, args: args, result: make(chan localResult, 1)}
 	go func() {
 		if err := server.ServeRequest(c); err != nil {
-			c.finish(err)
+			c.finish(localResult{err: err})
 		}
 	}()
 	select {
-	case err := <-c.result:
+	case r := <-c.result:
+		err := r.err
+		if err == nil {
+			err = assign(reply, r.body)
+		}
 		if err != nil {
 			return fmt.Errorf("call %s of this host: %w", method, err)
 		}
@@ -31,9 +35,15 @@
 
 // localCodec passes one call to a server by value.
 type localCodec struct {
-	method      string
-	args, reply any
-	result      chan error
+	method string
+	args   any
+	result chan localResult
+}
+
+// localResult is the reply of the server or its error.
+type localResult struct {
+	body any
+	err  error
 }
 
 var _ rpc.ServerCodec = (*localCodec)(nil)
@@ -54,18 +64,18 @@
 
 func (c *localCodec) WriteResponse(r *rpc.Response, body any) error {
 	if r.Error != "" {
-		c.finish(rpc.ServerError(r.Error))
+		c.finish(localResult{err: rpc.ServerError(r.Error)})
 		return nil
 	}
-	c.finish(assign(c.reply, body))
+	c.finish(localResult{body: body})
 	return nil
 }
 
 func (c *localCodec) Close() error { return nil }
 
-func (c *localCodec) finish(err error) {
+func (c *localCodec) finish(r localResult) {
 	select {
-	case c.result <- err:
+	case c.result <- r:
 	default:
 	}
 }
