--- a/ctrl/capacity_test.go
+++ b/ctrl/capacity_test.go
@@ -19,41 +19,11 @@
 	"rhubarbrack/ident"
 	"rhubarbrack/plan"
 	"rhubarbrack/state"
+	"rhubarbrack/tally"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
 )
 
-// counter counts the bytes of the connections of a listener.
-type counter struct {
-	net.Listener
-	in, out atomic.Int64
-}
-
-func (c *counter) Accept() (net.Conn, error) {
-	conn, err := c.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, counter: c}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	counter *counter
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counter.in.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.counter.out.Add(int64(n))
-	return n, err
-}
-
 // processorTime returns what the process has used.
 func processorTime(b *testing.B) time.Duration {
 	b.Helper()
@@ -67,13 +37,13 @@
 func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
 // listen serves the RPC server on loopback and returns its counter.
-func listen(ctx context.Context, b *testing.B, server *rpc.Server) *counter {
+func listen(ctx context.Context, b *testing.B, server *rpc.Server) *tally.Listener {
 	b.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.Fatal(err)
 	}
-	c := &counter{Listener: listener}
+	c := tally.New(listener)
 	ctx, cancel := context.WithCancel(ctx)
 	served := wire.Serve(ctx, c, server)
 	b.Cleanup(func() {
@@ -154,14 +124,14 @@
 					}
 				}
 				call()
-				in, out, calls := c.in.Load(), c.out.Load(), 0
+				in, out, calls := c.In(), c.Out(), 0
 				for b.Loop() {
 					call()
 					calls++
 				}
 				b.ReportMetric(float64(in+out), "first-bytes")
-				b.ReportMetric(float64(c.in.Load()-in)/float64(calls), "poll-bytes")
-				b.ReportMetric(float64(c.out.Load()-out)/float64(calls), "answer-bytes")
+				b.ReportMetric(float64(c.In()-in)/float64(calls), "poll-bytes")
+				b.ReportMetric(float64(c.Out()-out)/float64(calls), "answer-bytes")
 			})
 		}
 	}
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -6,45 +6,14 @@
 	"log/slog"
 	"net"
 	"net/rpc"
-	"sync/atomic"
 	"testing"
 	"time"
 
+	"rhubarbrack/tally"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
 )
 
-// tally counts the bytes of the connections of a listener, both ways.
-type tally struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (t *tally) Accept() (net.Conn, error) {
-	conn, err := t.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &talliedConn{Conn: conn, tally: t}, nil
-}
-
-type talliedConn struct {
-	net.Conn
-	tally *tally
-}
-
-func (c *talliedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.tally.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *talliedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.tally.bytes.Add(int64(n))
-	return n, err
-}
-
 // fixedOwner gives the same answers to every call.
 type fixedOwner struct{}
 
@@ -106,7 +75,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			t, server := &tally{Listener: listener}, rpc.NewServer()
+			t, server := tally.New(listener), rpc.NewServer()
 			if err := server.RegisterName("Bench", fixedOwner{}); err != nil {
 				b.Fatal(err)
 			}
@@ -129,12 +98,12 @@
 				}
 			}
 			call()
-			first, calls := t.bytes.Load(), 0
+			first, calls := t.In()+t.Out(), 0
 			for b.Loop() {
 				call()
 				calls++
 			}
-			b.ReportMetric(float64(t.bytes.Load()-first)/float64(calls), "call-bytes")
+			b.ReportMetric(float64(t.In()+t.Out()-first)/float64(calls), "call-bytes")
 		})
 	}
 }
--- a/platf/bench_test.go
+++ b/platf/bench_test.go
@@ -5,47 +5,16 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"rhubarbrack/tally"
 	"rhubarbrack/tasks"
 )
 
-// tally counts the bytes of the connections of a listener, both ways.
-type tally struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-func (t *tally) Accept() (net.Conn, error) {
-	conn, err := t.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &talliedConn{Conn: conn, tally: t}, nil
-}
-
-type talliedConn struct {
-	net.Conn
-	tally *tally
-}
-
-func (c *talliedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.tally.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *talliedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.tally.bytes.Add(int64(n))
-	return n, err
-}
-
 // polls passes the end of each poll to a benchmark.
 type polls chan struct{}
 
@@ -79,7 +48,7 @@
 					}
 					_, _ = w.Write(list)
 				}))
-				t := &tally{Listener: server.Listener}
+				t := tally.New(server.Listener)
 				server.Listener = t
 				server.Start()
 				defer server.Close()
@@ -91,12 +60,12 @@
 					b.Fatal(err)
 				}
 				<-ended
-				first, done := t.bytes.Load(), 0
+				first, done := t.In()+t.Out(), 0
 				for b.Loop() {
 					<-ended
 					done++
 				}
-				b.ReportMetric(float64(t.bytes.Load()-first)/float64(done), "poll-bytes")
+				b.ReportMetric(float64(t.In()+t.Out()-first)/float64(done), "poll-bytes")
 				l.Stop()
 				for stopped := false; !stopped; {
 					select {
