--- /dev/null
+++ b/admit/request.go
@@ -0,0 +1,126 @@
+package admit
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/scheme"
+	"rhubarbrack/spread"
+)
+
+// Request is what a decision needs to know of a caller's request.
+type Request struct {
+	id       ident.RequestID
+	host     string
+	path     string
+	key      string
+	object   string
+	patience time.Duration
+}
+
+// NewRequest returns a request. The key and the object are empty when the
+// caller sent none. The patience is how long the caller waits for an answer,
+// or 0 when it did not say.
+func NewRequest(id ident.RequestID, host, path, key, object string, patience time.Duration) Request {
+	return Request{id: id, host: host, path: path, key: key, object: object, patience: patience}
+}
+
+// ID returns the name of the request.
+func (r Request) ID() ident.RequestID { return r.id }
+
+// Reason tells why a request was refused.
+type Reason string
+
+const (
+	// NotReady refuses requests while the host knows no configuration.
+	NotReady Reason = "not-ready"
+	// NoRoute refuses a host name or path without a route.
+	NoRoute Reason = "no-route"
+	// NoKey refuses a request without a key on a route that needs one.
+	NoKey Reason = "no-key"
+	// UnknownKey refuses a key that no team holds.
+	UnknownKey Reason = "unknown-key"
+	// OverRate refuses what exceeds the rate of the team.
+	OverRate Reason = "over-rate"
+	// NoTarget refuses a request for which no target is known.
+	NoTarget Reason = "no-target"
+	// NoRoom refuses a request when all targets are full.
+	NoRoom Reason = "no-room"
+	// OutOfTime refuses a request whose time is over.
+	OutOfTime Reason = "out-of-time"
+	// Crashing refuses a request that has crashed several targets.
+	Crashing Reason = "crashing"
+	// NoBudget ends a request that may not be sent once more.
+	NoBudget Reason = "no-budget"
+	// NoAttempts ends a request that has used all its attempts.
+	NoAttempts Reason = "no-attempts"
+)
+
+// Ticket is a request that was admitted. It belongs to the caller's handler
+// and goes back to the desk with each further question.
+type Ticket struct {
+	request  Request
+	route    *scheme.Route
+	team     ident.Team
+	homes    []ident.Region
+	service  ident.Service
+	priority int
+	arrived  time.Time
+	deadline time.Time
+	tried    []ident.Target
+	sends    int
+	version  uint64
+}
+
+// Route returns the route of the request.
+func (t *Ticket) Route() *scheme.Route { return t.route }
+
+// Team returns the team whose key came with the request, or "".
+func (t *Ticket) Team() ident.Team { return t.team }
+
+// Service returns the service that the request goes to.
+func (t *Ticket) Service() ident.Service { return t.service }
+
+// Deadline returns when the caller or the route gives the request up.
+func (t *Ticket) Deadline() time.Time { return t.deadline }
+
+// Arrived returns when the request arrived.
+func (t *Ticket) Arrived() time.Time { return t.arrived }
+
+// Version returns the version of the configuration that decided.
+func (t *Ticket) Version() uint64 { return t.version }
+
+// Sends returns how often the request was sent.
+func (t *Ticket) Sends() int { return t.sends }
+
+// ID returns the name of the request.
+func (t *Ticket) ID() ident.RequestID { return t.request.id }
+
+// Decision says what happens to a request next: it is sent to the target of
+// the choice, or refused.
+type Decision struct {
+	ticket *Ticket
+	choice spread.Choice
+	reason Reason
+	after  time.Duration
+}
+
+// Ticket returns the admitted request, or nil when it was refused at once.
+func (d Decision) Ticket() *Ticket { return d.ticket }
+
+// Choice returns the target of the send. It is valid unless the request is
+// refused.
+func (d Decision) Choice() spread.Choice { return d.choice }
+
+// Refused returns the reason of a refusal.
+func (d Decision) Refused() (Reason, bool) { return d.reason, d.reason != "" }
+
+// After returns the time after which a refused request may succeed, or 0 when
+// it is of no use to come back.
+func (d Decision) After() time.Duration { return d.after }
+
+// Refuse returns the decision to end the request for the given reason.
+func (d Decision) Refuse(reason Reason) Decision {
+	d.reason, d.after = reason, firstWait
+	return d
+}
--- a/cmds/cmds.go
+++ b/cmds/cmds.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 
 	"rhubarbrack/load"
+	"rhubarbrack/platform"
 	"rhubarbrack/stand"
 )
 
@@ -47,6 +48,12 @@
 func register(c *subcommands.Commander, to console) {
 	c.Register(&roleCommand{console: to, role: "entry", run: runEntry}, "roles")
 	c.Register(&roleCommand{console: to, role: "control", run: runControl}, "roles")
+	c.Register(&hostedCommand{
+		console: to, name: "platform-entry", synopsis: "run an entry host on the platform", run: platform.RunEntry,
+	}, "roles")
+	c.Register(&hostedCommand{
+		console: to, name: "platform-control", synopsis: "run a control host on the platform", run: platform.RunControl,
+	}, "roles")
 	c.Register(&checkCommand{console: to}, "operators")
 	c.Register(&profileCommand{operator: operator{console: to}}, "operators")
 	c.Register(&keyCommand{operator: operator{console: to}}, "operators")
--- a/cmds/docs_test.go
+++ b/cmds/docs_test.go
@@ -34,7 +34,7 @@
 	"rhubarbrack/tasks"
 )
 
-const operationsPage = "../docs/operations.md"
+const operationsPage = "../docs/OPERATIONS.md"
 
 var pages = []string{"../README.md", operationsPage, "../docs/glossary.md", "../docs/design.md", "../CONTRIBUTING.md"}
 
--- /dev/null
+++ b/mesh/control.go
@@ -0,0 +1,239 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/rpc"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rhubarbrack/agree"
+	"rhubarbrack/board"
+	"rhubarbrack/clock"
+	"rhubarbrack/ctrl"
+	"rhubarbrack/ident"
+	"rhubarbrack/scheme"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+// ErrUnavailable means that no leader could serve the call in time. An order
+// may take effect all the same.
+const ErrUnavailable = errors.ConstError("no control host could serve the call")
+
+const (
+	// callTimeout bounds one call to another control host.
+	callTimeout = 900 * time.Millisecond
+	// retryPause is the time between two attempts to reach the leader.
+	retryPause = 50 * time.Millisecond
+)
+
+// Control is the part of the mesh on a control host. It is safe for
+// concurrent use.
+type Control struct {
+	ref     *tasks.Ref
+	replica *ctrl.Replica
+	clock   clock.Clock
+	log     *slog.Logger
+	host    ident.Host
+	own     string
+}
+
+// Start starts the hub of a control host whose replica listens at the own
+// address. The seeds are the addresses of some control hosts. Use must be
+// called before the server serves.
+func Start(
+	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, host ident.Host, own string,
+	seeds []string,
+) (*Control, error) {
+	ref, err := tasks.Spawn(ctx, system, "mesh-hub", newHub(ctx, system, c, log, own, seeds))
+	if err != nil {
+		return nil, fmt.Errorf("start mesh: %w", err)
+	}
+	return &Control{ref: ref, clock: c, log: log, host: host, own: own}, nil
+}
+
+// Publish is the listener of the board.
+func (c *Control) Publish(revision ident.Revision, l scheme.Ledger) {
+	c.ref.Tell(published{revision: revision, ledger: l})
+}
+
+// Use registers the calls of the mesh and starts the upkeep of the
+// membership.
+func (c *Control) Use(ctx context.Context, server *rpc.Server, replica *ctrl.Replica) error {
+	c.replica = replica
+	if err := server.RegisterName(serviceName, &service{control: c, ctx: ctx}); err != nil {
+		return fmt.Errorf("register mesh: %w", err)
+	}
+	return nil
+}
+
+// Put makes a configuration the newest one unless a newer one is held. Nil
+// means that the order is durable.
+func (c *Control) Put(ctx context.Context, version uint64, source []byte) error {
+	order, err := board.Put(version, source)
+	if err == nil {
+		err = c.submit(ctx, order)
+	}
+	if err != nil {
+		return fmt.Errorf("put configuration %d: %w", version, err)
+	}
+	return nil
+}
+
+// Evacuate begins or ends the evacuation of a zone.
+func (c *Control) Evacuate(ctx context.Context, zone ident.Zone, begin bool) error {
+	order, err := board.Evacuate(zone, begin)
+	if err == nil {
+		err = c.submit(ctx, order)
+	}
+	if err != nil {
+		return fmt.Errorf("evacuate zone %s: %w", zone, err)
+	}
+	return nil
+}
+
+// Read returns the orders that include every one acknowledged before the
+// call.
+func (c *Control) Read(ctx context.Context) (scheme.Ledger, error) {
+	var found scheme.Ledger
+	err := c.atLeader(ctx, func(ctx context.Context) error {
+		l, err := c.readHere(ctx)
+		if err != nil {
+			return fmt.Errorf("read on the leader: %w", err)
+		}
+		found = l.ledger()
+		return nil
+	}, func(ctx context.Context, client *wire.Client) error {
+		var r StateRecord
+		if err := client.Call(ctx, methodRead, &EmptyRecord{}, &r); err != nil {
+			return fmt.Errorf("ask the leader: %w", err)
+		}
+		found = r.ledger()
+		return nil
+	})
+	if err != nil {
+		return scheme.Ledger{}, fmt.Errorf("read configuration: %w", err)
+	}
+	return found, nil
+}
+
+// readHere reads on the leader.
+func (c *Control) readHere(ctx context.Context) (StateRecord, error) {
+	if _, err := c.replica.Barrier(ctx); err != nil {
+		return StateRecord{}, fmt.Errorf("confirm leadership: %w", err)
+	}
+	// The hub has the state of the barrier, because the replica told it
+	// before it answered.
+	r, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[StateRecord]) any { return fetch{reply: reply} })
+	if err != nil {
+		return StateRecord{}, fmt.Errorf("read state: %w", err)
+	}
+	return r, nil
+}
+
+func (c *Control) submit(ctx context.Context, order []byte) error {
+	return c.atLeader(ctx, func(ctx context.Context) error {
+		if _, _, err := c.replica.Propose(ctx, order); err != nil {
+			return fmt.Errorf("propose order: %w", err)
+		}
+		return nil
+	}, func(ctx context.Context, client *wire.Client) error {
+		var r SubmittedRecord
+		if err := client.Call(ctx, methodSubmit, &SubmitRecord{Order: order}, &r); err != nil {
+			return fmt.Errorf("ask the leader: %w", err)
+		}
+		return nil
+	})
+}
+
+// atLeader carries out a call here or, when another host leads, there. All
+// orders have the same effect when they arrive twice, so the call is repeated
+// until ctx ends.
+func (c *Control) atLeader(
+	ctx context.Context, here func(context.Context) error, there func(context.Context, *wire.Client) error,
+) error {
+	for {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		err := here(call)
+		var elsewhere *ctrl.NotLeaderError
+		if errors.As(err, &elsewhere) && elsewhere.Address() != "" && elsewhere.Address() != c.own {
+			if client := c.client(call, elsewhere.Address()); client != nil {
+				err = there(call, client)
+			}
+		}
+		cancel()
+		if err == nil {
+			return nil
+		}
+		if !pause(ctx, c.clock, retryPause) {
+			return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+	}
+}
+
+func (c *Control) client(ctx context.Context, address string) *wire.Client {
+	client, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[*wire.Client]) any {
+		return askClient{address: address, reply: reply}
+	})
+	if err != nil {
+		return nil
+	}
+	return client
+}
+
+// EntryHosts returns the entry hosts that callers from a region are sent to:
+// those of the region, or else those of the given homes, or else all.
+func (c *Control) EntryHosts(ctx context.Context, region ident.Region, homes []ident.Region) ([]EntryHost, error) {
+	all, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[[]EntryHost]) any { return askHosts{reply: reply} })
+	if err != nil {
+		return nil, fmt.Errorf("entry hosts: %w", err)
+	}
+	near := filter(all, func(e EntryHost) bool { return e.region == region })
+	if len(near) == 0 && len(homes) > 0 {
+		near = filter(all, func(e EntryHost) bool { return slices.Contains(homes, e.region) })
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	return near, nil
+}
+
+func filter(list []EntryHost, keep func(EntryHost) bool) []EntryHost {
+	var kept []EntryHost
+	for _, e := range list {
+		if keep(e) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// Orders returns the orders that this host has applied, which may be old.
+func (c *Control) Orders(ctx context.Context) (scheme.Ledger, error) {
+	r, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[StateRecord]) any { return fetch{reply: reply} })
+	if err != nil {
+		return scheme.Ledger{}, fmt.Errorf("read orders: %w", err)
+	}
+	return r.ledger(), nil
+}
+
+// pause waits and reports whether ctx is still alive.
+func pause(ctx context.Context, c clock.Clock, d time.Duration) bool {
+	t := c.NewTimer(d)
+	select {
+	case <-t.C():
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		t.Stop()
+		return false
+	}
+}
+
+// isLeader reports whether the replica leads, and whether it knows a leader.
+func (c *Control) isLeader(s ctrl.Status) (leads, known bool) {
+	return s.Role() == agree.Leader, s.Leader() != ""
+}
--- /dev/null
+++ b/mesh/follow.go
@@ -0,0 +1,326 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/ident"
+	"rhubarbrack/scheme"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+const (
+	// greetInterval is the time between two reports of an entry host. What is
+	// new is in force within about that time and two round trips.
+	greetInterval = 400 * time.Millisecond
+	// settleTime is how long a new entry host waits for the answers of all
+	// control hosts, so that it does not start with an old configuration.
+	settleTime = 1500 * time.Millisecond
+	// listAdvance is by how much another list must be younger to replace the
+	// one held.
+	listAdvance = 100 * time.Millisecond
+)
+
+// Sink takes over what an entry host learns. Its methods must not block.
+type Sink interface {
+	// Order puts the operators' orders in force. An error means that they
+	// cannot be read.
+	Order(revision ident.Revision, l scheme.Ledger) error
+	// Targets replaces the list of targets, as read at the given time.
+	Targets(read time.Time, list []Listed)
+	// Hosts sets the number of entry hosts that share the fleet's bounds.
+	Hosts(n int)
+	// Ready tells that the host knows enough to serve.
+	Ready()
+}
+
+// Follower keeps an entry host informed. It is safe for concurrent use.
+type Follower struct {
+	ref *tasks.Ref
+}
+
+// Follow starts to report to the control hosts, of which the seeds are some.
+func Follow(
+	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, host ident.Host, address string,
+	zone ident.Zone, region ident.Region, seeds []string, sink Sink,
+) (*Follower, error) {
+	t := &followTask{
+		ctx: ctx, system: system, clock: c, log: log, sink: sink, peers: map[string]*peer{},
+		report: GreetRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
+	}
+	ref, err := tasks.Spawn(ctx, system, "mesh-follower", t)
+	if err != nil {
+		return nil, fmt.Errorf("follow the control hosts: %w", err)
+	}
+	t.self = ref
+	ref.Tell(learnControls{addresses: seeds})
+	ref.Tell(greetAll{})
+	tasks.Every(ctx, c, greetInterval, ref, greetAll{})
+	return &Follower{ref: ref}, nil
+}
+
+// SetReady tells the control hosts at once whether callers may be sent here.
+func (f *Follower) SetReady(ready bool) { f.ref.Tell(setReady{ready: ready}) }
+
+// The messages of the follower.
+type (
+	greetAll      struct{}
+	setReady      struct{ ready bool }
+	learnControls struct{ addresses []string }
+	greeted       struct {
+		peer   *peer
+		sent   time.Time
+		record GreetedRecord
+		err    error
+	}
+	fetched struct {
+		peer   *peer
+		record StateRecord
+		err    error
+	}
+	received struct {
+		peer   *peer
+		record ListRecord
+		err    error
+	}
+)
+
+// peer is a control host as an entry host sees it.
+type peer struct {
+	address string
+	client  *wire.Client
+	busy    bool
+	heard   time.Time
+	lost    bool
+	hosts   int
+}
+
+// followTask owns what the entry host has learnt.
+type followTask struct {
+	ctx      context.Context
+	self     *tasks.Ref
+	system   *tasks.System
+	clock    clock.Clock
+	log      *slog.Logger
+	sink     Sink
+	report   GreetRecord
+	peers    map[string]*peer
+	revision ident.Revision
+	hasOrder bool
+	fetching bool
+	listTag  uint64
+	listRead time.Time
+	listing  bool
+	hosts    int
+	most     time.Time
+	first    time.Time
+	ready    bool
+}
+
+var _ tasks.Task = (*followTask)(nil)
+
+// Handle implements tasks.Task.
+func (t *followTask) Handle(message any) {
+	switch m := message.(type) {
+	case greetAll:
+		t.greetAll()
+	case setReady:
+		// A host that stops before it was ready never becomes ready.
+		t.ready = t.ready || !m.ready
+		t.report.Ready = m.ready
+		t.greetAll()
+	case learnControls:
+		t.learn(m.addresses)
+	case greeted:
+		t.greeted(m)
+	case fetched:
+		t.fetched(m)
+	case received:
+		t.received(m)
+	}
+}
+
+func (t *followTask) learn(addresses []string) {
+	known := map[string]bool{}
+	for _, a := range addresses {
+		known[a] = true
+		if _, ok := t.peers[a]; ok {
+			continue
+		}
+		c, err := wire.Dial(t.ctx, t.system, "follow-"+a, a)
+		if err != nil {
+			t.log.Error("mesh: cannot start a client", "address", a, "error", err)
+			continue
+		}
+		t.peers[a] = &peer{address: a, client: c}
+	}
+	now := t.clock.Now()
+	for a, p := range t.peers {
+		// A control host that answers is kept, whoever does not name it.
+		if !known[a] && now.Sub(p.heard) > memberSilence {
+			p.client.Close()
+			delete(t.peers, a)
+		}
+	}
+}
+
+func (t *followTask) greetAll() {
+	now := t.clock.Now()
+	for _, p := range t.peers {
+		if !p.lost && !p.heard.IsZero() && now.Sub(p.heard) > hostSilence {
+			p.lost = true
+			t.log.Warn("mesh: control host lost", "peer", p.address, "silent", now.Sub(p.heard).String())
+		}
+		if p.busy {
+			continue
+		}
+		p.busy = true
+		report, sent := t.report, now
+		go func() {
+			call, cancel := context.WithTimeout(t.ctx, callTimeout)
+			defer cancel()
+			m := greeted{peer: p, sent: sent}
+			m.err = p.client.Call(call, methodGreet, &report, &m.record)
+			t.self.Tell(m)
+		}()
+	}
+	t.settle(now)
+}
+
+func (t *followTask) greeted(m greeted) {
+	m.peer.busy = false
+	if m.err != nil {
+		t.log.Debug("mesh: report failed", "peer", m.peer.address, "error", m.err)
+		return
+	}
+	now := t.clock.Now()
+	if m.peer.lost {
+		t.log.Info("mesh: control host regained", "peer", m.peer.address)
+	}
+	m.peer.heard, m.peer.lost, m.peer.hosts = now, false, m.record.Hosts
+	if t.first.IsZero() {
+		t.first = now
+	}
+	t.learn(m.record.Controls)
+	t.count(now)
+	if ident.Revision(m.record.Revision) > t.revision && !t.fetching {
+		t.fetching = true
+		go t.fetch(m.peer)
+	}
+	// The list was read at the latest this long ago.
+	read := m.sent.Add(-m.record.ListAge)
+	switch {
+	case !m.record.HasList:
+	case m.record.ListTag == t.listTag:
+		t.listRead = read
+	case !t.listing && read.After(t.listRead.Add(listAdvance)):
+		t.listing = true
+		go t.fetchList(m.peer)
+	}
+	t.settle(now)
+}
+
+// count shares the fleet's bounds among the largest number of entry hosts
+// that a control host has counted lately: one that is out of contact with
+// them serves on with its share.
+func (t *followTask) count(now time.Time) {
+	n := 1
+	for _, p := range t.peers {
+		if !p.lost {
+			n = max(n, p.hosts)
+		}
+	}
+	if n >= t.hosts {
+		t.most = now
+	}
+	if n > t.hosts || n < t.hosts && now.Sub(t.most) > hostMemory {
+		t.log.Info("mesh: number of entry hosts changed", "hosts", n, "before", t.hosts)
+		t.hosts, t.most = n, now
+		t.sink.Hosts(n)
+	}
+}
+
+func (t *followTask) fetch(p *peer) {
+	call, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	m := fetched{peer: p}
+	m.err = p.client.Call(call, methodFetch, &EmptyRecord{}, &m.record)
+	t.self.Tell(m)
+}
+
+func (t *followTask) fetched(m fetched) {
+	t.fetching = false
+	if m.err != nil {
+		t.log.Warn("mesh: orders not fetched", "peer", m.peer.address, "error", m.err)
+		return
+	}
+	revision := ident.Revision(m.record.Revision)
+	if revision <= t.revision {
+		return
+	}
+	if err := t.sink.Order(revision, m.record.ledger()); err != nil {
+		t.log.Error("mesh: orders cannot be read", "revision", revision, "error", err)
+		return
+	}
+	t.revision = revision
+	t.hasOrder = t.hasOrder || m.record.Version > 0
+	t.log.Info("mesh: orders in force", "revision", revision, "version", m.record.Version,
+		"evacuated", m.record.Zones, "peer", m.peer.address)
+	t.settle(t.clock.Now())
+}
+
+func (t *followTask) fetchList(p *peer) {
+	call, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	m := received{peer: p}
+	m.err = p.client.Call(call, methodTargets, &EmptyRecord{}, &m.record)
+	t.self.Tell(m)
+}
+
+func (t *followTask) received(m received) {
+	t.listing = false
+	if m.err != nil || !m.record.HasList {
+		t.log.Warn("mesh: list of targets not fetched", "peer", m.peer.address, "error", m.err)
+		return
+	}
+	read := t.clock.Now().Add(-m.record.Age)
+	if !read.After(t.listRead) {
+		return
+	}
+	list := make([]Listed, len(m.record.Targets))
+	for i, r := range m.record.Targets {
+		list[i] = NewListed(ident.Target(r.ID), ident.Service(r.Service), r.Address, ident.Zone(r.Zone), r.Slots,
+			r.Draining, r.Cold)
+	}
+	t.listTag, t.listRead = m.record.Tag, read
+	t.sink.Targets(read, list)
+	t.log.Info("mesh: list of targets in force", "targets", len(list), "tag", m.record.Tag,
+		"age", m.record.Age.String(), "peer", m.peer.address)
+	t.settle(t.clock.Now())
+}
+
+// settle tells once that the host knows enough: a configuration and the
+// targets, from more than half of the control hosts or after a while.
+func (t *followTask) settle(now time.Time) {
+	if t.ready || !t.hasOrder || t.listRead.IsZero() || t.fetching {
+		return
+	}
+	heard := 0
+	for _, p := range t.peers {
+		if !p.heard.IsZero() {
+			heard++
+		}
+	}
+	if 2*heard <= len(t.peers) && now.Sub(t.first) < settleTime {
+		return
+	}
+	t.ready = true
+	t.log.Info("mesh: entry host is ready", "control-hosts", heard)
+	t.sink.Ready()
+	t.report.Ready = true
+	t.greetAll()
+}
--- /dev/null
+++ b/mesh/hub.go
@@ -0,0 +1,286 @@
+package mesh
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/ident"
+	"rhubarbrack/scheme"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+const (
+	// hostSilence is how long an entry host may be silent before callers are
+	// no longer sent to it. It is several reports.
+	hostSilence = 1500 * time.Millisecond
+	// hostMemory is how long an entry host counts among those that share the
+	// bounds of the fleet after it was last heard: it may serve on, unheard.
+	hostMemory = 30 * time.Second
+	// joinMemory is how long a request to join is valid. It is repeated.
+	joinMemory = 2 * time.Second
+)
+
+// EntryHost is an entry host as a control host knows it.
+type EntryHost struct {
+	host    ident.Host
+	address string
+	zone    ident.Zone
+	region  ident.Region
+	ready   bool
+	heard   time.Time
+}
+
+// Address returns where callers reach the host.
+func (e EntryHost) Address() string { return e.address }
+
+// Zone returns the zone of the host.
+func (e EntryHost) Zone() ident.Zone { return e.zone }
+
+// Region returns the region of the host.
+func (e EntryHost) Region() ident.Region { return e.region }
+
+// hub is the task that owns what a control host knows of the fleet.
+type hub struct {
+	ctx      context.Context
+	system   *tasks.System
+	clock    clock.Clock
+	log      *slog.Logger
+	own      string
+	revision ident.Revision
+	ledger   scheme.Ledger
+	hosts    map[ident.Host]EntryHost
+	controls map[string]bool
+	joiners  map[string]joiner
+	list     *listing
+	tags     uint64
+	clients  map[string]*wire.Client
+}
+
+// joiner is a control host that wants to become a member.
+type joiner struct {
+	host    ident.Host
+	address string
+	heard   time.Time
+}
+
+// The messages of the hub.
+type (
+	published struct {
+		revision ident.Revision
+		ledger   scheme.Ledger
+	}
+	greet struct {
+		record GreetRecord
+		reply  tasks.Reply[GreetedRecord]
+	}
+	fetch   struct{ reply tasks.Reply[StateRecord] }
+	targets struct{ reply tasks.Reply[ListRecord] }
+	join    struct {
+		record JoinRecord
+		reply  tasks.Reply[[]string]
+	}
+	members    struct{ addresses []string }
+	listed     struct{ targets []Listed }
+	askHosts   struct{ reply tasks.Reply[[]EntryHost] }
+	askJoiners struct{ reply tasks.Reply[[]joiner] }
+	askClient  struct {
+		address string
+		reply   tasks.Reply[*wire.Client]
+	}
+	askControls struct{ reply tasks.Reply[[]string] }
+	askListAge  struct {
+		reply tasks.Reply[ident.Option[time.Duration]]
+	}
+)
+
+var _ tasks.Task = (*hub)(nil)
+
+func newHub(ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, own string, seeds []string) *hub {
+	h := &hub{
+		ctx: ctx, system: system, clock: c, log: log, own: own, hosts: map[ident.Host]EntryHost{},
+		controls: map[string]bool{}, joiners: map[string]joiner{}, clients: map[string]*wire.Client{},
+		// Lists of two processes never have the same tag.
+		tags: rand.Uint64(),
+	}
+	for _, s := range seeds {
+		h.controls[s] = true
+	}
+	h.controls[own] = true
+	return h
+}
+
+// Handle implements tasks.Task.
+func (h *hub) Handle(message any) {
+	switch m := message.(type) {
+	case published:
+		if m.ledger.Version() != h.ledger.Version() {
+			h.log.Info("mesh: configuration in force", "version", m.ledger.Version(), "revision", m.revision)
+		}
+		if !slices.Equal(m.ledger.Evacuated(), h.ledger.Evacuated()) {
+			h.log.Info("mesh: evacuated zones changed", "zones", m.ledger.Evacuated(), "revision", m.revision)
+		}
+		h.revision, h.ledger = m.revision, m.ledger
+	case greet:
+		m.reply.Send(h.greet(m.record))
+	case fetch:
+		m.reply.Send(fromLedger(h.revision, h.ledger))
+	case targets:
+		m.reply.Send(h.listRecord())
+	case join:
+		h.join(m.record)
+		m.reply.Send(h.controlList())
+	case members:
+		h.learn(m.addresses)
+	case listed:
+		h.listed(m.targets)
+	case askHosts:
+		m.reply.Send(h.readyHosts())
+	case askJoiners:
+		m.reply.Send(h.currentJoiners())
+	case askClient:
+		m.reply.Send(h.client(m.address))
+	case askControls:
+		m.reply.Send(h.controlList())
+	case askListAge:
+		age := ident.None[time.Duration]()
+		if h.list != nil {
+			age = ident.Some(h.clock.Now().Sub(h.list.read))
+		}
+		m.reply.Send(age)
+	}
+}
+
+func (h *hub) greet(r GreetRecord) GreetedRecord {
+	now := h.clock.Now()
+	host := ident.Host(r.Host)
+	old, known := h.hosts[host]
+	if !known || old.ready != r.Ready || old.address != r.Address || now.Sub(old.heard) > hostSilence {
+		h.log.Info("mesh: entry host changed", "host", host, "ready", r.Ready, "known", known,
+			"silent", now.Sub(old.heard).Truncate(time.Millisecond).String())
+	}
+	h.hosts[host] = EntryHost{
+		host: host, address: r.Address, zone: ident.Zone(r.Zone), region: ident.Region(r.Region),
+		ready: r.Ready, heard: now,
+	}
+	for id, e := range h.hosts {
+		if now.Sub(e.heard) > hostMemory {
+			delete(h.hosts, id)
+		}
+	}
+	answer := GreetedRecord{Controls: h.controlList(), Revision: uint64(h.revision), Hosts: len(h.hosts)}
+	if h.list != nil {
+		answer.HasList, answer.ListTag, answer.ListAge = true, h.list.tag, now.Sub(h.list.read)
+	}
+	return answer
+}
+
+func (h *hub) controlList() []string {
+	list := make([]string, 0, len(h.controls))
+	for address := range h.controls {
+		list = append(list, address)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (h *hub) join(r JoinRecord) {
+	if old, ok := h.joiners[r.Address]; !ok || old.host != ident.Host(r.Host) {
+		h.log.Info("mesh: control host asks to join", "host", r.Host, "address", r.Address)
+	}
+	h.joiners[r.Address] = joiner{host: ident.Host(r.Host), address: r.Address, heard: h.clock.Now()}
+	h.controls[r.Address] = true
+}
+
+// learn takes over the addresses of the members of the replicated log.
+func (h *hub) learn(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	known := map[string]bool{h.own: true}
+	for _, a := range addresses {
+		known[a] = true
+	}
+	for _, j := range h.currentJoiners() {
+		known[j.address] = true
+	}
+	h.controls = known
+	for address, c := range h.clients {
+		if !known[address] {
+			c.Close()
+			delete(h.clients, address)
+		}
+	}
+}
+
+func (h *hub) currentJoiners() []joiner {
+	var list []joiner
+	for address, j := range h.joiners {
+		if h.clock.Now().Sub(j.heard) > joinMemory {
+			delete(h.joiners, address)
+			continue
+		}
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b joiner) int { return cmp.Compare(a.address, b.address) })
+	return list
+}
+
+func (h *hub) listed(list []Listed) {
+	now := h.clock.Now()
+	slices.SortFunc(list, func(a, b Listed) int { return cmp.Compare(a.id, b.id) })
+	if h.list != nil && h.list.isSame(now, list) {
+		h.list.read = now
+		for i := range list {
+			h.list.targets[i].cold = list[i].cold
+		}
+		return
+	}
+	h.tags++
+	h.log.Info("mesh: list of targets changed", "targets", len(list), "tag", h.tags)
+	h.list = &listing{read: now, tag: h.tags, targets: list}
+}
+
+func (h *hub) listRecord() ListRecord {
+	if h.list == nil {
+		return ListRecord{}
+	}
+	r := ListRecord{HasList: true, Tag: h.list.tag, Age: h.clock.Now().Sub(h.list.read)}
+	for _, l := range h.list.targets {
+		r.Targets = append(r.Targets, TargetRecord{
+			ID: string(l.id), Service: string(l.service), Address: l.address, Zone: string(l.zone), Slots: l.slots,
+			Draining: l.draining, Cold: l.cold,
+		})
+	}
+	return r
+}
+
+func (h *hub) readyHosts() []EntryHost {
+	now := h.clock.Now()
+	var list []EntryHost
+	for _, e := range h.hosts {
+		if e.ready && now.Sub(e.heard) < hostSilence {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b EntryHost) int { return cmp.Compare(a.address, b.address) })
+	return list
+}
+
+func (h *hub) client(address string) *wire.Client {
+	if c, ok := h.clients[address]; ok {
+		return c
+	}
+	c, err := wire.Dial(h.ctx, h.system, "mesh-"+address, address)
+	if err != nil {
+		h.log.Error("mesh: cannot start a client", "address", address, "error", err)
+		return nil
+	}
+	h.clients[address] = c
+	return c
+}
--- /dev/null
+++ b/mesh/listing.go
@@ -0,0 +1,86 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// Listed is a target as the platform lists it.
+type Listed struct {
+	id       ident.Target
+	service  ident.Service
+	address  string
+	zone     ident.Zone
+	slots    int
+	draining bool
+	cold     time.Duration
+}
+
+// NewListed returns a listed target. It stays cold for the given time.
+func NewListed(
+	id ident.Target, service ident.Service, address string, zone ident.Zone, slots int, draining bool,
+	cold time.Duration,
+) Listed {
+	return Listed{
+		id: id, service: service, address: address, zone: zone, slots: slots, draining: draining, cold: cold,
+	}
+}
+
+// ID returns the name of the target's process.
+func (l Listed) ID() ident.Target { return l.id }
+
+// Service returns the service that the target offers.
+func (l Listed) Service() ident.Service { return l.service }
+
+// Address returns where the target is reached.
+func (l Listed) Address() string { return l.address }
+
+// Zone returns the zone of the target.
+func (l Listed) Zone() ident.Zone { return l.zone }
+
+// Slots returns how many requests the target runs at once.
+func (l Listed) Slots() int { return l.slots }
+
+// IsDraining reports whether the target is about to leave.
+func (l Listed) IsDraining() bool { return l.draining }
+
+// Cold returns how much longer the target stays cold.
+func (l Listed) Cold() time.Duration { return l.cold }
+
+// Lister reads the platform's list of targets.
+type Lister interface {
+	List(ctx context.Context) ([]Listed, error)
+}
+
+// coldTolerance is by how much two readings of the end of a cold time may
+// differ without counting as a change.
+const coldTolerance = 800 * time.Millisecond
+
+// listing is a list and the time of its reading.
+type listing struct {
+	read    time.Time
+	tag     uint64
+	targets []Listed
+}
+
+// isSame reports whether a later reading says the same.
+func (l *listing) isSame(read time.Time, targets []Listed) bool {
+	if len(l.targets) != len(targets) {
+		return false
+	}
+	for i, n := range targets {
+		o := l.targets[i]
+		oldEnd, newEnd := l.read.Add(o.cold), read.Add(n.cold)
+		isCold := o.cold > 0 || n.cold > 0
+		if isCold && (newEnd.Sub(oldEnd).Abs() > coldTolerance && newEnd.After(read)) {
+			return false
+		}
+		o.cold, n.cold = 0, 0
+		if o != n {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/mesh/record.go
@@ -0,0 +1,94 @@
+package mesh
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/scheme"
+)
+
+// Names of the calls.
+const (
+	serviceName   = "Mesh"
+	methodGreet   = serviceName + ".Greet"
+	methodFetch   = serviceName + ".Fetch"
+	methodTargets = serviceName + ".Targets"
+	methodJoin    = serviceName + ".Join"
+	methodSubmit  = serviceName + ".Submit"
+	methodRead    = serviceName + ".Read"
+)
+
+// The records below cross the wire. Durations are in nanoseconds.
+type (
+	// GreetRecord is the report of an entry host.
+	GreetRecord struct {
+		Host    string
+		Address string
+		Zone    string
+		Region  string
+		Ready   bool
+	}
+	// GreetedRecord is what a control host knows at that time.
+	GreetedRecord struct {
+		Controls []string
+		Revision uint64
+		Hosts    int
+		HasList  bool
+		ListTag  uint64
+		ListAge  time.Duration
+	}
+	// EmptyRecord asks without parameters.
+	EmptyRecord struct{}
+	// StateRecord holds the operators' orders.
+	StateRecord struct {
+		Revision uint64
+		Version  uint64
+		Source   []byte
+		Zones    []string
+	}
+	// TargetRecord is a target of the list. Cold is how much longer it stays
+	// cold, as of the reading of the list.
+	TargetRecord struct {
+		ID       string
+		Service  string
+		Address  string
+		Zone     string
+		Slots    int
+		Draining bool
+		Cold     time.Duration
+	}
+	// ListRecord is the list of targets.
+	ListRecord struct {
+		HasList bool
+		Tag     uint64
+		Age     time.Duration
+		Targets []TargetRecord
+	}
+	// JoinRecord asks to become a member of the replicated log.
+	JoinRecord struct {
+		Host    string
+		Address string
+	}
+	// JoinedRecord names the control hosts.
+	JoinedRecord struct{ Controls []string }
+	// SubmitRecord carries an order to the leader.
+	SubmitRecord struct{ Order []byte }
+	// SubmittedRecord acknowledges an order.
+	SubmittedRecord struct{ Revision uint64 }
+)
+
+func fromLedger(revision ident.Revision, l scheme.Ledger) StateRecord {
+	r := StateRecord{Revision: uint64(revision), Version: l.Version(), Source: l.Source()}
+	for _, z := range l.Evacuated() {
+		r.Zones = append(r.Zones, string(z))
+	}
+	return r
+}
+
+func (r StateRecord) ledger() scheme.Ledger {
+	zones := make([]ident.Zone, len(r.Zones))
+	for i, z := range r.Zones {
+		zones[i] = ident.Zone(z)
+	}
+	return scheme.NewLedger(r.Version, r.Source, zones)
+}
--- /dev/null
+++ b/mesh/service.go
@@ -0,0 +1,69 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+
+	"rhubarbrack/tasks"
+)
+
+// service receives the calls of other hosts.
+type service struct {
+	control *Control
+	ctx     context.Context
+}
+
+// Greet takes the report of an entry host.
+func (s *service) Greet(args *GreetRecord, reply *GreetedRecord) error {
+	return answer(s, reply, func(r tasks.Reply[GreetedRecord]) any { return greet{record: *args, reply: r} })
+}
+
+// Fetch returns the orders that this host has applied.
+func (s *service) Fetch(_ *EmptyRecord, reply *StateRecord) error {
+	return answer(s, reply, func(r tasks.Reply[StateRecord]) any { return fetch{reply: r} })
+}
+
+// Targets returns the list of targets.
+func (s *service) Targets(_ *EmptyRecord, reply *ListRecord) error {
+	return answer(s, reply, func(r tasks.Reply[ListRecord]) any { return targets{reply: r} })
+}
+
+// Join notes that a control host wants to become a member.
+func (s *service) Join(args *JoinRecord, reply *JoinedRecord) error {
+	return answer(s, &reply.Controls, func(r tasks.Reply[[]string]) any { return join{record: *args, reply: r} })
+}
+
+// Submit carries out an order on the leader.
+func (s *service) Submit(args *SubmitRecord, reply *SubmittedRecord) error {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	revision, _, err := s.control.replica.Propose(ctx, args.Order)
+	if err != nil {
+		return fmt.Errorf("submit: %w", err)
+	}
+	reply.Revision = uint64(revision)
+	return nil
+}
+
+// Read returns the newest orders, confirmed with a majority.
+func (s *service) Read(_ *EmptyRecord, reply *StateRecord) error {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	r, err := s.control.readHere(ctx)
+	if err != nil {
+		return fmt.Errorf("read: %w", err)
+	}
+	*reply = r
+	return nil
+}
+
+func answer[T any](s *service, reply *T, build func(tasks.Reply[T]) any) error {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	r, err := tasks.Ask(ctx, s.control.ref, build)
+	if err != nil {
+		return fmt.Errorf("ask the hub: %w", err)
+	}
+	*reply = r
+	return nil
+}
--- a/node/control.go
+++ b/node/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/rpc"
@@ -11,6 +12,7 @@
 	"rhubarbrack/caller"
 	"rhubarbrack/conf"
 	"rhubarbrack/ctrl"
+	"rhubarbrack/ident"
 	"rhubarbrack/meter"
 	"rhubarbrack/oper"
 	"rhubarbrack/plan"
@@ -156,7 +158,7 @@
 		return fmt.Errorf("feed task: %w", ErrEnded)
 	}
 	c.options.log.Info("node: control host stops", "host", c.settings.Host())
-	c.handOver(ctx)
+	handOver(ctx, c.replica, c.settings.Host(), c.options.log)
 	closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferTimeout)
 	defer cancel()
 	for _, server := range []*caller.Server{c.api, c.metrics} {
@@ -178,15 +180,15 @@
 
 // handOver gives the leadership to another control host, if this one leads and
 // there is another one.
-func (c *control) handOver(ctx context.Context) {
+func handOver(ctx context.Context, replica *ctrl.Replica, host ident.Host, log *slog.Logger) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), transferTimeout)
 	defer cancel()
-	status, err := c.replica.Status(ctx)
-	if err != nil || status.Leader() != c.settings.Host() || len(status.Members()) < 2 {
+	status, err := replica.Status(ctx)
+	if err != nil || status.Leader() != host || len(status.Members()) < 2 {
 		return
 	}
-	if err := c.replica.Transfer(ctx, ""); err != nil {
-		c.options.log.Warn("node: leadership was not handed over", "error", err)
+	if err := replica.Transfer(ctx, ""); err != nil {
+		log.Warn("node: leadership was not handed over", "error", err)
 	}
 }
 
--- /dev/null
+++ b/node/fleet.go
@@ -0,0 +1,347 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/rpc"
+	"sync/atomic"
+	"time"
+
+	"rhubarbrack/admit"
+	"rhubarbrack/board"
+	"rhubarbrack/caller"
+	"rhubarbrack/clock"
+	"rhubarbrack/ctrl"
+	"rhubarbrack/ident"
+	"rhubarbrack/link"
+	"rhubarbrack/mesh"
+	"rhubarbrack/meter"
+	"rhubarbrack/relay"
+	"rhubarbrack/scheme"
+	"rhubarbrack/spread"
+	"rhubarbrack/store"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+// Fleet is where a process stands in a fleet that finds itself from seeds.
+type Fleet struct {
+	host       ident.Host
+	zone       ident.Zone
+	region     ident.Region
+	regions    map[ident.Zone]ident.Region
+	ip         string
+	peerPort   int
+	seeds      []string
+	metrics    string
+	data       string
+	firstStart bool
+	grace      time.Duration
+	bounds     admit.Bounds
+	clock      clock.Clock
+	log        *slog.Logger
+}
+
+// NewFleet returns the place of a host. Processes of the fleet reach each
+// other at peerPort; the seeds are the addresses of some control hosts there.
+func NewFleet(
+	host ident.Host, zone ident.Zone, regions map[ident.Zone]ident.Region, ip string, peerPort int, seeds []string,
+	c clock.Clock, log *slog.Logger,
+) Fleet {
+	return Fleet{
+		host: host, zone: zone, region: regions[zone], regions: regions, ip: ip, peerPort: peerPort, seeds: seeds,
+		clock: c, log: log,
+	}
+}
+
+// WithData sets the data directory of a control host and whether the whole
+// system starts for the first time.
+func (f Fleet) WithData(directory string, firstStart bool) Fleet {
+	f.data, f.firstStart = directory, firstStart
+	return f
+}
+
+// WithBounds sets the limits that hold for all entry hosts together.
+func (f Fleet) WithBounds(b admit.Bounds) Fleet {
+	f.bounds = b
+	return f
+}
+
+// WithGrace sets how long a process may run after it was told to stop.
+func (f Fleet) WithGrace(d time.Duration) Fleet {
+	f.grace = d
+	return f
+}
+
+// WithMetrics sets the address at which counters and histograms are served.
+func (f Fleet) WithMetrics(address string) Fleet {
+	f.metrics = address
+	return f
+}
+
+func (f Fleet) own() string { return net.JoinHostPort(f.ip, fmt.Sprint(f.peerPort)) }
+
+// Endpoint is an HTTP interface of a process towards others.
+type Endpoint struct {
+	address string
+	handler http.Handler
+}
+
+// NewEndpoint returns an interface at an address.
+func NewEndpoint(address string, handler http.Handler) Endpoint {
+	return Endpoint{address: address, handler: handler}
+}
+
+// endpointLimits suit calls of the platform and of operators.
+var endpointLimits = caller.NewLimits(64<<10, 5*time.Second, 30*time.Second, 1024)
+
+// serveEndpoints serves all endpoints, and the metrics where an address is
+// set.
+func (f Fleet) serveEndpoints(ctx context.Context, list []Endpoint, m *meter.Meter) ([]*caller.Server, error) {
+	if f.metrics != "" {
+		list = append(list, NewEndpoint(f.metrics, m.Handler()))
+	}
+	var servers []*caller.Server
+	for _, e := range list {
+		listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", e.address)
+		if err != nil {
+			return servers, fmt.Errorf("listen at %s: %w", e.address, err)
+		}
+		servers = append(servers, caller.Serve(listener, e.handler, endpointLimits, f.log))
+	}
+	return servers, nil
+}
+
+// closeServers ends the endpoints.
+func (f Fleet) closeServers(servers []*caller.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			f.log.Info("node: endpoint closed with calls under way", "error", err)
+		}
+	}
+}
+
+// replicaName returns the name of this host in the replicated log. It belongs
+// to the disk: a host whose disk is lost comes back under another name,
+// because it must not vote for what it has forgotten.
+func (f Fleet) replicaName() (ident.Host, error) {
+	name, known, err := store.Owner(f.data, store.OS())
+	if err != nil {
+		return "", fmt.Errorf("name of the replica: %w", err)
+	}
+	if known {
+		return name, nil
+	}
+	if f.firstStart && f.isSeed() {
+		return ident.Host(f.own()), nil
+	}
+	var random [6]byte
+	if _, err := rand.Read(random[:]); err != nil {
+		return "", fmt.Errorf("name of the replica: %w", err)
+	}
+	return ident.Host(f.own() + "/" + hex.EncodeToString(random[:])), nil
+}
+
+func (f Fleet) isSeed() bool {
+	for _, s := range f.seeds {
+		if s == f.own() {
+			return true
+		}
+	}
+	return false
+}
+
+// formation returns the seeds when this host forms the cluster with them.
+func (f Fleet) formation(name ident.Host) []ctrl.Peer {
+	if name != ident.Host(f.own()) || !f.isSeed() {
+		return nil
+	}
+	var list []ctrl.Peer
+	for _, s := range f.seeds {
+		list = append(list, ctrl.NewPeer(ident.Host(s), s))
+	}
+	return list
+}
+
+// listInterval is the time between two readings of the platform's list.
+const listInterval = 500 * time.Millisecond
+
+// RunFleetControl runs a control host until ctx ends or its disk fails. The
+// endpoints are built around the host's part of the mesh.
+func RunFleetControl(
+	ctx context.Context, f Fleet, lister mesh.Lister, endpoints func(*mesh.Control) []Endpoint,
+) error {
+	f.log.Info("node: control host starts", "host", f.host, "zone", f.zone, "first-start", f.firstStart)
+	name, err := f.replicaName()
+	if err != nil {
+		return fmt.Errorf("control host: %w", err)
+	}
+	system := tasks.NewSystem(f.log)
+	defer system.Shutdown()
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	control, err := mesh.Start(inner, system, f.clock, f.log, name, f.own(), f.seeds)
+	if err != nil {
+		return fmt.Errorf("control host: %w", err)
+	}
+	server := rpc.NewServer()
+	replica, err := ctrl.StartReplica(inner, system, server, name, f.data, board.New(control.Publish),
+		ctrl.WithClock(f.clock), ctrl.WithLogger(f.log), ctrl.WithFormation(f.formation(name)...))
+	if err != nil {
+		return fmt.Errorf("control host: %w", err)
+	}
+	if err := control.Use(inner, server, replica); err != nil {
+		return fmt.Errorf("control host: %w", err)
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", f.own())
+	if err != nil {
+		return fmt.Errorf("control host: listen for peers: %w", err)
+	}
+	served := wire.Serve(inner, listener, server)
+	kept := tasks.Go(inner, control.Keep)
+	read := tasks.Go(inner, func(ctx context.Context) { control.ReadList(ctx, lister, listInterval) })
+	servers, err := f.serveEndpoints(ctx, endpoints(control), meter.New())
+	if err == nil {
+		select {
+		case <-ctx.Done():
+			f.log.Info("node: control host stops", "host", f.host)
+			handOver(ctx, replica, name, f.log)
+		case <-replica.Done():
+			err = fmt.Errorf("replica ended: %w", replica.Err())
+		}
+	}
+	f.closeServers(servers)
+	stop()
+	<-replica.Done()
+	<-served
+	<-kept
+	<-read
+	if err != nil {
+		return fmt.Errorf("control host %s: %w", f.host, err)
+	}
+	return nil
+}
+
+// Decoder reads a configuration from its source text.
+type Decoder func(source []byte) (*scheme.Config, error)
+
+// entrySink passes what an entry host learns on to its parts.
+type entrySink struct {
+	fleet  Fleet
+	decode Decoder
+	desk   *relay.Desk
+	front  *relay.Front
+	config *scheme.Config
+	ready  *atomic.Bool
+}
+
+var _ mesh.Sink = (*entrySink)(nil)
+
+// Order implements mesh.Sink.
+func (s *entrySink) Order(_ ident.Revision, l scheme.Ledger) error {
+	if len(l.Source()) > 0 && (s.config == nil || s.config.Version() != l.Version()) {
+		c, err := s.decode(l.Source())
+		if err != nil {
+			return fmt.Errorf("configuration %d: %w", l.Version(), err)
+		}
+		s.config = c
+		s.desk.Configure(c)
+		s.front.Limit(c.Limits())
+	}
+	s.desk.Evacuate(l.Evacuated())
+	return nil
+}
+
+// Targets implements mesh.Sink.
+func (s *entrySink) Targets(read time.Time, list []mesh.Listed) {
+	out := make([]spread.Target, 0, len(list))
+	for _, l := range list {
+		cold := time.Time{}
+		if l.Cold() > 0 {
+			cold = read.Add(l.Cold())
+		}
+		out = append(out, spread.NewTarget(l.ID(), l.Service(), l.Address(), l.Zone(), s.fleet.regions[l.Zone()],
+			l.Slots(), l.IsDraining(), cold))
+	}
+	s.desk.Update(out)
+}
+
+// Hosts implements mesh.Sink.
+func (s *entrySink) Hosts(n int) { s.desk.SetHosts(n) }
+
+// Ready implements mesh.Sink.
+func (s *entrySink) Ready() { s.ready.Store(true) }
+
+const (
+	// leaveTime is how long a leaving entry host still takes new connections:
+	// callers use the answers of look-ups for their time to live and some a
+	// little longer.
+	leaveTime = 2500 * time.Millisecond
+	// stopMargin is how long before the end of the grace the process ends.
+	stopMargin = 500 * time.Millisecond
+)
+
+// RunFleetEntry runs an entry host until ctx ends and then stops it without
+// cutting requests. Callers reach it at the given address. The endpoints are
+// built around a function that tells whether the host is ready.
+func RunFleetEntry(
+	ctx context.Context, f Fleet, callers string, dialect relay.Dialect, decode Decoder,
+	endpoints func(isReady func() bool) []Endpoint,
+) error {
+	f.log.Info("node: entry host starts", "host", f.host, "zone", f.zone, "callers", callers)
+	system := tasks.NewSystem(f.log)
+	defer system.Shutdown()
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	pool, err := link.StartPool(inner, system, f.clock)
+	if err != nil {
+		return fmt.Errorf("entry host: %w", err)
+	}
+	desk, err := relay.StartDesk(inner, system, f.clock, admit.NewDesk(f.zone, f.region, f.bounds), pool)
+	if err != nil {
+		return fmt.Errorf("entry host: %w", err)
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", callers)
+	if err != nil {
+		return fmt.Errorf("entry host: listen for callers: %w", err)
+	}
+	gauges := meter.New()
+	front, err := relay.StartFront(inner, system, listener,
+		relay.NewHandler(desk, pool, dialect, f.clock, f.log, gauges), f.log)
+	if err != nil {
+		return fmt.Errorf("entry host: %w", err)
+	}
+	var ready atomic.Bool
+	servers, err := f.serveEndpoints(ctx, endpoints(ready.Load), gauges)
+	if err != nil {
+		return fmt.Errorf("entry host: %w", err)
+	}
+	follower, err := mesh.Follow(inner, system, f.clock, f.log, f.host, callers, f.zone, f.region, f.seeds,
+		&entrySink{fleet: f, decode: decode, desk: desk, front: front, ready: &ready})
+	if err != nil {
+		return fmt.Errorf("entry host: %w", err)
+	}
+	<-ctx.Done()
+	f.log.Info("node: entry host stops", "host", f.host)
+	ready.Store(false)
+	follower.SetReady(false)
+	front.Drain()
+	f.wait(leaveTime)
+	closing, cancel := context.WithTimeout(inner, f.grace-leaveTime-stopMargin)
+	defer cancel()
+	if err := front.Shutdown(closing); err != nil {
+		f.log.Warn("node: requests were cut at the end of the grace", "error", err)
+	}
+	f.closeServers(servers)
+	f.log.Info("node: entry host stopped", "host", f.host)
+	return nil
+}
+
+func (f Fleet) wait(d time.Duration) { <-f.clock.NewTimer(d).C() }
--- /dev/null
+++ b/relay/dialect.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"rhubarbrack/admit"
+	"rhubarbrack/ident"
+	"rhubarbrack/spread"
+)
+
+// Dialect knows how the parties name things in HTTP messages. It makes no
+// decisions.
+type Dialect interface {
+	// Request decodes what decisions need of a caller's request.
+	Request(r *http.Request) admit.Request
+	// Outbound sets the headers of a request on its way to a target: the
+	// caller's key is removed, and the target's process, the time left and
+	// the team are named.
+	Outbound(h http.Header, target ident.Target, left time.Duration, team ident.Team)
+	// Answer decodes what a target says of itself and of the request.
+	Answer(r *http.Response) Answer
+	// Refuse writes an answer of this host itself.
+	Refuse(w http.ResponseWriter, r Refusal)
+}
+
+// Answer is what a target's answer says besides its body.
+type Answer struct {
+	request ident.RequestID
+	genuine bool
+	notRun  bool
+	foreign bool
+	load    ident.Option[spread.Load]
+	cold    ident.Option[time.Duration]
+}
+
+// NewAnswer returns what an answer says: the request that it belongs to,
+// whether it bears the mark of a target's own work, whether it states that
+// the request has not run, and whether another process than the one that was
+// meant has answered.
+func NewAnswer(
+	request ident.RequestID, genuine, notRun, foreign bool, load ident.Option[spread.Load],
+	cold ident.Option[time.Duration],
+) Answer {
+	return Answer{request: request, genuine: genuine, notRun: notRun, foreign: foreign, load: load, cold: cold}
+}
+
+// Outcome says whether a request that this host answers by itself has run.
+type Outcome uint8
+
+const (
+	// NotRun means that no target has run the request or ever will.
+	NotRun Outcome = iota + 1
+	// Unknown means that a target may have run the request.
+	Unknown
+	// Late means that the request's time ended while a target may run it.
+	Late
+)
+
+// String returns the name for logs.
+func (o Outcome) String() string {
+	switch o {
+	case NotRun:
+		return "not-run"
+	case Unknown:
+		return "unknown"
+	case Late:
+		return "late"
+	}
+	return "invalid"
+}
+
+// Refusal is an answer of this host itself.
+type Refusal struct {
+	request ident.RequestID
+	outcome Outcome
+	reason  admit.Reason
+	after   time.Duration
+}
+
+// Request returns the request that is refused.
+func (r Refusal) Request() ident.RequestID { return r.request }
+
+// Outcome says whether the request has run.
+func (r Refusal) Outcome() Outcome { return r.outcome }
+
+// Reason tells why the request is refused.
+func (r Refusal) Reason() admit.Reason { return r.reason }
+
+// After returns when the caller may come back, or 0.
+func (r Refusal) After() time.Duration { return r.after }
--- /dev/null
+++ b/scheme/config.go
@@ -0,0 +1,168 @@
+package scheme
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"rhubarbrack/ident"
+)
+
+// ErrInvalid is returned for a configuration that contradicts itself.
+const ErrInvalid = errors.ConstError("invalid configuration")
+
+// aimExcess is how far the aim of a route may exceed its timeout. A greater
+// one is taken for a mistake of units.
+const aimExcess = time.Minute
+
+// Config is a whole configuration. It is safe for concurrent use.
+type Config struct {
+	version  uint64
+	limits   Limits
+	routes   []*Route
+	hosts    map[string][]*Route
+	keys     map[string]*Team
+	teams    []*Team
+	services map[ident.Service]Service
+}
+
+// New returns a configuration. The error wraps ErrInvalid and names what is
+// wrong.
+func New(version uint64, limits Limits, teams []*Team, routes []*Route, services []Service) (*Config, error) {
+	c := &Config{
+		version: version, limits: limits, routes: routes, teams: teams,
+		hosts: map[string][]*Route{}, keys: map[string]*Team{}, services: map[ident.Service]Service{},
+	}
+	for _, s := range services {
+		c.services[s.name] = s
+	}
+	for _, t := range teams {
+		if err := c.addTeam(t); err != nil {
+			return nil, fmt.Errorf("configuration %d: %w", version, err)
+		}
+	}
+	for _, r := range routes {
+		if err := c.addRoute(r); err != nil {
+			return nil, fmt.Errorf("configuration %d: %w", version, err)
+		}
+	}
+	for _, list := range c.hosts {
+		// The longest prefix comes first, so that the first match decides.
+		slices.SortFunc(list, func(a, b *Route) int { return len(b.prefix) - len(a.prefix) })
+	}
+	return c, nil
+}
+
+func (c *Config) addTeam(t *Team) error {
+	if t.name == "" {
+		return fmt.Errorf("%w: a team without a name", ErrInvalid)
+	}
+	if t.rate < 0 || t.burst < 0 {
+		return fmt.Errorf("%w: team %s has a negative rate", ErrInvalid, t.name)
+	}
+	for _, k := range t.keys {
+		if k == "" {
+			return fmt.Errorf("%w: team %s has an empty key", ErrInvalid, t.name)
+		}
+		if other, ok := c.keys[k]; ok && other != t {
+			return fmt.Errorf("%w: teams %s and %s share a key", ErrInvalid, other.name, t.name)
+		}
+		c.keys[k] = t
+	}
+	return nil
+}
+
+func (c *Config) addRoute(r *Route) error {
+	if err := c.checkRoute(r); err != nil {
+		return fmt.Errorf("route %s at %s%s: %w", r.name, r.host, r.prefix, err)
+	}
+	host := strings.ToLower(r.host)
+	c.hosts[host] = append(c.hosts[host], r)
+	return nil
+}
+
+func (c *Config) checkRoute(r *Route) error {
+	switch {
+	case r.host == "":
+		return fmt.Errorf("%w: no host name", ErrInvalid)
+	case !strings.HasPrefix(r.prefix, "/") || !strings.HasSuffix(r.prefix, "/"):
+		return fmt.Errorf("%w: the prefix must begin and end with a slash", ErrInvalid)
+	case r.kind < Repeatable || r.kind > Bulk:
+		return fmt.Errorf("%w: unknown kind", ErrInvalid)
+	case r.timeout <= 0:
+		return fmt.Errorf("%w: no timeout", ErrInvalid)
+	case r.aim < 0 || r.aim >= r.timeout+aimExcess:
+		return fmt.Errorf("%w: the aim of %v does not fit the timeout of %v", ErrInvalid, r.aim, r.timeout)
+	case r.attempts < 1:
+		return fmt.Errorf("%w: no attempts", ErrInvalid)
+	case len(r.parts) == 0:
+		return fmt.Errorf("%w: no service", ErrInvalid)
+	}
+	sum := 0.0
+	for _, p := range r.parts {
+		if _, ok := c.services[p.service]; !ok {
+			return fmt.Errorf("%w: unknown service %q", ErrInvalid, p.service)
+		}
+		if !(p.weight >= 0) {
+			return fmt.Errorf("%w: weight %v of service %s", ErrInvalid, p.weight, p.service)
+		}
+		sum += p.weight
+	}
+	if sum <= 0 {
+		return fmt.Errorf("%w: the weights are all zero", ErrInvalid)
+	}
+	for _, other := range c.hosts[strings.ToLower(r.host)] {
+		if other.prefix == r.prefix {
+			return fmt.Errorf("%w: route %s has the same host and prefix", ErrInvalid, other.name)
+		}
+	}
+	return nil
+}
+
+// Version returns the version that the operators gave the configuration.
+func (c *Config) Version() uint64 { return c.version }
+
+// Limits returns the limits of the callers' connections.
+func (c *Config) Limits() Limits { return c.limits }
+
+// Routes returns all routes. The slice must not be modified.
+func (c *Config) Routes() []*Route { return c.routes }
+
+// HostRoutes returns the routes of a host name. The slice must not be
+// modified.
+func (c *Config) HostRoutes(host string) []*Route { return c.hosts[strings.ToLower(host)] }
+
+// Match returns the route with the longest prefix of the path among those of
+// the host name. A port in the host name is ignored.
+func (c *Config) Match(host, path string) (*Route, bool) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range c.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// HasTeams reports whether routes need a key unless they are public.
+func (c *Config) HasTeams() bool { return len(c.teams) > 0 }
+
+// Teams returns all teams. The slice must not be modified.
+func (c *Config) Teams() []*Team { return c.teams }
+
+// Team returns the team that holds a key.
+func (c *Config) Team(key string) (*Team, bool) {
+	t, ok := c.keys[key]
+	return t, ok
+}
+
+// Service returns a service.
+func (c *Config) Service(name ident.Service) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
--- /dev/null
+++ b/spread/table.go
@@ -0,0 +1,402 @@
+package spread
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/quota"
+)
+
+// Terms are the bounds on what all entry hosts together send to cold targets.
+type Terms struct {
+	over  float64
+	slack float64
+}
+
+// NewTerms returns terms: a cold target gets at most its tolerated rate times
+// over, plus slack, in one second.
+func NewTerms(over, slack float64) Terms { return Terms{over: over, slack: slack} }
+
+const (
+	// coldSpan is a little more than the second for which the bound on cold
+	// targets holds, because requests take different times to arrive.
+	coldSpan = 1200 * time.Millisecond
+	// silencePatience is the least time without an answer after which a
+	// target with requests under way gets no more.
+	silencePatience = 400 * time.Millisecond
+	// silenceFactor is the same as a multiple of the usual time of an answer.
+	silenceFactor = 4
+	// probeInterval is the time between two requests to a target that is
+	// suspected to fail or to be slow.
+	probeInterval = 400 * time.Millisecond
+	// nearShare is the part of the aim that the way to another region may
+	// take before an object gets a home in each region.
+	nearShare = 0.25
+	// answerWeight is the weight of the newest answer in the usual time.
+	answerWeight = 0.05
+)
+
+// Table holds the targets that one entry host knows. It is not safe for
+// concurrent use.
+type Table struct {
+	zone     ident.Zone
+	region   ident.Region
+	terms    Terms
+	share    float64
+	targets  map[ident.Target]*state
+	services map[ident.Service][]*state
+	empty    map[ident.Zone]bool
+	coldRate map[ident.Service]float64
+	usual    map[ident.Service]float64
+	ways     map[ident.Region]time.Duration
+}
+
+// NewTable returns an empty table of a host in the given place.
+func NewTable(zone ident.Zone, region ident.Region, terms Terms) *Table {
+	return &Table{
+		zone: zone, region: region, terms: terms, share: 1,
+		targets: map[ident.Target]*state{}, services: map[ident.Service][]*state{},
+		empty: map[ident.Zone]bool{}, coldRate: map[ident.Service]float64{},
+		usual: map[ident.Service]float64{}, ways: map[ident.Region]time.Duration{},
+	}
+}
+
+// SetShare sets the part of the fleet's bounds that this host enforces, in
+// (0, 1].
+func (t *Table) SetShare(share float64) { t.share = share }
+
+// SetEvacuated sets the zones whose targets get nothing. The targets of a
+// zone that is taken back count as cold until the list says otherwise.
+func (t *Table) SetEvacuated(now time.Time, zones []ident.Zone, coldFor func(ident.Service) time.Duration) {
+	empty := map[ident.Zone]bool{}
+	for _, z := range zones {
+		empty[z] = true
+	}
+	for z := range t.empty {
+		if empty[z] {
+			continue
+		}
+		for _, s := range t.targets {
+			if s.zone == z {
+				s.Target.cold = later(s.Target.cold, now.Add(coldFor(s.service)))
+			}
+		}
+	}
+	t.empty = empty
+}
+
+// SetColdRate sets how many requests per second a cold target of a service
+// tolerates.
+func (t *Table) SetColdRate(service ident.Service, rate float64) { t.coldRate[service] = rate }
+
+// Update replaces the list of targets. What is known of targets that stay is
+// kept. It returns the addresses of those that are gone.
+func (t *Table) Update(list []Target) []string {
+	var gone []string
+	known := map[ident.Target]bool{}
+	t.services = map[ident.Service][]*state{}
+	for _, n := range list {
+		if known[n.id] {
+			continue
+		}
+		known[n.id] = true
+		s, ok := t.targets[n.id]
+		if !ok || s.address != n.address || s.service != n.service {
+			s = &state{seed: xxhash.Sum64String(string(n.id)), cold: quota.NewWindow(coldSpan)}
+			t.targets[n.id] = s
+		}
+		slots := s.slots
+		s.Target = n
+		if slots > 0 {
+			s.slots = slots
+		}
+		t.services[n.service] = append(t.services[n.service], s)
+	}
+	for id, s := range t.targets {
+		if !known[id] {
+			gone = append(gone, s.address)
+			delete(t.targets, id)
+		}
+	}
+	for _, states := range t.services {
+		slices.SortFunc(states, func(a, b *state) int { return compare(a.seed, b.seed) })
+	}
+	return gone
+}
+
+// Len returns the number of targets.
+func (t *Table) Len() int { return len(t.targets) }
+
+// Warm notes that a target is cold for the given time from now on.
+func (t *Table) Warm(now time.Time, id ident.Target, coldFor time.Duration) {
+	if s, ok := t.targets[id]; ok {
+		s.Target.cold = now.Add(coldFor)
+	}
+}
+
+// Query describes what a request needs of its target.
+type Query struct {
+	service ident.Service
+	object  string
+	aim     time.Duration
+	bulk    bool
+	homes   []ident.Region
+	more    []ident.Region
+	tried   []ident.Target
+}
+
+// NewQuery returns a query. The object is empty for requests without
+// affinity. Where both lists of homes have regions, both bind.
+func NewQuery(
+	service ident.Service, object string, aim time.Duration, bulk bool, homes, more []ident.Region, tried []ident.Target,
+) Query {
+	return Query{service: service, object: object, aim: aim, bulk: bulk, homes: homes, more: more, tried: tried}
+}
+
+func (q Query) allows(s *state) bool {
+	return (len(q.homes) == 0 || slices.Contains(q.homes, s.region)) &&
+		(len(q.more) == 0 || slices.Contains(q.more, s.region)) && !slices.Contains(q.tried, s.id)
+}
+
+// Reason tells how a target was chosen, or why none was.
+type Reason string
+
+const (
+	// Home is the first target in the order of the object.
+	Home Reason = "home"
+	// Spill is a later target in the order of the object.
+	Spill Reason = "spill"
+	// LeastLoaded is the target with the most room.
+	LeastLoaded Reason = "least-loaded"
+	// Queued is the target whose queue is the shortest, when none has room.
+	Queued Reason = "queued"
+	// NoTarget means that no target may take the request.
+	NoTarget Reason = "no-target"
+	// NoRoom means that all targets that may take the request are full.
+	NoRoom Reason = "no-room"
+)
+
+// Choice is the target of one send.
+type Choice struct {
+	target Target
+	reason Reason
+	load   float64
+	age    time.Duration
+	sent   time.Time
+	found  bool
+	wait   time.Duration
+}
+
+// Target returns the chosen target.
+func (c Choice) Target() Target { return c.target }
+
+// Reason tells how the target was chosen, or why none was.
+func (c Choice) Reason() Reason { return c.reason }
+
+// Load returns the estimated requests that the target held before.
+func (c Choice) Load() float64 { return c.load }
+
+// LoadAge returns the age of the report on which the load rests.
+func (c Choice) LoadAge() time.Duration { return c.age }
+
+// Sent returns the time of the choice.
+func (c Choice) Sent() time.Time { return c.sent }
+
+// IsFound reports whether there is a target.
+func (c Choice) IsFound() bool { return c.found }
+
+// Wait returns after which time a request without a target may find one.
+func (c Choice) Wait() time.Duration { return c.wait }
+
+// candidate is a target in the order of a query.
+type candidate struct {
+	state *state
+	score float64
+	near  bool
+}
+
+// Choose picks a target and counts the request as under way there. The caller
+// reports its end by Done.
+func (t *Table) Choose(now time.Time, q Query) Choice {
+	list := t.candidates(now, q)
+	if len(list) == 0 {
+		return Choice{reason: NoTarget, wait: firstPause}
+	}
+	if q.object == "" {
+		return t.leastLoaded(now, list)
+	}
+	for i, c := range list {
+		if c.state.load(now) >= float64(c.state.slots) || !t.admits(now, c.state) {
+			continue
+		}
+		reason := Spill
+		if i == 0 {
+			reason = Home
+		}
+		return t.take(now, c.state, reason)
+	}
+	return t.shortestQueue(now, list)
+}
+
+// candidates returns the targets that may take the request, the best first.
+func (t *Table) candidates(now time.Time, q Query) []candidate {
+	fleet := !q.bulk && t.farthest().Seconds() <= nearShare*q.aim.Seconds()
+	object := xxhash.Sum64String(q.object)
+	list := make([]candidate, 0, len(t.services[q.service]))
+	for _, s := range t.services[q.service] {
+		if s.draining || t.empty[s.zone] || !q.allows(s) || now.Before(s.until) {
+			continue
+		}
+		list = append(list, candidate{
+			state: s, score: score(object, s.seed, s.slots), near: fleet || s.region == t.region,
+		})
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		if a.near != b.near {
+			if a.near {
+				return -1
+			}
+			return 1
+		}
+		return compare(b.score, a.score)
+	})
+	return list
+}
+
+// admits reports whether a target may get a request now: a cold one only
+// within this host's share of its bound, and one that fails, is slow or
+// silent only now and then.
+func (t *Table) admits(now time.Time, s *state) bool {
+	if now.Before(s.full) {
+		return false
+	}
+	if now.Before(s.Target.cold) {
+		bound := math.Floor((t.coldRate[s.service]*t.terms.over + t.terms.slack) * t.share)
+		if s.cold.Sum(now)+1 > bound {
+			return false
+		}
+	}
+	if t.isSuspect(now, s) {
+		if now.Before(s.nextProbe) {
+			return false
+		}
+		s.nextProbe = now.Add(probeInterval)
+	}
+	return true
+}
+
+func (t *Table) isSuspect(now time.Time, s *state) bool {
+	patience := max(silencePatience, time.Duration(silenceFactor*t.usual[s.service]*float64(time.Second)))
+	slow := s.samples >= slowSamples && s.slow*math.Exp(-now.Sub(s.slowAt).Seconds()/failureMemory.Seconds()) > slowBound
+	return slow || s.failureShare(now) > failureBound || s.isSilent(now, patience)
+}
+
+// leastLoaded picks the target with the smallest part of its slots in use,
+// in this host's region when one has room there.
+func (t *Table) leastLoaded(now time.Time, list []candidate) Choice {
+	var best *state
+	least := math.Inf(1)
+	for _, c := range list {
+		use := c.state.load(now) / float64(c.state.slots)
+		if c.state.region != t.region {
+			use++
+		} else if c.state.zone != t.zone {
+			use += zoneCost
+		}
+		if use < least && c.state.load(now) < float64(c.state.slots) && t.admits(now, c.state) {
+			best, least = c.state, use
+		}
+	}
+	if best == nil {
+		return t.shortestQueue(now, list)
+	}
+	return t.take(now, best, LeastLoaded)
+}
+
+// zoneCost is the part of its slots by which a target in another zone of the
+// region must be less loaded to be preferred.
+const zoneCost = 0.1
+
+// shortestQueue picks the target that will have a free slot first. Requests
+// wait at targets, not here: a target that refuses proves that the request
+// has not run.
+func (t *Table) shortestQueue(now time.Time, list []candidate) Choice {
+	var best *state
+	least := math.Inf(1)
+	for _, c := range list {
+		use := c.state.load(now) / float64(c.state.slots)
+		if use < least && use < queueFactor && !now.Before(c.state.full) && !t.isSuspect(now, c.state) &&
+			t.admits(now, c.state) {
+			best, least = c.state, use
+		}
+	}
+	if best == nil {
+		return Choice{reason: NoRoom, wait: fullPause}
+	}
+	return t.take(now, best, Queued)
+}
+
+func (t *Table) take(now time.Time, s *state, reason Reason) Choice {
+	c := Choice{target: s.Target, reason: reason, load: s.load(now), age: now.Sub(s.othersAt), sent: now, found: true}
+	s.begin(now)
+	if now.Before(s.Target.cold) {
+		s.cold.Add(now, 1)
+	}
+	return c
+}
+
+// farthest returns the time of the longest way there and back to a region
+// with targets.
+func (t *Table) farthest() time.Duration {
+	longest := time.Duration(0)
+	for _, d := range t.ways {
+		longest = max(longest, d)
+	}
+	return longest
+}
+
+// SetWay notes the time to a target in a region and back. The shortest one
+// counts.
+func (t *Table) SetWay(region ident.Region, d time.Duration) {
+	if old, ok := t.ways[region]; !ok || d < old {
+		t.ways[region] = d
+	}
+}
+
+// score orders the targets of an object. A target with twice the slots is the
+// home of twice as many objects.
+func score(object, target uint64, slots int) float64 {
+	h := mix(object ^ mix(target))
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return -float64(slots) / math.Log(u)
+}
+
+// mix is the finalizer of MurmurHash3 (Appleby, 2011).
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+func compare[T uint64 | float64](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/store/owner.go
@@ -0,0 +1,25 @@
+package store
+
+import (
+	"fmt"
+
+	"rhubarbrack/ident"
+)
+
+// Owner returns the host that a directory belongs to, or false when the
+// directory is new. It changes nothing.
+func Owner(directory string, files FileSystem) (ident.Host, bool, error) {
+	l := &Log{files: files, directory: directory}
+	body, err := l.readRecord(identityName)
+	if isMissing(err) {
+		return "", false, nil
+	}
+	if err != nil {
+		return "", false, fmt.Errorf("owner of %s: %w", directory, err)
+	}
+	var record identityRecord
+	if err := decode(body, &record); err != nil {
+		return "", false, l.corrupt(identityName, 0, err.Error())
+	}
+	return ident.Host(record.Host), true, nil
+}
