Keep each object at three targets when these are busy

Cause: with all slots busy, a request went to the shortest queue of the whole service. Change: a request goes to one of the first three targets of its object, with at most one waiting request a slot; beyond that it is refused. Test: TestFewTargetsPerObject.

--- a/cmds/docs_test.go
+++ b/cmds/docs_test.go
@@ -158,6 +158,12 @@
 			err = fmt.Errorf("role %s", s.Role())
 		}
 		return err
+	case *hostedCommand:
+		// Their settings come from the platform alone.
+		if f.NArg() != 0 || f.NFlag() != 0 {
+			return errors.New("takes no flags and no arguments")
+		}
+		return nil
 	case *targetCommand:
 		if len(splitList(c.zone)) != len(splitList(c.region)) || f.NArg() != 0 {
 			return errors.New("zones and regions differ in length, or there are arguments")
--- /dev/null
+++ b/scheme/config_test.go
@@ -0,0 +1,105 @@
+package scheme
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+func testRoute(change func(*Route)) *Route {
+	r := NewRoute("r", "a.example", "/x/", Repeatable, []Part{NewPart("s", 1)}, time.Second, 2)
+	if change != nil {
+		change(r)
+	}
+	return r
+}
+
+var testServices = []Service{NewService("s", "/health", 10, time.Second, 5)}
+
+// TestInvalid guards against a configuration in force that contradicts
+// itself.
+func TestInvalid(t *testing.T) {
+	cases := []struct {
+		name   string
+		teams  []*Team
+		routes []*Route
+	}{
+		{"unknown service", nil, []*Route{testRoute(func(r *Route) { r.parts = []Part{NewPart("t", 1)} })}},
+		{"no service", nil, []*Route{testRoute(func(r *Route) { r.parts = nil })}},
+		{"all weights zero", nil, []*Route{testRoute(func(r *Route) { r.parts = []Part{NewPart("s", 0)} })}},
+		{"negative weight", nil, []*Route{testRoute(func(r *Route) { r.parts = []Part{NewPart("s", -1)} })}},
+		{"no timeout", nil, []*Route{testRoute(func(r *Route) { r.timeout = 0 })}},
+		{"no attempts", nil, []*Route{testRoute(func(r *Route) { r.attempts = 0 })}},
+		{"no host", nil, []*Route{testRoute(func(r *Route) { r.host = "" })}},
+		{"unknown kind", nil, []*Route{testRoute(func(r *Route) { r.kind = 0 })}},
+		{"prefix without a slash", nil, []*Route{testRoute(func(r *Route) { r.prefix = "/x" })}},
+		{"aim a minute over the timeout", nil, []*Route{testRoute(func(r *Route) { r.aim = r.timeout + time.Minute })}},
+		{"two routes in one place", nil, []*Route{testRoute(nil), testRoute(nil)}},
+		{"shared key", []*Team{
+			NewTeam("a", []string{"k"}, ident.None[int](), 0, 0, nil),
+			NewTeam("b", []string{"k"}, ident.None[int](), 0, 0, nil),
+		}, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if _, err := New(1, Limits{}, c.teams, c.routes, testServices); !errors.Is(err, ErrInvalid) {
+				t.Errorf("got %v, want an invalid configuration", err)
+			}
+		})
+	}
+}
+
+// TestMatch guards against a request that is served by another route than
+// the one with the longest prefix of its path.
+func TestMatch(t *testing.T) {
+	long := testRoute(func(r *Route) { r.name, r.prefix = "long", "/x/y/" })
+	c, err := New(1, Limits{}, nil, []*Route{testRoute(nil), long}, testServices)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "r"},
+		{"A.Example:80", "/x/y/1", "long"},
+		{"a.example", "/x/y", "r"},
+		{"a.example", "/x", ""},
+		{"b.example", "/x/1", ""},
+	}
+	for _, k := range cases {
+		r, ok := c.Match(k.host, k.path)
+		if ok != (k.want != "") || ok && r.Name() != k.want {
+			t.Errorf("%s%s: got %v, want %q", k.host, k.path, r, k.want)
+		}
+	}
+}
+
+// TestLedger guards against an order that takes effect although a newer one
+// is in force, and against repeated orders that change something.
+func TestLedger(t *testing.T) {
+	l, changed := Ledger{}.Put(7, []byte("seven"))
+	if !changed || l.Version() != 7 {
+		t.Fatalf("first configuration not taken: %v", l)
+	}
+	cases := []struct {
+		name    string
+		version uint64
+		want    string
+	}{
+		{"older", 6, "seven"},
+		{"same version, other content", 7, "seven"},
+		{"newer", 8, "new"},
+	}
+	for _, c := range cases {
+		if got, _ := l.Put(c.version, []byte("new")); string(got.Source()) != c.want {
+			t.Errorf("%s: %s in force, want %s", c.name, got.Source(), c.want)
+		}
+	}
+	l, _ = l.Evacuate("z", true)
+	if again, changed := l.Evacuate("z", true); changed || len(again.Evacuated()) != 1 {
+		t.Errorf("repeated evacuation: %v, changed %v", again.Evacuated(), changed)
+	}
+	if ended, changed := l.Evacuate("z", false); !changed || len(ended.Evacuated()) != 0 {
+		t.Errorf("ended evacuation: %v, changed %v", ended.Evacuated(), changed)
+	}
+}
--- a/spread/table.go
+++ b/spread/table.go
@@ -36,6 +36,16 @@
 	// nearShare is the part of the aim that the way to another region may
 	// take before an object gets a home in each region.
 	nearShare = 0.25
+	// homes is the number of targets that share the requests of an object.
+	// A target remembers only few objects: when requests spread over more
+	// targets under load, all of them forget, and the load multiplies.
+	homes = 3
+	// rankCost is by how many requests a slot, in the queue of a target, the
+	// next one in the order must be shorter to be preferred.
+	rankCost = 0.25
+	// longestQueue is how many requests a slot wait at a target at most.
+	// Later ones would miss the aim of their route.
+	longestQueue = 1.0
 	// answerWeight is the weight of the newest answer in the usual time.
 	answerWeight = 0.05
 )
@@ -229,17 +239,43 @@
 	if q.object == "" {
 		return t.leastLoaded(now, list)
 	}
-	for i, c := range list {
-		if c.state.load(now) >= float64(c.state.slots) || !t.admits(now, c.state) {
+	return t.home(now, list)
+}
+
+// home picks one of the first targets in the order of the object: the first
+// one, unless its queue is longer than that of a later one by more than what
+// the object's place in its memory is worth.
+func (t *Table) home(now time.Time, list []candidate) Choice {
+	var best *state
+	reason, rank := Home, 0
+	least := math.Inf(1)
+	for _, c := range list {
+		if rank == homes {
+			break
+		}
+		if !t.admits(now, c.state) {
 			continue
 		}
-		reason := Spill
-		if i == 0 {
+		queue := max(0, c.state.load(now)+1-float64(c.state.slots)) / float64(c.state.slots)
+		if cost := queue + float64(rank)*rankCost; cost < least && queue <= longestQueue {
+			best, least = c.state, cost
 			reason = Home
+			if rank > 0 {
+				reason = Spill
+			}
 		}
-		return t.take(now, c.state, reason)
+		rank++
+	}
+	if best == nil {
+		return Choice{reason: NoRoom, wait: t.queueTime(list)}
 	}
-	return t.shortestQueue(now, list)
+	return t.take(now, best, reason)
+}
+
+// queueTime returns about how long it takes until a full queue has moved on
+// by one request.
+func (t *Table) queueTime(list []candidate) time.Duration {
+	return max(fullPause, time.Duration(t.usual[list[0].state.service]*float64(time.Second)))
 }
 
 // candidates returns the targets that may take the request, the best first.
