Lend half of each rate by demand

Change: half of each limit stands equally and without contact; the leader lends the rest by reported demand for 3 s. What was used in the last window is not lent to others, and a new leader waits until old loans have run out. Tests: TestLimitHolds, TestNothingRefusedBelowTheLimit.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -51,6 +51,7 @@
 	bounds  Bounds
 	budgets map[ident.Service]*quota.Budget
 	splits  map[string]*split
+	hosts   int
 	share   float64
 }
 
@@ -62,6 +63,7 @@
 		bounds:  b,
 		budgets: map[ident.Service]*quota.Budget{},
 		splits:  map[string]*split{},
+		hosts:   1,
 		share:   1,
 	}
 }
@@ -99,10 +101,17 @@
 // SetHosts sets the number of entry hosts among which the bounds of the fleet
 // are divided.
 func (d *Desk) SetHosts(n int) {
-	d.share = 1 / float64(max(n, 1))
+	d.hosts = max(n, 1)
+	d.share = 1 / float64(d.hosts)
 	d.table.SetShare(d.share)
 }
 
+// Needs reports the demand of the teams, for the lender of their rates.
+func (d *Desk) Needs(now time.Time) []quota.Need { return d.teams.Needs(now) }
+
+// Lend takes over the shares of rates that are lent until the given time.
+func (d *Desk) Lend(shares []quota.Share, until time.Time) { d.teams.Lend(shares, until) }
+
 // Evacuate sets the zones whose targets get nothing.
 func (d *Desk) Evacuate(now time.Time, zones []ident.Zone) {
 	d.table.SetEvacuated(now, zones, func(service ident.Service) time.Duration {
@@ -157,7 +166,7 @@
 	}
 	t.team, t.homes = team.Name(), team.Homes()
 	t.priority = team.Priority().Or(t.priority)
-	if wait, ok := d.teams.Take(now, team.Name(), team.Rate(), team.Burst(), d.share); !ok {
+	if wait, ok := d.teams.Take(now, team.Name(), team.Rate(), team.Burst(), d.hosts); !ok {
 		return OverRate, wait
 	}
 	return "", 0
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -8,6 +8,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
+	"rhubarbrack/quota"
 	"rhubarbrack/scheme"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -34,6 +35,10 @@
 	Targets(read time.Time, list []Listed)
 	// Hosts sets the number of entry hosts that share the fleet's bounds.
 	Hosts(n int)
+	// Needs reports the demand of the teams on this host.
+	Needs(ctx context.Context) ([]quota.Need, error)
+	// Lend takes over the shares of rates lent until the given time.
+	Lend(shares []quota.Share, until time.Time)
 	// Ready tells that the host knows enough to serve.
 	Ready()
 }
@@ -97,6 +102,7 @@
 	heard   time.Time
 	lost    bool
 	hosts   int
+	leads   bool
 }
 
 // followTask owns what the entry host has learnt.
@@ -179,18 +185,40 @@
 			continue
 		}
 		p.busy = true
-		report, sent := t.report, now
-		go func() {
-			call, cancel := context.WithTimeout(t.ctx, callTimeout)
-			defer cancel()
-			m := greeted{peer: p, sent: sent}
-			m.err = p.client.Call(call, methodGreet, &report, &m.record)
-			t.self.Tell(m)
-		}()
+		go t.greet(p, t.report, p.leads, now)
 	}
 	t.settle(now)
 }
 
+// greet reports to one control host.
+func (t *followTask) greet(p *peer, report GreetRecord, leads bool, sent time.Time) {
+	call, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	if leads {
+		needs, err := t.sink.Needs(call)
+		if err != nil {
+			t.log.Warn("mesh: report without the needs of teams", "error", err)
+		}
+		for _, n := range needs {
+			report.Needs = append(report.Needs,
+				NeedRecord{Team: string(n.Team()), Asked: n.Asked(), Used: n.Used(), Held: n.Held()})
+		}
+	}
+	m := greeted{peer: p, sent: sent}
+	m.err = p.client.Call(call, methodGreet, &report, &m.record)
+	t.self.Tell(m)
+}
+
+// lend takes over the shares of rates. They count from the time of the
+// report, so that the lender never counts them for a shorter time.
+func (t *followTask) lend(m greeted) {
+	shares := make([]quota.Share, len(m.record.Shares))
+	for i, r := range m.record.Shares {
+		shares[i] = quota.NewShare(ident.Team(r.Team), r.Share)
+	}
+	t.sink.Lend(shares, m.sent.Add(quota.LendTime))
+}
+
 func (t *followTask) greeted(m greeted) {
 	m.peer.busy = false
 	if m.err != nil {
@@ -202,6 +230,10 @@
 		t.log.Info("mesh: control host regained", "peer", m.peer.address)
 	}
 	m.peer.heard, m.peer.lost, m.peer.hosts = now, false, m.record.Hosts
+	m.peer.leads = m.record.Leads
+	if m.record.Leads {
+		t.lend(m)
+	}
 	if t.first.IsZero() {
 		t.first = now
 	}
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -10,6 +10,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
+	"rhubarbrack/quota"
 	"rhubarbrack/scheme"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -22,6 +23,8 @@
 	// hostMemory is how long an entry host counts among those that share the
 	// bounds of the fleet after it was last heard: it may serve on, unheard.
 	hostMemory = 30 * time.Second
+	// leadTime is how long a confirmed leadership allows to lend.
+	leadTime = time.Second
 	// joinMemory is how long a request to join is valid. It is repeated.
 	joinMemory = 2 * time.Second
 )
@@ -60,6 +63,8 @@
 	list     *listing
 	tags     uint64
 	clients  map[string]*wire.Client
+	led      time.Time
+	lender   *quota.Lender
 }
 
 // joiner is a control host that wants to become a member.
@@ -85,7 +90,9 @@
 		record JoinRecord
 		reply  tasks.Reply[[]string]
 	}
-	members    struct{ addresses []string }
+	members struct{ addresses []string }
+	// leads tells that a majority confirmed the leadership after a time.
+	leads      struct{ at time.Time }
 	listed     struct{ targets []Listed }
 	askHosts   struct{ reply tasks.Reply[[]EntryHost] }
 	askJoiners struct{ reply tasks.Reply[[]joiner] }
@@ -137,6 +144,8 @@
 		m.reply.Send(h.controlList())
 	case members:
 		h.learn(m.addresses)
+	case leads:
+		h.lead(m.at)
 	case listed:
 		h.listed(m.targets)
 	case askHosts:
@@ -177,9 +186,35 @@
 	if h.list != nil {
 		answer.HasList, answer.ListTag, answer.ListAge = true, h.list.tag, now.Sub(h.list.read)
 	}
+	if now.Sub(h.led) < leadTime && h.lender != nil {
+		answer.Leads, answer.Shares = true, h.lend(now, host, r.Needs)
+	}
 	return answer
 }
 
+// lead notes a confirmed leadership. After a gap another host may have lent
+// shares, so the lender starts anew.
+func (h *hub) lead(at time.Time) {
+	if h.lender == nil || at.Sub(h.led) > leadTime {
+		h.lender = quota.NewLender(h.clock.Now())
+		h.log.Info("mesh: begins to lend shares of rates")
+	}
+	h.led = at
+}
+
+func (h *hub) lend(now time.Time, host ident.Host, records []NeedRecord) []ShareRecord {
+	needs := make([]quota.Need, len(records))
+	for i, r := range records {
+		needs[i] = quota.NewNeed(ident.Team(r.Team), r.Asked, r.Used, r.Held)
+	}
+	shares := h.lender.Lend(now, host, len(h.hosts), needs)
+	list := make([]ShareRecord, len(shares))
+	for i, s := range shares {
+		list[i] = ShareRecord{Team: string(s.Team()), Share: s.Share()}
+	}
+	return list
+}
+
 func (h *hub) controlList() []string {
 	list := make([]string, 0, len(h.controls))
 	for address := range h.controls {
--- a/mesh/keeper.go
+++ b/mesh/keeper.go
@@ -38,6 +38,7 @@
 		}
 		c.ref.Tell(members{addresses: addresses})
 		if leads, _ := c.isLeader(status); leads {
+			c.confirm(ctx)
 			c.admit(ctx, status)
 		} else if !voter {
 			c.ask(ctx)
@@ -45,6 +46,18 @@
 	}
 }
 
+// confirm tells the hub that a majority knows this leader.
+func (c *Control) confirm(ctx context.Context) {
+	before := c.clock.Now()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := c.replica.Barrier(call); err != nil {
+		c.log.Debug("mesh: leadership not confirmed", "error", err)
+		return
+	}
+	c.ref.Tell(leads{at: before})
+}
+
 // ask tells all known control hosts that this one wants to join. The leader
 // is among them or learns of it later.
 func (c *Control) ask(ctx context.Context) {
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -27,6 +27,20 @@
 		Zone    string
 		Region  string
 		Ready   bool
+		// Needs is set towards the leader only.
+		Needs []NeedRecord
+	}
+	// NeedRecord is the demand of a team, in parts of its limit.
+	NeedRecord struct {
+		Team  string
+		Asked float64
+		Used  float64
+		Held  float64
+	}
+	// ShareRecord is a part of a team's limit that is lent to a host.
+	ShareRecord struct {
+		Team  string
+		Share float64
 	}
 	// GreetedRecord is what a control host knows at that time.
 	GreetedRecord struct {
@@ -36,6 +50,9 @@
 		HasList  bool
 		ListTag  uint64
 		ListAge  time.Duration
+		// Leads tells that this control host lends shares of rates.
+		Leads  bool
+		Shares []ShareRecord
 	}
 	// EmptyRecord asks without parameters.
 	EmptyRecord struct{}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -21,6 +21,7 @@
 	"rhubarbrack/link"
 	"rhubarbrack/mesh"
 	"rhubarbrack/meter"
+	"rhubarbrack/quota"
 	"rhubarbrack/relay"
 	"rhubarbrack/scheme"
 	"rhubarbrack/spread"
@@ -276,6 +277,18 @@
 // Hosts implements mesh.Sink.
 func (s *entrySink) Hosts(n int) { s.desk.SetHosts(n) }
 
+// Needs implements mesh.Sink.
+func (s *entrySink) Needs(ctx context.Context) ([]quota.Need, error) {
+	list, err := s.desk.Needs(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("entry host: %w", err)
+	}
+	return list, nil
+}
+
+// Lend implements mesh.Sink.
+func (s *entrySink) Lend(shares []quota.Share, until time.Time) { s.desk.Lend(shares, until) }
+
 // Ready implements mesh.Sink.
 func (s *entrySink) Ready() { s.ready.Store(true) }
 
--- /dev/null
+++ b/quota/lender.go
@@ -0,0 +1,135 @@
+package quota
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+const (
+	// LendTime is how long a share is lent. A host out of contact has only
+	// its standing share after it.
+	LendTime = 3 * time.Second
+	// takeOverTime is how long a new lender lends nothing but what hosts hold
+	// already: what its predecessor lent has run out by then, also when both
+	// acted for a moment.
+	takeOverTime = LendTime + 1500*time.Millisecond
+	// needMemory is how long the report of a host counts.
+	needMemory = 2 * time.Second
+	// headroom is by how much a share exceeds the demand that it is for.
+	headroom = 1.3
+)
+
+// Need is the demand of a team on one host, in parts of the team's limit: what
+// was asked and admitted in the last window, and the share that the host
+// holds.
+type Need struct {
+	team  ident.Team
+	asked float64
+	used  float64
+	held  float64
+}
+
+// NewNeed returns a need.
+func NewNeed(team ident.Team, asked, used, held float64) Need {
+	return Need{team: team, asked: asked, used: used, held: held}
+}
+
+// Team returns the team.
+func (n Need) Team() ident.Team { return n.team }
+
+// Asked returns the requests that arrived.
+func (n Need) Asked() float64 { return n.asked }
+
+// Used returns the requests that were admitted.
+func (n Need) Used() float64 { return n.used }
+
+// Held returns the share that is lent to the host.
+func (n Need) Held() float64 { return n.held }
+
+// Share is a part of a team's limit that is lent to a host.
+type Share struct {
+	team  ident.Team
+	share float64
+}
+
+// NewShare returns a share.
+func NewShare(team ident.Team, share float64) Share { return Share{team: team, share: share} }
+
+// Team returns the team.
+func (s Share) Team() ident.Team { return s.team }
+
+// Share returns the part of the team's limit.
+func (s Share) Share() float64 { return s.share }
+
+// Lender lends the parts of limits that are not standing to hosts, by their
+// demand. What is lent to all hosts together never exceeds the whole, also
+// when a lender takes over from another. It is not safe for concurrent use.
+type Lender struct {
+	since time.Time
+	teams map[ident.Team]map[ident.Host]*loan
+}
+
+// loan is what the lender knows of a team on one host.
+type loan struct {
+	need     float64
+	reported time.Time
+	out      float64
+	until    time.Time
+}
+
+// NewLender returns a lender that takes over at the given time.
+func NewLender(since time.Time) *Lender {
+	return &Lender{since: since, teams: map[ident.Team]map[ident.Host]*loan{}}
+}
+
+// Lend answers the report of a host, one of the given number.
+func (l *Lender) Lend(now time.Time, host ident.Host, hosts int, needs []Need) []Share {
+	list := make([]Share, len(needs))
+	for i, n := range needs {
+		list[i] = NewShare(n.team, l.lend(now, host, hosts, n))
+	}
+	return list
+}
+
+func (l *Lender) lend(now time.Time, host ident.Host, hosts int, n Need) float64 {
+	loans, ok := l.teams[n.team]
+	if !ok {
+		loans = map[ident.Host]*loan{}
+		l.teams[n.team] = loans
+	}
+	own, ok := loans[host]
+	if !ok {
+		own = &loan{}
+		loans[host] = own
+	}
+	standing := Standing / float64(max(hosts, 1))
+	own.need, own.reported = max(0, n.asked*headroom-standing), now
+	const whole = 1 - Standing
+	free, needed, count := whole, 0.0, 0
+	for name, o := range loans {
+		if name != host && now.Before(o.until) {
+			free -= o.out
+		}
+		switch {
+		case now.Sub(o.reported) <= needMemory:
+			needed += o.need
+			count++
+		case now.After(o.until):
+			delete(loans, name)
+		}
+	}
+	share := own.need + (whole-needed)/float64(count)
+	if needed > whole {
+		share = whole * own.need / needed
+	}
+	// What was admitted lately still counts in the window, so it cannot be
+	// lent to another host yet.
+	share = max(share, n.used-standing)
+	if now.Sub(l.since) < takeOverTime {
+		share = n.held
+	}
+	share = max(0, min(share, free))
+	own.out, own.until = max(share, n.held), now.Add(LendTime)
+	return share
+}
--- /dev/null
+++ b/quota/lender_test.go
@@ -0,0 +1,137 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+const (
+	testSpan  = 5 * time.Second
+	testRate  = 100.0
+	testBurst = 100.0
+	testTeam  = ident.Team("team")
+)
+
+// testFleet plays hosts that serve one team and report to a lender.
+type testFleet struct {
+	random *rand.Rand
+	now    time.Time
+	hosts  []*Teams
+	lender *Lender
+	total  *Window
+	// loss is the share of reports, and of answers, that get lost.
+	loss float64
+}
+
+func newTestFleet(seed uint64, hosts int, loss float64) *testFleet {
+	f := &testFleet{
+		random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_000_000, 0), lender: NewLender(time.Time{}),
+		total: NewWindow(testSpan), loss: loss,
+	}
+	for range hosts {
+		f.hosts = append(f.hosts, NewTeams(testSpan))
+	}
+	return f
+}
+
+// run plays steps of 10 ms with the requests per second of each host, and
+// returns the share of the requests that were admitted and the largest number
+// in a window.
+func (f *testFleet) run(steps int, demand func(host int) float64) (admitted, most float64) {
+	asked, taken := 0.0, 0.0
+	for step := range steps {
+		f.now = f.now.Add(10 * time.Millisecond)
+		for i, h := range f.hosts {
+			if f.random.Float64() < demand(i)/100 {
+				asked++
+				if _, ok := h.Take(f.now, testTeam, testRate, testBurst, len(f.hosts)); ok {
+					taken++
+					f.total.Add(f.now, 1)
+				}
+			}
+			if (step+i*7)%40 == 0 {
+				f.greet(i)
+			}
+		}
+		most = max(most, f.total.Sum(f.now))
+	}
+	return taken / max(asked, 1), most
+}
+
+func (f *testFleet) greet(i int) {
+	needs := f.hosts[i].Needs(f.now)
+	if f.random.Float64() < f.loss {
+		return
+	}
+	shares := f.lender.Lend(f.now, ident.Host(fmt.Sprint(i)), len(f.hosts), needs)
+	if f.random.Float64() < f.loss {
+		return
+	}
+	f.hosts[i].Lend(shares, f.now.Add(LendTime))
+}
+
+// TestLimitHolds guards against a team over its rate that gets more than its
+// limit: in calm times, when the demand jumps between hosts, when reports are
+// lost and when lenders take over from each other.
+func TestLimitHolds(t *testing.T) {
+	const limit = testRate*5 + testBurst
+	// A window counts its oldest part whole, so that the sum of all hosts may
+	// differ by what arrives in one part.
+	const most = limit * 1.1
+	for seed := range uint64(20) {
+		for _, loss := range []float64{0, 0.3} {
+			f := newTestFleet(seed, 8, loss)
+			for range 30 {
+				hot := f.random.IntN(len(f.hosts))
+				_, got := f.run(200, func(host int) float64 {
+					if host == hot {
+						return 95
+					}
+					return 20
+				})
+				if got > most {
+					t.Fatalf("seed %d, loss %v: %v requests in a window, limit %v", seed, loss, got, limit)
+				}
+				if f.random.IntN(4) == 0 {
+					f.lender = NewLender(f.now)
+				}
+			}
+		}
+	}
+}
+
+// TestNothingRefusedBelowTheLimit guards against refusals of a team within its
+// rate whose requests arrive unevenly.
+func TestNothingRefusedBelowTheLimit(t *testing.T) {
+	cases := []struct {
+		name   string
+		demand func(host int) float64
+	}{
+		{"even", func(int) float64 { return 10 }},
+		{"one host has half", func(host int) float64 {
+			if host == 0 {
+				return 35
+			}
+			return 5
+		}},
+		{"one host has all", func(host int) float64 {
+			if host == 0 {
+				return 60
+			}
+			return 0
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newTestFleet(1, 8, 0)
+			f.run(500, c.demand)
+			if admitted, _ := f.run(2000, c.demand); admitted < 0.999 {
+				t.Errorf("%.4f of the requests were admitted", admitted)
+			}
+		})
+	}
+}
--- a/quota/teams.go
+++ b/quota/teams.go
@@ -1,58 +1,97 @@
 package quota
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"rhubarbrack/ident"
 )
 
-// Teams holds the requests of each team to its rate. It is not safe for
-// concurrent use.
+// Standing is the part of every limit that the hosts share equally and without
+// any contact. The rest is lent by demand, see Lender.
+const Standing = 0.5
+
+// Teams holds the requests of each team on one host to the host's share of
+// the team's rate. It is not safe for concurrent use.
 type Teams struct {
-	span    time.Duration
-	windows map[ident.Team]*Window
+	span  time.Duration
+	teams map[ident.Team]*team
+}
+
+// team counts the requests of a team.
+type team struct {
+	limit    float64
+	asked    *Window
+	admitted *Window
+	lent     float64
+	until    time.Time
 }
 
 // NewTeams returns a counter of the requests of all teams in a sliding window
 // of the given span.
 func NewTeams(span time.Duration) *Teams {
-	return &Teams{span: span, windows: map[ident.Team]*Window{}}
+	return &Teams{span: span, teams: map[ident.Team]*team{}}
 }
 
 // Take counts a request of a team with the given rate in requests per second
-// and burst, of which this host enforces a share. Without room it counts
-// nothing and returns how long it takes until there is some.
-func (t *Teams) Take(now time.Time, team ident.Team, rate, burst, share float64) (time.Duration, bool) {
+// and burst, on one of the given number of hosts. Without room it returns how
+// long it takes until there is some.
+func (t *Teams) Take(now time.Time, name ident.Team, rate, burst float64, hosts int) (time.Duration, bool) {
 	if rate <= 0 {
 		return 0, true
 	}
-	w, ok := t.windows[team]
+	e, ok := t.teams[name]
 	if !ok {
-		w = NewWindow(t.span)
-		t.windows[team] = w
+		e = &team{asked: NewWindow(t.span), admitted: NewWindow(t.span)}
+		t.teams[name] = e
 	}
-	limit := (rate*t.span.Seconds() + burst) * share
-	if w.Sum(now)+1 > limit {
-		return w.RoomAfter(now, limit-1), false
+	e.limit = rate*t.span.Seconds() + burst
+	e.asked.Add(now, 1)
+	share := Standing/float64(max(hosts, 1)) + e.held(now)
+	if most := e.limit * share; e.admitted.Sum(now)+1 > most {
+		return e.admitted.RoomAfter(now, most-1), false
 	}
-	w.Add(now, 1)
+	e.admitted.Add(now, 1)
 	return 0, true
 }
 
-// Used returns the requests of a team in the window that ends now.
-func (t *Teams) Used(now time.Time, team ident.Team) float64 {
-	w, ok := t.windows[team]
-	if !ok {
-		return 0
+// held returns the share that is lent to this host.
+func (e *team) held(now time.Time) float64 {
+	if now.Before(e.until) {
+		return e.lent
+	}
+	return 0
+}
+
+// Lend takes over the shares that were lent until the given time.
+func (t *Teams) Lend(shares []Share, until time.Time) {
+	for _, s := range shares {
+		if e, ok := t.teams[s.team]; ok {
+			e.lent, e.until = s.share, until
+		}
+	}
+}
+
+// Needs reports the demand of all teams that have been active lately.
+func (t *Teams) Needs(now time.Time) []Need {
+	var list []Need
+	for name, e := range t.teams {
+		asked, held := e.asked.Sum(now), e.held(now)
+		if e.limit <= 0 || asked == 0 && held == 0 {
+			continue
+		}
+		list = append(list, NewNeed(name, asked/e.limit, e.admitted.Sum(now)/e.limit, held))
 	}
-	return w.Sum(now)
+	slices.SortFunc(list, func(a, b Need) int { return cmp.Compare(a.team, b.team) })
+	return list
 }
 
 // Retain forgets the teams for which keep returns false.
 func (t *Teams) Retain(keep func(ident.Team) bool) {
-	for team := range t.windows {
-		if !keep(team) {
-			delete(t.windows, team)
+	for name := range t.teams {
+		if !keep(name) {
+			delete(t.teams, name)
 		}
 	}
 }
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -8,6 +8,7 @@
 	"rhubarbrack/admit"
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
+	"rhubarbrack/quota"
 	"rhubarbrack/scheme"
 	"rhubarbrack/spread"
 	"rhubarbrack/tasks"
@@ -50,8 +51,27 @@
 	d.ref.Tell(setWay{region: region, way: way})
 }
 
+// Needs reports the demand of the teams.
+func (d *Desk) Needs(ctx context.Context) ([]quota.Need, error) {
+	list, err := tasks.Ask(ctx, d.ref, func(reply tasks.Reply[[]quota.Need]) any { return askNeeds{reply: reply} })
+	if err != nil {
+		return nil, fmt.Errorf("needs of teams: %w", err)
+	}
+	return list, nil
+}
+
+// Lend takes over the shares of rates that are lent until the given time.
+func (d *Desk) Lend(shares []quota.Share, until time.Time) {
+	d.ref.Tell(lend{shares: shares, until: until})
+}
+
 // The messages of the desk task.
 type (
+	askNeeds struct{ reply tasks.Reply[[]quota.Need] }
+	lend     struct {
+		shares []quota.Share
+		until  time.Time
+	}
 	configure struct{ config *scheme.Config }
 	update    struct{ targets []spread.Target }
 	evacuate  struct{ zones []ident.Zone }
@@ -113,6 +133,10 @@
 		t.desk.Evacuate(now, m.zones)
 	case setHosts:
 		t.desk.SetHosts(m.hosts)
+	case askNeeds:
+		m.reply.Send(t.desk.Needs(now))
+	case lend:
+		t.desk.Lend(m.shares, m.until)
 	case setWay:
 		t.desk.Table().SetWay(m.region, m.way)
 	}
