Reset connections of requests that were given up

Change: a given-up exchange is closed with a reset. Tests: TestGivenUp and the other tests of package link.

--- a/link/conn.go
+++ b/link/conn.go
@@ -27,8 +27,18 @@
 // IsReused reports whether the connection has carried a request before.
 func (c *Conn) IsReused() bool { return c.reused }
 
-// Close closes the connection.
-func (c *Conn) Close() { _ = c.socket.Close() }
+// close ends a connection that carries no request.
+func (c *Conn) close() { _ = c.socket.Close() }
+
+// abort closes the connection and drops what has not been sent, so that no
+// part of a request arrives after it was given up.
+func (c *Conn) abort() {
+	if t, ok := c.socket.(*net.TCPConn); ok {
+		// The connection is closed either way.
+		_ = t.SetLinger(0)
+	}
+	_ = c.socket.Close()
+}
 
 // isQuiet reports whether the connection is open and nothing has arrived on
 // it. Bytes on an idle connection belong to no request.
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -48,7 +48,7 @@
 	ctx context.Context, c *Conn, r *http.Request, own func(*http.Response) bool,
 ) (*Exchange, error) {
 	x := &Exchange{pool: p, conn: c}
-	x.stop = context.AfterFunc(ctx, c.Close)
+	x.stop = context.AfterFunc(ctx, c.abort)
 	written := make(chan error, 1)
 	x.written = written
 	if r.Body == nil || r.ContentLength == 0 {
@@ -60,7 +60,7 @@
 	answer, err := x.read(r, own)
 	if err != nil {
 		x.stop()
-		c.Close()
+		c.abort()
 		if ctx.Err() != nil {
 			return nil, fmt.Errorf("%w: %w", ErrBroken, context.Cause(ctx))
 		}
@@ -110,19 +110,19 @@
 	}
 	x.done = true
 	if !x.stop() || x.answer.Close || !isDelimited(x.answer) {
-		x.conn.Close()
+		x.conn.close()
 		return
 	}
 	select {
 	case err := <-x.written:
 		if err != nil {
-			x.conn.Close()
+			x.conn.close()
 			return
 		}
 	default:
 		// The target still reads the body of the request, so what comes next
 		// on this connection belongs to it.
-		x.conn.Close()
+		x.conn.close()
 		return
 	}
 	x.conn.keep = keepTime(x.answer.Header.Get("Keep-Alive"))
@@ -136,7 +136,7 @@
 	}
 	x.done = true
 	x.stop()
-	x.conn.Close()
+	x.conn.abort()
 }
 
 // keepTime returns how long a connection may idle, from a header of the form
--- /dev/null
+++ b/link/link_test.go
@@ -0,0 +1,257 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/tasks"
+)
+
+// target is a scripted target: it serves each accepted connection by the
+// script and reports what it read.
+type target struct {
+	listener net.Listener
+}
+
+func newTarget(t *testing.T, script func(net.Conn, *bufio.Reader)) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go script(c, bufio.NewReader(c))
+		}
+	}()
+	return &target{listener: l}
+}
+
+func (s *target) address() string { return s.listener.Addr().String() }
+
+func newPool(t *testing.T) *Pool {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
+	p, err := StartPool(ctx, system, clock.Wall())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		<-p.ref.Done()
+		system.Shutdown()
+	})
+	return p
+}
+
+func request(id string) *http.Request {
+	return &http.Request{
+		Method: http.MethodGet, URL: &url.URL{Opaque: "/a"}, Host: "h", Header: http.Header{"Id": {id}},
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+}
+
+// send takes a connection, sends a request and returns the body of its
+// answer.
+func send(t *testing.T, p *Pool, address, id string) (string, bool, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	c, err := p.Take(ctx, address)
+	if err != nil {
+		return "", false, err
+	}
+	x, err := p.Send(ctx, c, request(id), func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	if err != nil {
+		return "", c.IsReused(), err
+	}
+	body, err := io.ReadAll(x.Answer().Body)
+	if err != nil {
+		x.Abort()
+		return string(body), c.IsReused(), err
+	}
+	x.Finish()
+	return string(body), c.IsReused(), nil
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0' + n)) }
+
+// serve answers each request by the reply to its id.
+func serve(reply func(id string) string) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, r *bufio.Reader) {
+		defer func() { _ = c.Close() }()
+		for {
+			q, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			text := reply(q.Header.Get("Id"))
+			if _, err := io.WriteString(c, text); err != nil || strings.HasSuffix(text, "!") {
+				return
+			}
+		}
+	}
+}
+
+// TestAnswers guards against bytes that reach a caller although they are not
+// the whole answer to its request.
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name  string
+		reply func(id string) string
+		body  string
+		fails bool
+	}{
+		{name: "its own", reply: func(id string) string { return answer(id, "own") }, body: "own"},
+		{
+			name:  "late answer of another request first",
+			reply: func(id string) string { return answer("0", "old") + answer(id, "own") },
+			body:  "own",
+		},
+		{
+			name:  "interim answer first",
+			reply: func(id string) string { return "HTTP/1.1 100 Continue\r\n\r\n" + answer(id, "own") },
+			body:  "own",
+		},
+		{name: "only another request's", reply: func(string) string { return answer("0", "x!") }, fails: true},
+		{name: "no id", reply: func(string) string { return answer("", "x!") }, fails: true},
+		{name: "no protocol", reply: func(string) string { return "rubbish\r\n\r\n!" }, fails: true},
+		{
+			name:  "truncated",
+			reply: func(id string) string { return strings.TrimSuffix(answer(id, "abcd"), "bcd") + "!" },
+			body:  "a!", fails: true,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTarget(t, serve(c.reply))
+			body, _, err := send(t, newPool(t), s.address(), "7")
+			if (err != nil) != c.fails || !c.fails && body != c.body {
+				t.Errorf("body %q, error %v", body, err)
+			}
+		})
+	}
+}
+
+// TestReuse guards against requests on kept connections that the target has
+// closed or on which something has arrived meanwhile.
+func TestReuse(t *testing.T) {
+	cases := []struct {
+		name   string
+		reply  func(id string) string
+		reused bool
+	}{
+		{"quiet", func(id string) string { return answer(id, "ok") }, true},
+		{"closed by the target", func(id string) string { return answer(id, "ok!") }, false},
+		{"announced to close", func(id string) string {
+			return strings.Replace(answer(id, "ok"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)
+		}, false},
+		{"a second answer has arrived", func(id string) string { return answer(id, "ok") + answer(id, "ok") }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			closed := make(chan struct{}, 4)
+			script := serve(c.reply)
+			s := newTarget(t, func(conn net.Conn, r *bufio.Reader) {
+				script(conn, r)
+				closed <- struct{}{}
+			})
+			p := newPool(t)
+			if _, _, err := send(t, p, s.address(), "1"); err != nil {
+				t.Fatal(err)
+			}
+			if c.name == "closed by the target" {
+				<-closed
+			}
+			_, reused, err := send(t, p, s.address(), "2")
+			if err != nil || reused != c.reused {
+				t.Errorf("reused %v, want %v; error %v", reused, c.reused, err)
+			}
+		})
+	}
+}
+
+// TestUnreached guards against a failure to connect that is taken for a
+// request that may have run.
+func TestUnreached(t *testing.T) {
+	s := newTarget(t, serve(func(string) string { return "" }))
+	address := s.address()
+	_ = s.listener.Close()
+	if _, _, err := send(t, newPool(t), address, "1"); !errors.Is(err, ErrUnreached) {
+		t.Errorf("got %v, want %v", err, ErrUnreached)
+	}
+}
+
+// TestGivenUp guards against a target that works on, or gets the rest of a
+// request, after nobody waits for the answer: the connection is reset at
+// once, with what was not sent.
+func TestGivenUp(t *testing.T) {
+	ended := make(chan error, 1)
+	started := make(chan struct{})
+	s := newTarget(t, func(c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			ended <- nil
+			return
+		}
+		close(started)
+		_, err := r.ReadByte()
+		ended <- err
+	})
+	p := newPool(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c, err := p.Take(ctx, s.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		<-started
+		cancel()
+	}()
+	if _, err := p.Send(ctx, c, request("1"), func(*http.Response) bool { return true }); !errors.Is(err, ErrBroken) {
+		t.Errorf("got %v, want %v", err, ErrBroken)
+	}
+	if err := <-ended; err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("target saw %v, want a reset", err)
+	}
+}
+
+// TestKeepTime guards against connections that are kept longer than the
+// target keeps them.
+func TestKeepTime(t *testing.T) {
+	cases := []struct {
+		header string
+		want   time.Duration
+	}{
+		{"", defaultKeep},
+		{"timeout=10", 9 * time.Second},
+		{"max=3, timeout=4", 3 * time.Second},
+		{"timeout=1", keepMargin / 2},
+		{"timeout=x", defaultKeep},
+	}
+	for _, c := range cases {
+		if got := keepTime(c.header); got != c.want {
+			t.Errorf("%q: %v, want %v", c.header, got, c.want)
+		}
+	}
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -160,14 +160,14 @@
 			c.reused = true
 			return c
 		}
-		c.Close()
+		c.close()
 	}
 	return nil
 }
 
 func (t *poolTask) give(c *Conn) {
 	if len(t.idle[c.address]) >= mostIdle {
-		c.Close()
+		c.close()
 		return
 	}
 	c.idle = t.clock.Now()
@@ -176,7 +176,7 @@
 
 func (t *poolTask) forget(address string) {
 	for _, c := range t.idle[address] {
-		c.Close()
+		c.close()
 	}
 	delete(t.idle, address)
 }
@@ -189,7 +189,7 @@
 			if now.Sub(c.idle) < c.keep {
 				kept = append(kept, c)
 			} else {
-				c.Close()
+				c.close()
 			}
 		}
 		if len(kept) == 0 {
