Bound the callers' connections and never spin on accept

Change: answers end their connections while half of the bound is open, beyond the bound a connection is closed unread, and a failed accept pauses.

--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -201,7 +201,7 @@
 		}
 		for _, n := range needs {
 			report.Needs = append(report.Needs,
-				NeedRecord{Team: string(n.Team()), Asked: n.Asked(), Used: n.Used(), Held: n.Held()})
+				NeedRecord{Team: string(n.Team()), Asked: n.Asked(), Held: n.Held()})
 		}
 	}
 	m := greeted{peer: p, sent: sent}
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -205,7 +205,7 @@
 func (h *hub) lend(now time.Time, host ident.Host, records []NeedRecord) []ShareRecord {
 	needs := make([]quota.Need, len(records))
 	for i, r := range records {
-		needs[i] = quota.NewNeed(ident.Team(r.Team), r.Asked, r.Used, r.Held)
+		needs[i] = quota.NewNeed(ident.Team(r.Team), r.Asked, r.Held)
 	}
 	shares := h.lender.Lend(now, host, len(h.hosts), needs)
 	list := make([]ShareRecord, len(shares))
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -30,14 +30,13 @@
 		// Needs is set towards the leader only.
 		Needs []NeedRecord
 	}
-	// NeedRecord is the demand of a team, in parts of its limit.
+	// NeedRecord is the demand of a team, in parts of its rate.
 	NeedRecord struct {
 		Team  string
 		Asked float64
-		Used  float64
 		Held  float64
 	}
-	// ShareRecord is a part of a team's limit that is lent to a host.
+	// ShareRecord is a part of a team's rate that is lent to a host.
 	ShareRecord struct {
 		Team  string
 		Share float64
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -43,6 +43,7 @@
 	data       string
 	firstStart bool
 	grace      time.Duration
+	files      int
 	bounds     admit.Bounds
 	clock      clock.Clock
 	log        *slog.Logger
@@ -79,6 +80,12 @@
 	return f
 }
 
+// WithDescriptors sets how many files and connections a process may have open.
+func (f Fleet) WithDescriptors(n int) Fleet {
+	f.files = n
+	return f
+}
+
 // WithMetrics sets the address at which counters and histograms are served.
 func (f Fleet) WithMetrics(address string) Fleet {
 	f.metrics = address
@@ -293,6 +300,9 @@
 func (s *entrySink) Ready() { s.ready.Store(true) }
 
 const (
+	// callersPercent is the part of the descriptors that callers' connections
+	// may use. The rest is for targets and the process itself.
+	callersPercent = 60
 	// leaveTime is how long a leaving entry host still takes new connections:
 	// callers use the answers of look-ups for their time to live and some a
 	// little longer.
@@ -327,7 +337,7 @@
 	}
 	gauges := meter.New()
 	front, err := relay.StartFront(inner, system, listener,
-		relay.NewHandler(desk, pool, dialect, f.clock, f.log, gauges), f.log)
+		relay.NewHandler(desk, pool, dialect, f.clock, f.log, gauges), f.files*callersPercent/100, f.clock, f.log)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -9,30 +9,28 @@
 const (
 	// LendTime is how long a share is lent. A host out of contact has only
 	// its standing share after it.
-	LendTime = 3 * time.Second
+	LendTime = 6 * time.Second
 	// takeOverTime is how long a new lender lends nothing but what hosts hold
-	// already: what its predecessor lent has run out by then, also when both
-	// acted for a moment.
-	takeOverTime = LendTime + 1500*time.Millisecond
+	// already. By then all hosts in contact have reported what they hold, and
+	// a predecessor that was cut off has noticed.
+	takeOverTime = 2 * time.Second
 	// needMemory is how long the report of a host counts.
 	needMemory = 2 * time.Second
 	// headroom is by how much a share exceeds the demand that it is for.
 	headroom = 1.3
 )
 
-// Need is the demand of a team on one host, in parts of the team's limit: what
-// was asked and admitted in the last window, and the share that the host
-// holds.
+// Need is the demand of a team on one host, in parts of the team's rate: what
+// was asked in the last window, and the share that the host holds.
 type Need struct {
 	team  ident.Team
 	asked float64
-	used  float64
 	held  float64
 }
 
 // NewNeed returns a need.
-func NewNeed(team ident.Team, asked, used, held float64) Need {
-	return Need{team: team, asked: asked, used: used, held: held}
+func NewNeed(team ident.Team, asked, held float64) Need {
+	return Need{team: team, asked: asked, held: held}
 }
 
 // Team returns the team.
@@ -41,13 +39,10 @@
 // Asked returns the requests that arrived.
 func (n Need) Asked() float64 { return n.asked }
 
-// Used returns the requests that were admitted.
-func (n Need) Used() float64 { return n.used }
-
 // Held returns the share that is lent to the host.
 func (n Need) Held() float64 { return n.held }
 
-// Share is a part of a team's limit that is lent to a host.
+// Share is a part of a team's rate that is lent to a host.
 type Share struct {
 	team  ident.Team
 	share float64
@@ -59,10 +54,10 @@
 // Team returns the team.
 func (s Share) Team() ident.Team { return s.team }
 
-// Share returns the part of the team's limit.
+// Share returns the part of the team's rate.
 func (s Share) Share() float64 { return s.share }
 
-// Lender lends the parts of limits that are not standing to hosts, by their
+// Lender lends the parts of rates that are not standing to hosts, by their
 // demand. What is lent to all hosts together never exceeds the whole, also
 // when a lender takes over from another. It is not safe for concurrent use.
 type Lender struct {
@@ -123,9 +118,6 @@
 	if needed > whole {
 		share = whole * own.need / needed
 	}
-	// What was admitted lately still counts in the window, so it cannot be
-	// lent to another host yet.
-	share = max(share, n.used-standing)
 	if now.Sub(l.since) < takeOverTime {
 		share = n.held
 	}
--- a/quota/teams.go
+++ b/quota/teams.go
@@ -10,7 +10,7 @@
 
 // Standing is the part of every limit that the hosts share equally and without
 // any contact. The rest is lent by demand, see Lender.
-const Standing = 0.5
+const Standing = 0.4
 
 // Teams holds the requests of each team on one host to the host's share of
 // the team's rate. It is not safe for concurrent use.
@@ -19,43 +19,73 @@
 	teams map[ident.Team]*team
 }
 
-// team counts the requests of a team.
+const (
+	// burstExcess and spareTokens make up for the division of a burst: the
+	// requests of a team arrive less evenly at each of many hosts than at all
+	// together.
+	burstExcess = 1.3
+	// spareTokens is the number of further tokens of all hosts together, and
+	// mostSpare that of one host.
+	spareTokens = 10.0
+	mostSpare   = 2.0
+)
+
+// team is the token bucket of a team on this host.
 type team struct {
-	limit    float64
-	asked    *Window
-	admitted *Window
-	lent     float64
-	until    time.Time
+	rate   float64
+	burst  float64
+	asked  *Window
+	tokens float64
+	filled time.Time
+	lent   float64
+	until  time.Time
 }
 
-// NewTeams returns a counter of the requests of all teams in a sliding window
-// of the given span.
+// NewTeams returns a counter of the requests of all teams. Their demand is
+// measured over the given span.
 func NewTeams(span time.Duration) *Teams {
 	return &Teams{span: span, teams: map[ident.Team]*team{}}
 }
 
-// Take counts a request of a team with the given rate in requests per second
-// and burst, on one of the given number of hosts. Without room it returns how
-// long it takes until there is some.
+// Take takes a token of a team with the given rate in requests per second and
+// burst, on one of the given number of hosts. Without one it returns how long
+// it takes until there is one.
 func (t *Teams) Take(now time.Time, name ident.Team, rate, burst float64, hosts int) (time.Duration, bool) {
 	if rate <= 0 {
 		return 0, true
 	}
+	standing := Standing / float64(max(hosts, 1))
 	e, ok := t.teams[name]
 	if !ok {
-		e = &team{asked: NewWindow(t.span), admitted: NewWindow(t.span)}
+		e = &team{asked: NewWindow(t.span), filled: now}
+		e.tokens = e.height(standing, hosts, burst)
 		t.teams[name] = e
 	}
-	e.limit = rate*t.span.Seconds() + burst
+	e.rate, e.burst = rate, burst
 	e.asked.Add(now, 1)
-	share := Standing/float64(max(hosts, 1)) + e.held(now)
-	if most := e.limit * share; e.admitted.Sum(now)+1 > most {
-		return e.admitted.RoomAfter(now, most-1), false
+	share := standing + e.held(now)
+	e.fill(now, share, hosts)
+	if e.tokens < 1 {
+		return time.Duration((1 - e.tokens) / (share * rate) * float64(time.Second)), false
 	}
-	e.admitted.Add(now, 1)
+	e.tokens--
 	return 0, true
 }
 
+// fill adds the tokens of the time since the last call. A greater share lets
+// the bucket fill faster and higher; it does not fill it at once, because the
+// tokens of the share may have been spent on the host that held it before.
+func (e *team) fill(now time.Time, share float64, hosts int) {
+	passed := max(0, now.Sub(e.filled).Seconds())
+	e.tokens = min(e.tokens+passed*share*e.rate, e.height(share, hosts, e.burst))
+	e.filled = now
+}
+
+// height returns how many tokens the bucket holds at most.
+func (e *team) height(share float64, hosts int, burst float64) float64 {
+	return max(1, share*burst*burstExcess+min(mostSpare, spareTokens/float64(max(hosts, 1))))
+}
+
 // held returns the share that is lent to this host.
 func (e *team) held(now time.Time) float64 {
 	if now.Before(e.until) {
@@ -78,10 +108,10 @@
 	var list []Need
 	for name, e := range t.teams {
 		asked, held := e.asked.Sum(now), e.held(now)
-		if e.limit <= 0 || asked == 0 && held == 0 {
+		if asked == 0 && held == 0 {
 			continue
 		}
-		list = append(list, NewNeed(name, asked/e.limit, e.admitted.Sum(now)/e.limit, held))
+		list = append(list, NewNeed(name, asked/(e.rate*t.span.Seconds()), held))
 	}
 	slices.SortFunc(list, func(a, b Need) int { return cmp.Compare(a.team, b.team) })
 	return list
--- a/relay/front.go
+++ b/relay/front.go
@@ -8,7 +8,10 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
+	"time"
 
+	"rhubarbrack/clock"
 	"rhubarbrack/scheme"
 	"rhubarbrack/tasks"
 )
@@ -17,21 +20,33 @@
 // open connections keep those that they began with, so that a change breaks
 // nothing. It is safe for concurrent use.
 type Front struct {
-	ref *tasks.Ref
+	ref      *tasks.Ref
+	listener net.Listener
 }
 
 // StartFront accepts connections until Drain or the end of ctx.
+//
+// It holds at most the given number of connections. When half of them are
+// open, each answer ends its connection: callers that ask again on a new
+// connection each time leave the old ones open.
 func StartFront(
-	ctx context.Context, system *tasks.System, listener net.Listener, handler http.Handler, log *slog.Logger,
+	ctx context.Context, system *tasks.System, listener net.Listener, handler http.Handler, connections int,
+	c clock.Clock, log *slog.Logger,
 ) (*Front, error) {
-	t := &frontTask{ctx: ctx, listener: listener, handler: handler, log: log}
+	t := &frontTask{ctx: ctx, listener: listener, connections: int64(connections), clock: c, log: log}
+	t.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if t.open.Load() > t.connections/2 {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
 	ref, err := tasks.Spawn(ctx, system, "front", t)
 	if err != nil {
 		return nil, fmt.Errorf("start front: %w", err)
 	}
 	t.self = ref
 	go t.accept()
-	return &Front{ref: ref}, nil
+	return &Front{ref: ref, listener: listener}, nil
 }
 
 // Limit sets the limits of new connections. Until the first call, accepted
@@ -73,14 +88,22 @@
 	self     *tasks.Ref
 	listener net.Listener
 	handler  http.Handler
+	clock    clock.Clock
 	log      *slog.Logger
 	limits   scheme.Limits
 	servers  []*http.Server
 	feed     *feed
 	waiting  []net.Conn
 	draining bool
+	// open counts the connections; the servers' goroutines change it.
+	open        atomic.Int64
+	connections int64
 }
 
+// acceptPause is the time without new connections after one could not be
+// accepted, mostly for lack of descriptors.
+const acceptPause = 20 * time.Millisecond
+
 var (
 	_ tasks.Task    = (*frontTask)(nil)
 	_ tasks.Stopper = (*frontTask)(nil)
@@ -94,11 +117,15 @@
 			return
 		}
 		if err != nil {
-			t.log.Warn("relay: connection not accepted", "error", err)
-			if t.ctx.Err() != nil {
+			t.log.Warn("relay: connection not accepted", "open", t.open.Load(), "error", err)
+			timer := t.clock.NewTimer(acceptPause)
+			select {
+			case <-timer.C():
+				continue
+			case <-t.ctx.Done():
+				timer.Stop()
 				return
 			}
-			continue
 		}
 		t.self.Tell(accepted{conn: conn})
 	}
@@ -112,6 +139,11 @@
 			t.waiting = append(t.waiting, m.conn)
 			return
 		}
+		if t.open.Load() >= t.connections {
+			t.log.Warn("relay: connection closed unread", "open", t.open.Load())
+			_ = m.conn.Close()
+			return
+		}
 		t.feed.push(m.conn)
 	case setLimits:
 		t.setLimits(m.limits)
@@ -146,7 +178,15 @@
 		MaxHeaderBytes:    l.HeaderBytes(),
 		ReadHeaderTimeout: l.HeaderTime(),
 		IdleTimeout:       l.IdleTime(),
-		ErrorLog:          slog.NewLogLogger(t.log.Handler(), slog.LevelDebug),
+		ConnState: func(_ net.Conn, s http.ConnState) {
+			switch s {
+			case http.StateNew:
+				t.open.Add(1)
+			case http.StateClosed, http.StateHijacked:
+				t.open.Add(-1)
+			}
+		},
+		ErrorLog: slog.NewLogLogger(t.log.Handler(), slog.LevelDebug),
 	}
 	if t.draining {
 		server.SetKeepAlivesEnabled(false)
--- /dev/null
+++ b/relay/handler_test.go
@@ -0,0 +1,240 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"rhubarbrack/admit"
+	"rhubarbrack/clock"
+	"rhubarbrack/ident"
+	"rhubarbrack/link"
+	"rhubarbrack/meter"
+	"rhubarbrack/scheme"
+	"rhubarbrack/spread"
+	"rhubarbrack/tasks"
+)
+
+// testDialect uses short header names.
+type testDialect struct{}
+
+var _ Dialect = testDialect{}
+
+func (testDialect) Request(r *http.Request) admit.Request {
+	patience, _ := time.ParseDuration(r.Header.Get("Patience"))
+	return admit.NewRequest(ident.RequestID(r.Header.Get("Id")), r.Host, r.URL.Path, r.Header.Get("Key"),
+		r.Header.Get("Object"), patience)
+}
+
+func (testDialect) Outbound(h http.Header, target ident.Target, left time.Duration, team ident.Team) {
+	h.Del("Key")
+	h.Set("Target", string(target))
+	h.Set("Team", string(team))
+	h.Set("Left", left.String())
+}
+
+func (testDialect) Answer(r *http.Response) Answer {
+	return NewAnswer(ident.RequestID(r.Header.Get("Id")), r.Header.Get("Stamp") != "", r.Header.Get("Not-Run") != "",
+		r.StatusCode == http.StatusMisdirectedRequest, ident.None[spread.Load](), ident.None[time.Duration]())
+}
+
+func (testDialect) Refuse(w http.ResponseWriter, r Refusal) {
+	w.Header().Set("Reason", string(r.Reason()))
+	w.Header().Set("Run", r.Outcome().String())
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// arrival is a request as a target saw it.
+type arrival struct {
+	target string
+	id     string
+	path   string
+	team   string
+	key    string
+	body   string
+}
+
+// testTarget answers by a script and notes what arrives.
+type testTarget struct {
+	mutex    sync.Mutex
+	arrivals []arrival
+	script   func(n int, r *http.Request) string
+}
+
+func (s *testTarget) list() []arrival {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]arrival(nil), s.arrivals...)
+}
+
+func (s *testTarget) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			return
+		}
+		s.mutex.Lock()
+		s.arrivals = append(s.arrivals, arrival{
+			target: q.Header.Get("Target"), id: q.Header.Get("Id"), path: q.RequestURI, team: q.Header.Get("Team"),
+			key: q.Header.Get("Key"), body: string(body),
+		})
+		n := len(s.arrivals)
+		s.mutex.Unlock()
+		text := s.script(n, q)
+		if _, err := io.WriteString(c, text); err != nil || text == "" {
+			return
+		}
+	}
+}
+
+func ran(r *http.Request, status int, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d x\r\nId: %s\r\nStamp: s\r\nContent-Length: %d\r\n\r\n%s",
+		status, r.Header.Get("Id"), len(body), body)
+}
+
+func shed(r *http.Request) string {
+	return "HTTP/1.1 503 x\r\nId: " + r.Header.Get("Id") + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// testHost is an entry host with two targets at one address.
+type testHost struct {
+	address string
+	target  *testTarget
+}
+
+func newTestHost(t testing.TB, script func(n int, r *http.Request) string) *testHost {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	log := slog.New(slog.DiscardHandler)
+	system := tasks.NewSystem(log)
+	s := &testTarget{script: script}
+	l := listen(t)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	pool, err := link.StartPool(ctx, system, clock.Wall())
+	if err != nil {
+		t.Fatal(err)
+	}
+	bounds := admit.NewBounds(5*time.Second, 10*time.Second, 0.2, 1000, 1.5, 5)
+	desk, err := StartDesk(ctx, system, clock.Wall(), admit.NewDesk("z", "r", bounds), pool)
+	if err != nil {
+		t.Fatal(err)
+	}
+	desk.Configure(testConfig(t))
+	var targets []spread.Target
+	for _, id := range []ident.Target{"t1", "t2"} {
+		targets = append(targets, spread.NewTarget(id, "s", l.Addr().String(), "z", "r", 4, false, time.Time{}))
+	}
+	desk.Update(targets)
+	front, err := StartFront(ctx, system, listen(t), NewHandler(desk, pool, testDialect{}, clock.Wall(), log, meter.New()), 1000, clock.Wall(), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	front.Limit(scheme.NewLimits(1<<16, 1<<20, time.Second, time.Minute))
+	address := front.listener.Addr().String()
+	t.Cleanup(func() {
+		cancel()
+		<-front.ref.Done()
+		_ = l.Close()
+		system.Shutdown()
+	})
+	return &testHost{address: address, target: s}
+}
+
+func listen(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func testConfig(t testing.TB) *scheme.Config {
+	t.Helper()
+	part := []scheme.Part{scheme.NewPart("s", 1)}
+	c, err := scheme.New(1, scheme.Limits{},
+		[]*scheme.Team{scheme.NewTeam("team", []string{"key"}, ident.None[int](), 0, 0, nil)},
+		[]*scheme.Route{
+			scheme.NewRoute("safe", "h", "/safe/", scheme.Repeatable, part, 2*time.Second, 2, scheme.WithAffinity(true)),
+			scheme.NewRoute("once", "h", "/once/", scheme.Once, part, 2*time.Second, 2, scheme.WithAffinity(true)),
+			scheme.NewRoute("open", "h", "/open/", scheme.Repeatable, part, 2*time.Second, 2, scheme.WithoutKey(true)),
+		}, []scheme.Service{scheme.NewService("s", "/health", 10, 0, 0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// call sends one request and returns status, reason and body.
+func (h *testHost) call(t testing.TB, client *http.Client, method, path, key string, body io.Reader) (*http.Response, string, error) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+h.address+path, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Id", "id"+strconv.Itoa(len(path)))
+	r.Header.Set("Object", "o")
+	r.Header.Set("Team", "forged")
+	if key != "" {
+		r.Header.Set("Key", key)
+	}
+	response, err := client.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response, string(data), err
+}
+
+func newClient(t testing.TB) *http.Client {
+	t.Helper()
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+func BenchmarkHandler(b *testing.B) {
+	h := newTestHost(b, func(_ int, r *http.Request) string { return ran(r, 200, "body") })
+	client := newClient(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := h.call(b, client, http.MethodGet, "/safe/1", "key", nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkRefusal(b *testing.B) {
+	h := newTestHost(b, func(_ int, r *http.Request) string { return ran(r, 200, "body") })
+	client := newClient(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, _, err := h.call(b, client, http.MethodGet, "/safe/1", "", nil); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/spread/result.go
+++ b/spread/result.go
@@ -68,8 +68,12 @@
 		s.fail(now, true)
 	case Full:
 		s.answered = now
-		s.full = now.Add(fullPause)
-		s.fail(now, true)
+		if l, ok := load.Get(); ok && l.Busy() < s.slots {
+			// It refuses although it has room.
+			s.fail(now, true)
+		} else {
+			s.full = now.Add(fullPause)
+		}
 	case Unreached:
 		s.pause(now)
 	case Lost:
@@ -96,10 +100,9 @@
 	}
 	ratio := took / max(usual, 0.001)
 	t.usual[s.service] = usual + answerWeight*(min(took, slowBound*usual)-usual)
-	if s.samples == 0 {
+	if s.slow == 0 {
 		s.slow = 1
 	}
-	s.samples++
-	s.slow += failureWeight * (min(ratio, 3*slowBound) - s.slow)
+	s.slow += failureWeight * (min(ratio, slowest) - s.slow)
 	s.slowAt = now
 }
--- a/spread/table.go
+++ b/spread/table.go
@@ -30,8 +30,8 @@
 	silencePatience = 400 * time.Millisecond
 	// silenceFactor is the same as a multiple of the usual time of an answer.
 	silenceFactor = 4
-	// probeInterval is the time between two requests to a target that is
-	// suspected to fail or to be slow.
+	// probeInterval is the time between two requests to a target that does
+	// not answer.
 	probeInterval = 400 * time.Millisecond
 	// nearShare is the part of the aim that the way to another region may
 	// take before an object gets a home in each region.
@@ -243,8 +243,8 @@
 }
 
 // home picks one of the first targets in the order of the object: the first
-// one, unless its queue is longer than that of a later one by more than what
-// the object's place in its memory is worth.
+// one, unless its queue, its failures or its slowness exceed those of a later
+// one by more than what the object's place in its memory is worth.
 func (t *Table) home(now time.Time, list []candidate) Choice {
 	var best *state
 	reason, rank := Home, 0
@@ -256,8 +256,9 @@
 		if !t.admits(now, c.state) {
 			continue
 		}
-		queue := max(0, c.state.load(now)+1-float64(c.state.slots)) / float64(c.state.slots)
-		if cost := queue + float64(rank)*rankCost; cost < least && queue <= longestQueue {
+		queue := c.state.queue(now)
+		cost := queue + float64(rank)*rankCost + c.state.trouble(now)
+		if cost < least && queue <= longestQueue {
 			best, least = c.state, cost
 			reason = Home
 			if rank > 0 {
@@ -304,8 +305,7 @@
 }
 
 // admits reports whether a target may get a request now: a cold one only
-// within this host's share of its bound, and one that fails, is slow or
-// silent only now and then.
+// within this host's share of its bound, and a silent one only now and then.
 func (t *Table) admits(now time.Time, s *state) bool {
 	if now.Before(s.full) {
 		return false
@@ -316,7 +316,7 @@
 			return false
 		}
 	}
-	if t.isSuspect(now, s) {
+	if t.isSilent(now, s) {
 		if now.Before(s.nextProbe) {
 			return false
 		}
@@ -325,10 +325,9 @@
 	return true
 }
 
-func (t *Table) isSuspect(now time.Time, s *state) bool {
+func (t *Table) isSilent(now time.Time, s *state) bool {
 	patience := max(silencePatience, time.Duration(silenceFactor*t.usual[s.service]*float64(time.Second)))
-	slow := s.samples >= slowSamples && s.slow*math.Exp(-now.Sub(s.slowAt).Seconds()/failureMemory.Seconds()) > slowBound
-	return slow || s.failureShare(now) > failureBound || s.isSilent(now, patience)
+	return s.isSilent(now, patience)
 }
 
 // leastLoaded picks the target with the smallest part of its slots in use,
@@ -343,6 +342,7 @@
 		} else if c.state.zone != t.zone {
 			use += zoneCost
 		}
+		use += c.state.trouble(now)
 		if use < least && c.state.load(now) < float64(c.state.slots) && t.admits(now, c.state) {
 			best, least = c.state, use
 		}
@@ -365,8 +365,7 @@
 	least := math.Inf(1)
 	for _, c := range list {
 		use := c.state.load(now) / float64(c.state.slots)
-		if use < least && use < queueFactor && !now.Before(c.state.full) && !t.isSuspect(now, c.state) &&
-			t.admits(now, c.state) {
+		if use < least && use < queueFactor && t.admits(now, c.state) {
 			best, least = c.state, use
 		}
 	}
--- a/spread/target.go
+++ b/spread/target.go
@@ -72,15 +72,18 @@
 	// failureWeight is the weight of the newest result among the results of a
 	// target.
 	failureWeight = 0.15
-	// failureBound is the weighted share of failures from which a target gets
-	// only a few requests.
-	failureBound = 0.3
-	// slowBound is how many times slower than the others of its service a
-	// target is when it gets only a few requests. Without the object in its
+	// failureCost is by how many requests a slot the queue of a target must be
+	// shorter to make up for failures only.
+	failureCost = 2.0
+	// slowCost is the same for each time that a target is slower than the
+	// others of its service, beyond slowBound: without the object in its
 	// memory a target takes about three times as long as with it.
-	slowBound = 3.5
-	// slowSamples is the number of answers before a target counts as slow.
-	slowSamples = 6
+	slowCost = 0.3
+	// slowBound is how many times slower than usual a target may be for free.
+	slowBound = 2.0
+	// slowest bounds how slow a single answer can make a target look, in
+	// multiples of the usual time.
+	slowest = 10.0
 	// firstPause and longestPause bound the time without requests after a
 	// target could not be reached. The pause doubles with each failure.
 	firstPause   = 250 * time.Millisecond
@@ -107,7 +110,6 @@
 	until     time.Time
 	full      time.Time
 	slow      float64
-	samples   int
 	slowAt    time.Time
 	answered  time.Time
 	sends     []time.Time
@@ -143,6 +145,18 @@
 	return s.failures * math.Exp(-now.Sub(s.failedAt).Seconds()/failureMemory.Seconds())
 }
 
+// queue returns the requests a slot that would wait if one more came.
+func (s *state) queue(now time.Time) float64 {
+	return max(0, s.load(now)+1-float64(s.slots)) / float64(s.slots)
+}
+
+// trouble returns what the failures and the slowness of the target cost, in
+// requests a slot.
+func (s *state) trouble(now time.Time) float64 {
+	slow := s.slow * math.Exp(-now.Sub(s.slowAt).Seconds()/failureMemory.Seconds())
+	return failureCost*s.failureShare(now) + slowCost*max(0, slow-slowBound)
+}
+
 // pause keeps requests away after the target could not be reached.
 func (s *state) pause(now time.Time) {
 	d := min(firstPause<<min(s.row, 8), longestPause)
