--- a/mesh/control.go
+++ b/mesh/control.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net/rpc"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -192,24 +191,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("entry hosts: %w", err)
 	}
-	near := filter(all, func(e EntryHost) bool { return e.region == region })
-	if len(near) == 0 && len(homes) > 0 {
-		near = filter(all, func(e EntryHost) bool { return slices.Contains(homes, e.region) })
-	}
-	if len(near) == 0 {
-		near = all
-	}
-	return near, nil
-}
-
-func filter(list []EntryHost, keep func(EntryHost) bool) []EntryHost {
-	var kept []EntryHost
-	for _, e := range list {
-		if keep(e) {
-			kept = append(kept, e)
-		}
-	}
-	return kept
+	return nearest(all, region, homes), nil
 }
 
 // Orders returns the orders that this host has applied, which may be old.
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -71,8 +71,28 @@
 // SetReady tells the control hosts at once whether callers may be sent here.
 func (f *Follower) SetReady(ready bool) { f.ref.Tell(setReady{ready: ready}) }
 
+// EntryHosts returns the entry hosts that callers from a region are sent to,
+// as Control.EntryHosts does.
+func (f *Follower) EntryHosts(ctx context.Context, region ident.Region, homes []ident.Region) ([]EntryHost, error) {
+	all, err := tasks.Ask(ctx, f.ref, func(reply tasks.Reply[[]EntryHost]) any { return askHosts{reply: reply} })
+	if err != nil {
+		return nil, fmt.Errorf("entry hosts: %w", err)
+	}
+	return nearest(all, region, homes), nil
+}
+
+// Orders returns the orders in force on this host.
+func (f *Follower) Orders(ctx context.Context) (scheme.Ledger, error) {
+	l, err := tasks.Ask(ctx, f.ref, func(reply tasks.Reply[scheme.Ledger]) any { return askOrders{reply: reply} })
+	if err != nil {
+		return scheme.Ledger{}, fmt.Errorf("read orders: %w", err)
+	}
+	return l, nil
+}
+
 // The messages of the follower.
 type (
+	askOrders     struct{ reply tasks.Reply[scheme.Ledger] }
 	greetAll      struct{}
 	setReady      struct{ ready bool }
 	learnControls struct{ addresses []string }
@@ -103,6 +123,8 @@
 	lost    bool
 	hosts   int
 	leads   bool
+	tag     uint64
+	ready   []EntryHost
 }
 
 // followTask owns what the entry host has learnt.
@@ -116,6 +138,7 @@
 	report   GreetRecord
 	peers    map[string]*peer
 	revision ident.Revision
+	ledger   scheme.Ledger
 	hasOrder bool
 	fetching bool
 	listTag  uint64
@@ -147,9 +170,45 @@
 		t.fetched(m)
 	case received:
 		t.received(m)
+	case askHosts:
+		m.reply.Send(t.readyHosts())
+	case askOrders:
+		m.reply.Send(t.ledger)
 	}
 }
 
+// readyHosts returns the entry hosts that a control host in contact names.
+// Without any contact those that were named last may still serve.
+func (t *followTask) readyHosts() []EntryHost {
+	now := t.clock.Now()
+	named := map[string]EntryHost{}
+	contact := false
+	for _, p := range t.peers {
+		contact = contact || now.Sub(p.heard) < hostSilence
+	}
+	for _, p := range t.peers {
+		if contact && now.Sub(p.heard) >= hostSilence {
+			continue
+		}
+		for _, e := range p.ready {
+			named[e.address] = e
+		}
+	}
+	// This host knows best whether it is ready itself.
+	delete(named, t.report.Address)
+	if t.report.Ready {
+		named[t.report.Address] = EntryHost{
+			address: t.report.Address, zone: ident.Zone(t.report.Zone), region: ident.Region(t.report.Region),
+		}
+	}
+	list := make([]EntryHost, 0, len(named))
+	for _, e := range named {
+		list = append(list, e)
+	}
+	sortHosts(list)
+	return list
+}
+
 func (t *followTask) learn(addresses []string) {
 	known := map[string]bool{}
 	for _, a := range addresses {
@@ -185,7 +244,9 @@
 			continue
 		}
 		p.busy = true
-		go t.greet(p, t.report, p.leads, now)
+		report := t.report
+		report.ReadyTag = p.tag
+		go t.greet(p, report, p.leads, now)
 	}
 	t.settle(now)
 }
@@ -230,6 +291,13 @@
 		t.log.Info("mesh: control host regained", "peer", m.peer.address)
 	}
 	m.peer.heard, m.peer.lost, m.peer.hosts = now, false, m.record.Hosts
+	if m.peer.tag != m.record.ReadyTag {
+		m.peer.tag, m.peer.ready = m.record.ReadyTag, nil
+		for _, r := range m.record.ReadyHosts {
+			m.peer.ready = append(m.peer.ready,
+				EntryHost{address: r.Address, zone: ident.Zone(r.Zone), region: ident.Region(r.Region)})
+		}
+	}
 	m.peer.leads = m.record.Leads
 	if m.record.Leads {
 		t.lend(m)
@@ -298,7 +366,7 @@
 		t.log.Error("mesh: orders cannot be read", "revision", revision, "error", err)
 		return
 	}
-	t.revision = revision
+	t.revision, t.ledger = revision, m.record.ledger()
 	t.hasOrder = t.hasOrder || m.record.Version > 0
 	t.log.Info("mesh: orders in force", "revision", revision, "version", m.record.Version,
 		"evacuated", m.record.Zones, "peer", m.peer.address)
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -29,25 +29,6 @@
 	joinMemory = 2 * time.Second
 )
 
-// EntryHost is an entry host as a control host knows it.
-type EntryHost struct {
-	host    ident.Host
-	address string
-	zone    ident.Zone
-	region  ident.Region
-	ready   bool
-	heard   time.Time
-}
-
-// Address returns where callers reach the host.
-func (e EntryHost) Address() string { return e.address }
-
-// Zone returns the zone of the host.
-func (e EntryHost) Zone() ident.Zone { return e.zone }
-
-// Region returns the region of the host.
-func (e EntryHost) Region() ident.Region { return e.region }
-
 // hub is the task that owns what a control host knows of the fleet.
 type hub struct {
 	ctx      context.Context
@@ -186,6 +167,14 @@
 	if h.list != nil {
 		answer.HasList, answer.ListTag, answer.ListAge = true, h.list.tag, now.Sub(h.list.read)
 	}
+	ready := h.readyHosts()
+	answer.ReadyTag = tagOf(ready)
+	if answer.ReadyTag != r.ReadyTag {
+		for _, e := range ready {
+			answer.ReadyHosts = append(answer.ReadyHosts,
+				ReadyRecord{Address: e.address, Zone: string(e.zone), Region: string(e.region)})
+		}
+	}
 	if now.Sub(h.led) < leadTime && h.lender != nil {
 		answer.Leads, answer.Shares = true, h.lend(now, host, r.Needs)
 	}
@@ -303,7 +292,7 @@
 			list = append(list, e)
 		}
 	}
-	slices.SortFunc(list, func(a, b EntryHost) int { return cmp.Compare(a.address, b.address) })
+	sortHosts(list)
 	return list
 }
 
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -27,9 +27,17 @@
 		Zone    string
 		Region  string
 		Ready   bool
+		// ReadyTag is that of the list of ready hosts which the host has.
+		ReadyTag uint64
 		// Needs is set towards the leader only.
 		Needs []NeedRecord
 	}
+	// ReadyRecord is an entry host that takes callers.
+	ReadyRecord struct {
+		Address string
+		Zone    string
+		Region  string
+	}
 	// NeedRecord is the demand of a team, in parts of its rate.
 	NeedRecord struct {
 		Team  string
@@ -49,6 +57,9 @@
 		HasList  bool
 		ListTag  uint64
 		ListAge  time.Duration
+		// ReadyHosts is set when its tag is not the one of the report.
+		ReadyTag   uint64
+		ReadyHosts []ReadyRecord
 		// Leads tells that this control host lends shares of rates.
 		Leads  bool
 		Shares []ShareRecord
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -316,7 +316,7 @@
 // built around a function that tells whether the host is ready.
 func RunFleetEntry(
 	ctx context.Context, f Fleet, callers string, dialect relay.Dialect, decode Decoder,
-	endpoints func(isReady func() bool) []Endpoint,
+	endpoints func(isReady func() bool, f *mesh.Follower) []Endpoint,
 ) error {
 	f.log.Info("node: entry host starts", "host", f.host, "zone", f.zone, "callers", callers)
 	system := tasks.NewSystem(f.log)
@@ -342,12 +342,12 @@
 		return fmt.Errorf("entry host: %w", err)
 	}
 	var ready atomic.Bool
-	servers, err := f.serveEndpoints(ctx, endpoints(ready.Load), gauges)
+	follower, err := mesh.Follow(inner, system, f.clock, f.log, f.host, callers, f.zone, f.region, f.seeds,
+		&entrySink{fleet: f, decode: decode, desk: desk, front: front, ready: &ready})
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
-	follower, err := mesh.Follow(inner, system, f.clock, f.log, f.host, callers, f.zone, f.region, f.seeds,
-		&entrySink{fleet: f, decode: decode, desk: desk, front: front, ready: &ready})
+	servers, err := f.serveEndpoints(ctx, endpoints(ready.Load, follower), gauges)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
--- a/quota/teams.go
+++ b/quota/teams.go
@@ -20,10 +20,10 @@
 }
 
 const (
-	// burstExcess and spareTokens make up for the division of a burst: the
-	// requests of a team arrive less evenly at each of many hosts than at all
-	// together.
-	burstExcess = 1.3
+	// flowPart is the part of a burst that flows in over each window, beside
+	// the rate. A team may use rate x window + burst in every window; with
+	// the buckets full at its start, this stays within a tenth of that.
+	flowPart = 0.5
 	// spareTokens is the number of further tokens of all hosts together, and
 	// mostSpare that of one host.
 	spareTokens = 10.0
@@ -64,26 +64,31 @@
 	e.rate, e.burst = rate, burst
 	e.asked.Add(now, 1)
 	share := standing + e.held(now)
-	e.fill(now, share, hosts)
+	e.fill(now, share, hosts, t.span)
 	if e.tokens < 1 {
-		return time.Duration((1 - e.tokens) / (share * rate) * float64(time.Second)), false
+		return time.Duration((1 - e.tokens) / (share * flow(rate, burst, t.span)) * float64(time.Second)), false
 	}
 	e.tokens--
 	return 0, true
 }
 
+// flow returns the tokens per second of all hosts together.
+func flow(rate, burst float64, span time.Duration) float64 {
+	return rate + flowPart*burst/span.Seconds()
+}
+
 // fill adds the tokens of the time since the last call. A greater share lets
 // the bucket fill faster and higher; it does not fill it at once, because the
 // tokens of the share may have been spent on the host that held it before.
-func (e *team) fill(now time.Time, share float64, hosts int) {
+func (e *team) fill(now time.Time, share float64, hosts int, span time.Duration) {
 	passed := max(0, now.Sub(e.filled).Seconds())
-	e.tokens = min(e.tokens+passed*share*e.rate, e.height(share, hosts, e.burst))
+	e.tokens = min(e.tokens+passed*share*flow(e.rate, e.burst, span), e.height(share, hosts, e.burst))
 	e.filled = now
 }
 
 // height returns how many tokens the bucket holds at most.
 func (e *team) height(share float64, hosts int, burst float64) float64 {
-	return max(1, share*burst*burstExcess+min(mostSpare, spareTokens/float64(max(hosts, 1))))
+	return max(1, share*burst+min(mostSpare, spareTokens/float64(max(hosts, 1))))
 }
 
 // held returns the share that is lent to this host.
@@ -111,7 +116,7 @@
 		if asked == 0 && held == 0 {
 			continue
 		}
-		list = append(list, NewNeed(name, asked/(e.rate*t.span.Seconds()), held))
+		list = append(list, NewNeed(name, asked/(flow(e.rate, e.burst, t.span)*t.span.Seconds()), held))
 	}
 	slices.SortFunc(list, func(a, b Need) int { return cmp.Compare(a.team, b.team) })
 	return list
