--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -18,6 +18,8 @@
 	// greetInterval is the time between two reports of an entry host. What is
 	// new is in force within about that time and two round trips.
 	greetInterval = 400 * time.Millisecond
+	// hurryInterval is the same until the host is ready.
+	hurryInterval = 100 * time.Millisecond
 	// settleTime is how long a new entry host waits for the answers of all
 	// control hosts, so that it does not start with an old configuration.
 	settleTime = 1500 * time.Millisecond
@@ -57,14 +59,18 @@
 		ctx: ctx, system: system, clock: c, log: log, sink: sink, peers: map[string]*peer{},
 		report: GreetRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
 	}
+	hurry, calm := context.WithCancel(ctx)
+	t.calm = calm
 	ref, err := tasks.Spawn(ctx, system, "mesh-follower", t)
 	if err != nil {
+		calm()
 		return nil, fmt.Errorf("follow the control hosts: %w", err)
 	}
 	t.self = ref
 	ref.Tell(learnControls{addresses: seeds})
 	ref.Tell(greetAll{})
 	tasks.Every(ctx, c, greetInterval, ref, greetAll{})
+	tasks.Every(hurry, c, hurryInterval, ref, greetAll{})
 	return &Follower{ref: ref}, nil
 }
 
@@ -147,6 +153,7 @@
 	hosts    int
 	most     time.Time
 	first    time.Time
+	calm     func()
 	ready    bool
 }
 
@@ -419,6 +426,7 @@
 		return
 	}
 	t.ready = true
+	t.calm()
 	t.log.Info("mesh: entry host is ready", "control-hosts", heard)
 	t.sink.Ready()
 	t.report.Ready = true
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"rhubarbrack/admit"
+	"rhubarbrack/agree"
 	"rhubarbrack/board"
 	"rhubarbrack/caller"
 	"rhubarbrack/clock"
@@ -178,6 +179,10 @@
 	return list
 }
 
+// electionTimeout is ten round trips between regions that are 20 ms apart. A
+// fleet whose hosts all start again serves nothing before a leader is elected.
+const electionTimeout = 400 * time.Millisecond
+
 // listInterval is the time between two readings of the platform's list.
 const listInterval = 500 * time.Millisecond
 
@@ -201,7 +206,8 @@
 	}
 	server := rpc.NewServer()
 	replica, err := ctrl.StartReplica(inner, system, server, name, f.data, board.New(control.Publish),
-		ctrl.WithClock(f.clock), ctrl.WithLogger(f.log), ctrl.WithFormation(f.formation(name)...))
+		ctrl.WithClock(f.clock), ctrl.WithLogger(f.log), ctrl.WithFormation(f.formation(name)...),
+		ctrl.WithNode(agree.WithElectionTimeout(electionTimeout)))
 	if err != nil {
 		return fmt.Errorf("control host: %w", err)
 	}
