Keep a reserve of each rate; share the requests under way

Each host meets a target every 11 s, so that the load in answers is too old to find a busy one. Change: 0.3 of each rate stays with the lender, which gives tokens one by one to hosts whose share is used up; entry hosts report what they have under way, and learn of busy targets with the next report. Test: TestNothingRefusedBelowTheLimit now borrows as the handler does, with the same bound.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -19,6 +19,9 @@
 	coldSlack   float64
 }
 
+// RateSpan returns the window in which the rates of teams hold.
+func (b Bounds) RateSpan() time.Duration { return b.rateSpan }
+
 // NewBounds returns bounds: rates of teams hold in each rateSpan; the repeats
 // of a service in each repeatSpan are at most repeatRatio of its requests,
 // plus repeatSlack; a cold target gets its tolerated rate times coldOver plus
@@ -112,6 +115,13 @@
 // Lend takes over the shares of rates that are lent until the given time.
 func (d *Desk) Lend(shares []quota.Share, until time.Time) { d.teams.Lend(shares, until) }
 
+// Running returns the requests of this host that are under way at each
+// target.
+func (d *Desk) Running() []spread.Count { return d.table.Running() }
+
+// Observe takes over what other hosts have under way at targets.
+func (d *Desk) Observe(now time.Time, counts []spread.Count) { d.table.Observe(now, counts) }
+
 // Evacuate sets the zones whose targets get nothing.
 func (d *Desk) Evacuate(now time.Time, zones []ident.Zone) {
 	d.table.SetEvacuated(now, zones, func(service ident.Service) time.Duration {
@@ -137,9 +147,23 @@
 	}
 	t.deadline = now.Add(d.patience(r, route))
 	if reason, wait := d.identify(now, t); reason != "" {
-		return Decision{ticket: t, reason: reason, after: wait}
+		return Decision{
+			ticket: t, reason: reason, after: wait,
+			borrow: reason == OverRate && d.teams.MayBorrow(now, t.team),
+		}
 	}
-	t.service = d.splits[route.Host()+route.Prefix()].next()
+	return d.accept(now, t)
+}
+
+// Paid goes on with a request for which a token of the reserve was taken.
+func (d *Desk) Paid(now time.Time, t *Ticket) Decision {
+	d.teams.Borrowed(t.team)
+	return d.accept(now, t)
+}
+
+// accept sends a request that is within its team's rate.
+func (d *Desk) accept(now time.Time, t *Ticket) Decision {
+	t.service = d.splits[t.route.Host()+t.route.Prefix()].next()
 	d.budget(t.service).Request(now)
 	return d.send(now, t)
 }
@@ -165,6 +189,7 @@
 		return UnknownKey, 0
 	}
 	t.team, t.homes = team.Name(), team.Homes()
+	t.rate, t.burst = team.Rate(), team.Burst()
 	t.priority = team.Priority().Or(t.priority)
 	if wait, ok := d.teams.Take(now, team.Name(), team.Rate(), team.Burst(), d.hosts); !ok {
 		return OverRate, wait
--- a/admit/request.go
+++ b/admit/request.go
@@ -70,6 +70,8 @@
 	tried    []ident.Target
 	sends    int
 	version  uint64
+	rate     float64
+	burst    float64
 }
 
 // Route returns the route of the request.
@@ -93,6 +95,9 @@
 // Sends returns how often the request was sent.
 func (t *Ticket) Sends() int { return t.sends }
 
+// Limit returns the rate and the burst of the team.
+func (t *Ticket) Limit() (rate, burst float64) { return t.rate, t.burst }
+
 // ID returns the name of the request.
 func (t *Ticket) ID() ident.RequestID { return t.request.id }
 
@@ -103,8 +108,13 @@
 	choice spread.Choice
 	reason Reason
 	after  time.Duration
+	borrow bool
 }
 
+// MayBorrow reports whether a request over the host's share of the team's
+// rate should ask for a token of the reserve, see Desk.Paid.
+func (d Decision) MayBorrow() bool { return d.borrow }
+
 // Ticket returns the admitted request, or nil when it was refused at once.
 func (d Decision) Ticket() *Ticket { return d.ticket }
 
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -6,10 +6,13 @@
 	"log/slog"
 	"time"
 
+	"github.com/juju/errors"
+
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 	"rhubarbrack/quota"
 	"rhubarbrack/scheme"
+	"rhubarbrack/spread"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
 )
@@ -41,19 +44,29 @@
 	Needs(ctx context.Context) ([]quota.Need, error)
 	// Lend takes over the shares of rates lent until the given time.
 	Lend(shares []quota.Share, until time.Time)
+	// Running reports the requests under way at targets.
+	Running(ctx context.Context) ([]spread.Count, error)
+	// Observe takes over what other hosts have under way at targets.
+	Observe(counts []spread.Count)
 	// Ready tells that the host knows enough to serve.
 	Ready()
 }
 
 // Follower keeps an entry host informed. It is safe for concurrent use.
 type Follower struct {
-	ref *tasks.Ref
+	ref   *tasks.Ref
+	span  time.Duration
+	clock clock.Clock
+	// hurry ends when the host is ready.
+	hurry context.Context
 }
 
-// Follow starts to report to the control hosts, of which the seeds are some.
-func Follow(
+// NewFollower returns a follower that reports to the control hosts, of which
+// the seeds are some, from Start on.
+// Rates of teams are measured over the given span.
+func NewFollower(
 	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, host ident.Host, address string,
-	zone ident.Zone, region ident.Region, seeds []string, sink Sink,
+	zone ident.Zone, region ident.Region, seeds []string, span time.Duration, sink Sink,
 ) (*Follower, error) {
 	t := &followTask{
 		ctx: ctx, system: system, clock: c, log: log, sink: sink, peers: map[string]*peer{},
@@ -68,10 +81,15 @@
 	}
 	t.self = ref
 	ref.Tell(learnControls{addresses: seeds})
-	ref.Tell(greetAll{})
-	tasks.Every(ctx, c, greetInterval, ref, greetAll{})
-	tasks.Every(hurry, c, hurryInterval, ref, greetAll{})
-	return &Follower{ref: ref}, nil
+	f := &Follower{ref: ref, span: span, clock: c, hurry: hurry}
+	return f, nil
+}
+
+// Start begins to report. The sink must be ready to learn.
+func (f *Follower) Start(ctx context.Context) {
+	f.ref.Tell(greetAll{})
+	tasks.Every(ctx, f.clock, greetInterval, f.ref, greetAll{})
+	tasks.Every(f.hurry, f.clock, hurryInterval, f.ref, greetAll{})
 }
 
 // SetReady tells the control hosts at once whether callers may be sent here.
@@ -96,8 +114,31 @@
 	return l, nil
 }
 
+// ErrNoLender means that no leader is known from which a token could be
+// borrowed.
+const ErrNoLender = errors.ConstError("no lender is known")
+
+// Borrow asks the leader for a token of a team's rate, which is measured over
+// the given span.
+func (f *Follower) Borrow(ctx context.Context, team ident.Team, rate, burst float64) (bool, error) {
+	client, err := tasks.Ask(ctx, f.ref, func(reply tasks.Reply[*wire.Client]) any { return askLeader{reply: reply} })
+	if err != nil {
+		return false, fmt.Errorf("borrow: %w", err)
+	}
+	if client == nil {
+		return false, fmt.Errorf("borrow: %w", ErrNoLender)
+	}
+	var reply BorrowedRecord
+	record := BorrowRecord{Team: string(team), Rate: rate, Burst: burst, Span: f.span}
+	if err := client.Call(ctx, methodBorrow, &record, &reply); err != nil {
+		return false, fmt.Errorf("borrow: %w", err)
+	}
+	return reply.Granted, nil
+}
+
 // The messages of the follower.
 type (
+	askLeader     struct{ reply tasks.Reply[*wire.Client] }
 	askOrders     struct{ reply tasks.Reply[scheme.Ledger] }
 	greetAll      struct{}
 	setReady      struct{ ready bool }
@@ -179,11 +220,23 @@
 		t.received(m)
 	case askHosts:
 		m.reply.Send(t.readyHosts())
+	case askLeader:
+		m.reply.Send(t.leader())
 	case askOrders:
 		m.reply.Send(t.ledger)
 	}
 }
 
+// leader returns the client of the control host that leads, or nil.
+func (t *followTask) leader() *wire.Client {
+	for _, p := range t.peers {
+		if p.leads && !p.lost {
+			return p.client
+		}
+	}
+	return nil
+}
+
 // readyHosts returns the entry hosts that a control host in contact names.
 // Without any contact those that were named last may still serve.
 func (t *followTask) readyHosts() []EntryHost {
@@ -272,12 +325,21 @@
 				NeedRecord{Team: string(n.Team()), Asked: n.Asked(), Held: n.Held()})
 		}
 	}
+	if leads {
+		counts, err := t.sink.Running(call)
+		if err != nil {
+			t.log.Warn("mesh: report without the requests under way", "error", err)
+		}
+		for _, c := range counts {
+			report.Running = append(report.Running, CountRecord{Target: string(c.Target()), Count: c.Count()})
+		}
+	}
 	m := greeted{peer: p, sent: sent}
 	m.err = p.client.Call(call, methodGreet, &report, &m.record)
 	t.self.Tell(m)
 }
 
-// lend takes over the shares of rates. They count from the time of the
+// lend takes over what only the leader knows. Shares of rates count from the time of the
 // report, so that the lender never counts them for a shorter time.
 func (t *followTask) lend(m greeted) {
 	shares := make([]quota.Share, len(m.record.Shares))
@@ -285,6 +347,11 @@
 		shares[i] = quota.NewShare(ident.Team(r.Team), r.Share)
 	}
 	t.sink.Lend(shares, m.sent.Add(quota.LendTime))
+	busy := make([]spread.Count, len(m.record.Busy))
+	for i, r := range m.record.Busy {
+		busy[i] = spread.NewCount(ident.Target(r.Target), r.Count)
+	}
+	t.sink.Observe(busy)
 }
 
 func (t *followTask) greeted(m greeted) {
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -46,8 +46,22 @@
 	clients  map[string]*wire.Client
 	led      time.Time
 	lender   *quota.Lender
+	running  map[ident.Host]runningReport
 }
 
+// runningReport is what an entry host has under way at targets.
+type runningReport struct {
+	at     time.Time
+	counts []CountRecord
+}
+
+// runningMemory is how long a report of requests under way counts.
+const runningMemory = time.Second
+
+// busyPart is the part of its slots that a target has in use when entry hosts
+// learn of it. They find less busy targets by themselves.
+const busyPart = 0.4
+
 // joiner is a control host that wants to become a member.
 type joiner struct {
 	host    ident.Host
@@ -72,6 +86,10 @@
 		reply  tasks.Reply[[]string]
 	}
 	members struct{ addresses []string }
+	borrow  struct {
+		record BorrowRecord
+		reply  tasks.Reply[bool]
+	}
 	// leads tells that a majority confirmed the leadership after a time.
 	leads      struct{ at time.Time }
 	listed     struct{ targets []Listed }
@@ -93,6 +111,7 @@
 	h := &hub{
 		ctx: ctx, system: system, clock: c, log: log, own: own, hosts: map[ident.Host]EntryHost{},
 		controls: map[string]bool{}, joiners: map[string]joiner{}, clients: map[string]*wire.Client{},
+		running: map[ident.Host]runningReport{},
 		// Lists of two processes never have the same tag.
 		tags: rand.Uint64(),
 	}
@@ -125,6 +144,8 @@
 		m.reply.Send(h.controlList())
 	case members:
 		h.learn(m.addresses)
+	case borrow:
+		m.reply.Send(h.borrow(m.record))
 	case leads:
 		h.lead(m.at)
 	case listed:
@@ -177,10 +198,48 @@
 	}
 	if now.Sub(h.led) < leadTime && h.lender != nil {
 		answer.Leads, answer.Shares = true, h.lend(now, host, r.Needs)
+		h.running[host] = runningReport{at: now, counts: r.Running}
+		answer.Busy = h.busy(now, host)
 	}
 	return answer
 }
 
+// busy adds up what the hosts but one have under way at busy targets.
+func (h *hub) busy(now time.Time, without ident.Host) []CountRecord {
+	if h.list == nil {
+		return nil
+	}
+	all, own := map[string]int{}, map[string]int{}
+	for host, r := range h.running {
+		if now.Sub(r.at) > runningMemory {
+			delete(h.running, host)
+			continue
+		}
+		for _, c := range r.counts {
+			all[c.Target] += c.Count
+			if host == without {
+				own[c.Target] += c.Count
+			}
+		}
+	}
+	var list []CountRecord
+	for _, t := range h.list.targets {
+		n := all[string(t.id)]
+		if float64(n) >= busyPart*float64(t.slots) {
+			list = append(list, CountRecord{Target: string(t.id), Count: n - own[string(t.id)]})
+		}
+	}
+	return list
+}
+
+func (h *hub) borrow(r BorrowRecord) bool {
+	now := h.clock.Now()
+	if now.Sub(h.led) >= leadTime || h.lender == nil {
+		return false
+	}
+	return h.lender.Token(now, ident.Team(r.Team), r.Rate, r.Burst, r.Span)
+}
+
 // lead notes a confirmed leadership. After a gap another host may have lent
 // shares, so the lender starts anew.
 func (h *hub) lead(at time.Time) {
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -16,6 +16,7 @@
 	methodJoin    = serviceName + ".Join"
 	methodSubmit  = serviceName + ".Submit"
 	methodRead    = serviceName + ".Read"
+	methodBorrow  = serviceName + ".Borrow"
 )
 
 // The records below cross the wire. Durations are in nanoseconds.
@@ -29,9 +30,24 @@
 		Ready   bool
 		// ReadyTag is that of the list of ready hosts which the host has.
 		ReadyTag uint64
-		// Needs is set towards the leader only.
-		Needs []NeedRecord
+		// Needs and Running are set towards the leader only.
+		Needs   []NeedRecord
+		Running []CountRecord
 	}
+	// CountRecord is a number of requests under way at a target.
+	CountRecord struct {
+		Target string
+		Count  int
+	}
+	// BorrowRecord asks for a token of a team's rate.
+	BorrowRecord struct {
+		Team  string
+		Rate  float64
+		Burst float64
+		Span  time.Duration
+	}
+	// BorrowedRecord tells whether there was one.
+	BorrowedRecord struct{ Granted bool }
 	// ReadyRecord is an entry host that takes callers.
 	ReadyRecord struct {
 		Address string
@@ -63,6 +79,8 @@
 		// Leads tells that this control host lends shares of rates.
 		Leads  bool
 		Shares []ShareRecord
+		// Busy holds what the other hosts have under way at busy targets.
+		Busy []CountRecord
 	}
 	// EmptyRecord asks without parameters.
 	EmptyRecord struct{}
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -33,6 +33,11 @@
 	return answer(s, &reply.Controls, func(r tasks.Reply[[]string]) any { return join{record: *args, reply: r} })
 }
 
+// Borrow takes a token of a team's rate, on the leader.
+func (s *service) Borrow(args *BorrowRecord, reply *BorrowedRecord) error {
+	return answer(s, &reply.Granted, func(r tasks.Reply[bool]) any { return borrow{record: *args, reply: r} })
+}
+
 // Submit carries out an order on the leader.
 func (s *service) Submit(args *SubmitRecord, reply *SubmittedRecord) error {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -302,6 +302,18 @@
 // Lend implements mesh.Sink.
 func (s *entrySink) Lend(shares []quota.Share, until time.Time) { s.desk.Lend(shares, until) }
 
+// Running implements mesh.Sink.
+func (s *entrySink) Running(ctx context.Context) ([]spread.Count, error) {
+	list, err := s.desk.Running(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("entry host: %w", err)
+	}
+	return list, nil
+}
+
+// Observe implements mesh.Sink.
+func (s *entrySink) Observe(counts []spread.Count) { s.desk.Observe(counts) }
+
 // Ready implements mesh.Sink.
 func (s *entrySink) Ready() { s.ready.Store(true) }
 
@@ -342,17 +354,20 @@
 		return fmt.Errorf("entry host: listen for callers: %w", err)
 	}
 	gauges := meter.New()
-	front, err := relay.StartFront(inner, system, listener,
-		relay.NewHandler(desk, pool, dialect, f.clock, f.log, gauges), f.files*callersPercent/100, f.clock, f.log)
+	var ready atomic.Bool
+	sink := &entrySink{fleet: f, decode: decode, desk: desk, ready: &ready}
+	follower, err := mesh.NewFollower(inner, system, f.clock, f.log, f.host, callers, f.zone, f.region, f.seeds,
+		f.bounds.RateSpan(), sink)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
-	var ready atomic.Bool
-	follower, err := mesh.Follow(inner, system, f.clock, f.log, f.host, callers, f.zone, f.region, f.seeds,
-		&entrySink{fleet: f, decode: decode, desk: desk, front: front, ready: &ready})
+	sink.front, err = relay.StartFront(inner, system, listener,
+		relay.NewHandler(desk, pool, dialect, follower, f.clock, f.log, gauges), f.files*callersPercent/100, f.clock, f.log)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
+	follower.Start(inner)
+	front := sink.front
 	servers, err := f.serveEndpoints(ctx, endpoints(ready.Load, follower), gauges)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -63,6 +63,14 @@
 type Lender struct {
 	since time.Time
 	teams map[ident.Team]map[ident.Host]*loan
+	// reserve holds the tokens that are given out one by one.
+	reserve map[ident.Team]*bucket
+}
+
+// bucket is the reserve of a team.
+type bucket struct {
+	tokens float64
+	filled time.Time
 }
 
 // loan is what the lender knows of a team on one host.
@@ -75,7 +83,7 @@
 
 // NewLender returns a lender that takes over at the given time.
 func NewLender(since time.Time) *Lender {
-	return &Lender{since: since, teams: map[ident.Team]map[ident.Host]*loan{}}
+	return &Lender{since: since, teams: map[ident.Team]map[ident.Host]*loan{}, reserve: map[ident.Team]*bucket{}}
 }
 
 // Lend answers the report of a host, one of the given number.
@@ -87,6 +95,25 @@
 	return list
 }
 
+// Token takes a token from the reserve of a team with the given rate in
+// requests per second and burst, and reports whether there was one. The
+// reserve of a new lender is empty, since its predecessor may have used it.
+func (l *Lender) Token(now time.Time, team ident.Team, rate, burst float64, span time.Duration) bool {
+	b, ok := l.reserve[team]
+	if !ok {
+		b = &bucket{filled: now}
+		l.reserve[team] = b
+	}
+	passed := max(0, now.Sub(b.filled).Seconds())
+	b.tokens = min(b.tokens+passed*Reserve*flow(rate, burst, span), max(1, Reserve*burst))
+	b.filled = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
 func (l *Lender) lend(now time.Time, host ident.Host, hosts int, n Need) float64 {
 	loans, ok := l.teams[n.team]
 	if !ok {
@@ -100,8 +127,7 @@
 	}
 	standing := Standing / float64(max(hosts, 1))
 	own.need, own.reported = max(0, n.asked*headroom-standing), now
-	const whole = 1 - Standing
-	free, needed, count := whole, 0.0, 0
+	free, needed, count := Lent, 0.0, 0
 	for name, o := range loans {
 		if name != host && now.Before(o.until) {
 			free -= o.out
@@ -114,9 +140,9 @@
 			delete(loans, name)
 		}
 	}
-	share := own.need + (whole-needed)/float64(count)
-	if needed > whole {
-		share = whole * own.need / needed
+	share := own.need + (Lent-needed)/float64(count)
+	if needed > Lent {
+		share = Lent * own.need / needed
 	}
 	if now.Sub(l.since) < takeOverTime {
 		share = n.held
--- a/quota/lender_test.go
+++ b/quota/lender_test.go
@@ -48,7 +48,7 @@
 		for i, h := range f.hosts {
 			if f.random.Float64() < demand(i)/100 {
 				asked++
-				if _, ok := h.Take(f.now, testTeam, testRate, testBurst, len(f.hosts)); ok {
+				if f.take(h) {
 					taken++
 					f.total.Add(f.now, 1)
 				}
@@ -62,6 +62,21 @@
 	return taken / max(asked, 1), most
 }
 
+// take takes a token of the host, or else one of the reserve.
+func (f *testFleet) take(h *Teams) bool {
+	if _, ok := h.Take(f.now, testTeam, testRate, testBurst, len(f.hosts)); ok {
+		return true
+	}
+	if !h.MayBorrow(f.now, testTeam) || f.random.Float64() < f.loss {
+		return false
+	}
+	if !f.lender.Token(f.now, testTeam, testRate, testBurst, testSpan) {
+		return false
+	}
+	h.Borrowed(testTeam)
+	return true
+}
+
 func (f *testFleet) greet(i int) {
 	needs := f.hosts[i].Needs(f.now)
 	if f.random.Float64() < f.loss {
--- a/quota/teams.go
+++ b/quota/teams.go
@@ -8,9 +8,17 @@
 	"rhubarbrack/ident"
 )
 
-// Standing is the part of every limit that the hosts share equally and without
-// any contact. The rest is lent by demand, see Lender.
-const Standing = 0.4
+// The parts of every rate. They add up to one.
+const (
+	// Standing is the part that the hosts share equally and without contact.
+	Standing = 0.35
+	// Lent is the part that is lent to hosts by demand, see Lender.
+	Lent = 0.35
+	// Reserve is the part that the lender keeps and gives out token by token
+	// to hosts whose own share is used up: requests of a small team arrive
+	// unevenly at many hosts.
+	Reserve = 1 - Standing - Lent
+)
 
 // Teams holds the requests of each team on one host to the host's share of
 // the team's rate. It is not safe for concurrent use.
@@ -39,6 +47,8 @@
 	filled time.Time
 	lent   float64
 	until  time.Time
+	// dry is when the host may ask for a token of the reserve again.
+	dry time.Time
 }
 
 // NewTeams returns a counter of the requests of all teams. Their demand is
@@ -66,7 +76,8 @@
 	share := standing + e.held(now)
 	e.fill(now, share, hosts, t.span)
 	if e.tokens < 1 {
-		return time.Duration((1 - e.tokens) / (share * flow(rate, burst, t.span)) * float64(time.Second)), false
+		wait := (1 - e.tokens) / (share * flow(rate, burst, t.span))
+		return time.Duration(wait * float64(time.Second)), false
 	}
 	e.tokens--
 	return 0, true
@@ -77,6 +88,29 @@
 	return rate + flowPart*burst/span.Seconds()
 }
 
+// borrowPause keeps a host from asking for the reserve of a team more often:
+// a team far over its rate must not load the lender.
+const borrowPause = 100 * time.Millisecond
+
+// MayBorrow reports whether the host should ask for a token of the reserve,
+// and notes that it does.
+func (t *Teams) MayBorrow(now time.Time, name ident.Team) bool {
+	e, ok := t.teams[name]
+	if !ok || now.Before(e.dry) {
+		return false
+	}
+	e.dry = now.Add(borrowPause)
+	return true
+}
+
+// Borrowed notes that the reserve has tokens, so that the host may ask again
+// at once.
+func (t *Teams) Borrowed(name ident.Team) {
+	if e, ok := t.teams[name]; ok {
+		e.dry = time.Time{}
+	}
+}
+
 // fill adds the tokens of the time since the last call. A greater share lets
 // the bucket fill faster and higher; it does not fill it at once, because the
 // tokens of the share may have been spent on the host that held it before.
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -65,8 +65,26 @@
 	d.ref.Tell(lend{shares: shares, until: until})
 }
 
+// Running returns the requests of this host that are under way.
+func (d *Desk) Running(ctx context.Context) ([]spread.Count, error) {
+	list, err := tasks.Ask(ctx, d.ref, func(reply tasks.Reply[[]spread.Count]) any { return askRunning{reply: reply} })
+	if err != nil {
+		return nil, fmt.Errorf("requests under way: %w", err)
+	}
+	return list, nil
+}
+
+// Observe takes over what other hosts have under way at targets.
+func (d *Desk) Observe(counts []spread.Count) { d.ref.Tell(observe{counts: counts}) }
+
 // The messages of the desk task.
 type (
+	askRunning struct{ reply tasks.Reply[[]spread.Count] }
+	observe    struct{ counts []spread.Count }
+	paid       struct {
+		ticket *admit.Ticket
+		reply  tasks.Reply[admit.Decision]
+	}
 	askNeeds struct{ reply tasks.Reply[[]quota.Need] }
 	lend     struct {
 		shares []quota.Share
@@ -133,6 +151,12 @@
 		t.desk.Evacuate(now, m.zones)
 	case setHosts:
 		t.desk.SetHosts(m.hosts)
+	case paid:
+		m.reply.Send(t.desk.Paid(now, m.ticket))
+	case askRunning:
+		m.reply.Send(t.desk.Running())
+	case observe:
+		t.desk.Observe(now, m.counts)
 	case askNeeds:
 		m.reply.Send(t.desk.Needs(now))
 	case lend:
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -39,6 +39,15 @@
 	Observe(name string, team ident.Team, class ident.Class, d time.Duration)
 }
 
+// Borrower asks the rest of the fleet for a token of a team's rate.
+type Borrower interface {
+	Borrow(ctx context.Context, team ident.Team, rate, burst float64) (bool, error)
+}
+
+// borrowTime bounds the wait for a token. It is several round trips between
+// regions.
+const borrowTime = 150 * time.Millisecond
+
 // Handler serves the requests of callers.
 type Handler struct {
 	desk    *Desk
@@ -47,11 +56,14 @@
 	clock   clock.Clock
 	log     *slog.Logger
 	meter   Meter
+	lender  Borrower
 }
 
 // NewHandler returns a handler.
-func NewHandler(desk *Desk, pool *link.Pool, dialect Dialect, c clock.Clock, log *slog.Logger, m Meter) *Handler {
-	return &Handler{desk: desk, pool: pool, dialect: dialect, clock: c, log: log, meter: m}
+func NewHandler(
+	desk *Desk, pool *link.Pool, dialect Dialect, lender Borrower, c clock.Clock, log *slog.Logger, m Meter,
+) *Handler {
+	return &Handler{desk: desk, pool: pool, dialect: dialect, lender: lender, clock: c, log: log, meter: m}
 }
 
 var _ http.Handler = (*Handler)(nil)
@@ -91,6 +103,9 @@
 }
 
 func (x *course) run(d admit.Decision) {
+	if d.MayBorrow() {
+		d = x.borrow(d)
+	}
 	if reason, refused := d.Refused(); refused {
 		x.refuse(d, reason)
 		return
@@ -118,6 +133,31 @@
 	}
 }
 
+// borrow asks for a token of the reserve when the host's share of a rate is
+// used up.
+func (x *course) borrow(d admit.Decision) admit.Decision {
+	h := x.handler
+	rate, burst := d.Ticket().Limit()
+	ctx, cancel := context.WithTimeout(x.caller.Context(), borrowTime)
+	defer cancel()
+	ok, err := h.lender.Borrow(ctx, d.Ticket().Team(), rate, burst)
+	if err != nil {
+		h.log.Info("relay: no token of the reserve", "request", x.request.ID(), "team", d.Ticket().Team(), "error", err)
+	}
+	if err != nil || !ok {
+		return d
+	}
+	next, err := tasks.Ask(x.caller.Context(), h.desk.ref, func(reply tasks.Reply[admit.Decision]) any {
+		return paid{ticket: d.Ticket(), reply: reply}
+	})
+	if err != nil {
+		h.log.Warn("relay: request ended before its decision", "request", x.request.ID(), "error", err)
+		return d
+	}
+	h.meter.Count("token-borrowed", d.Ticket().Team(), "", 1)
+	return next
+}
+
 // readBody reads a short body whole.
 func (x *course) readBody() error {
 	if x.caller.ContentLength == 0 {
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -52,6 +52,13 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// noReserve lends nothing.
+type noReserve struct{}
+
+func (noReserve) Borrow(context.Context, ident.Team, float64, float64) (bool, error) {
+	return false, nil
+}
+
 // arrival is a request as a target saw it.
 type arrival struct {
 	target string
@@ -147,7 +154,7 @@
 		targets = append(targets, spread.NewTarget(id, "s", l.Addr().String(), "z", "r", 4, false, time.Time{}))
 	}
 	desk.Update(targets)
-	front, err := StartFront(ctx, system, listen(t), NewHandler(desk, pool, testDialect{}, clock.Wall(), log, meter.New()), 1000, clock.Wall(), log)
+	front, err := StartFront(ctx, system, listen(t), NewHandler(desk, pool, testDialect{}, noReserve{}, clock.Wall(), log, meter.New()), 1000, clock.Wall(), log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/spread/table.go
+++ b/spread/table.go
@@ -148,6 +148,45 @@
 	}
 }
 
+// Count is a number of requests under way at a target.
+type Count struct {
+	target ident.Target
+	count  int
+}
+
+// NewCount returns a count.
+func NewCount(target ident.Target, count int) Count { return Count{target: target, count: count} }
+
+// Target returns the target.
+func (c Count) Target() ident.Target { return c.target }
+
+// Count returns the number of requests.
+func (c Count) Count() int { return c.count }
+
+// Running returns the requests of this host that are under way.
+func (t *Table) Running() []Count {
+	var list []Count
+	for id, s := range t.targets {
+		if s.running > 0 {
+			list = append(list, NewCount(id, s.running))
+		}
+	}
+	return list
+}
+
+// observeAge is the age of a target's own report from which the counts of
+// other hosts are more recent.
+const observeAge = 300 * time.Millisecond
+
+// Observe takes over the requests that other hosts have under way.
+func (t *Table) Observe(now time.Time, counts []Count) {
+	for _, c := range counts {
+		if s, ok := t.targets[c.target]; ok && now.Sub(s.othersAt) > observeAge {
+			s.others, s.othersAt = float64(c.count), now
+		}
+	}
+}
+
 // Query describes what a request needs of its target.
 type Query struct {
 	service ident.Service
