--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -101,8 +102,9 @@
 		})
 		n := len(s.arrivals)
 		s.mutex.Unlock()
-		text := s.script(n, q)
-		if _, err := io.WriteString(c, text); err != nil || text == "" {
+		// A text that begins with an exclamation mark ends the connection.
+		text, ends := strings.CutPrefix(s.script(n, q), "!")
+		if _, err := io.WriteString(c, text); err != nil || text == "" || ends {
 			return
 		}
 	}
@@ -125,9 +127,6 @@
 
 func newTestHost(t testing.TB, script func(n int, r *http.Request) string) *testHost {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	log := slog.New(slog.DiscardHandler)
-	system := tasks.NewSystem(log)
 	s := &testTarget{script: script}
 	l := listen(t)
 	go func() {
@@ -139,6 +138,21 @@
 			go s.serve(c)
 		}
 	}()
+	t.Cleanup(func() { _ = l.Close() })
+	h := newTestHostAt(t, l.Addr().String())
+	h.target = s
+	return h
+}
+
+// testConnections bounds the callers' connections of a testHost.
+const testConnections = 100
+
+// newTestHostAt returns a host whose two targets have the given address.
+func newTestHostAt(t testing.TB, targets string) *testHost {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	log := slog.New(slog.DiscardHandler)
+	system := tasks.NewSystem(log)
 	pool, err := link.StartPool(ctx, system, clock.Wall())
 	if err != nil {
 		t.Fatal(err)
@@ -149,12 +163,12 @@
 		t.Fatal(err)
 	}
 	desk.Configure(testConfig(t))
-	var targets []spread.Target
+	var list []spread.Target
 	for _, id := range []ident.Target{"t1", "t2"} {
-		targets = append(targets, spread.NewTarget(id, "s", l.Addr().String(), "z", "r", 4, false, time.Time{}))
+		list = append(list, spread.NewTarget(id, "s", targets, "z", "r", 4, false, time.Time{}))
 	}
-	desk.Update(targets)
-	front, err := StartFront(ctx, system, listen(t), NewHandler(desk, pool, testDialect{}, noReserve{}, clock.Wall(), log, meter.New()), 1000, clock.Wall(), log)
+	desk.Update(list)
+	front, err := StartFront(ctx, system, listen(t), NewHandler(desk, pool, testDialect{}, noReserve{}, clock.Wall(), log, meter.New()), testConnections, clock.Wall(), log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -163,10 +177,9 @@
 	t.Cleanup(func() {
 		cancel()
 		<-front.ref.Done()
-		_ = l.Close()
 		system.Shutdown()
 	})
-	return &testHost{address: address, target: s}
+	return &testHost{address: address}
 }
 
 func listen(t testing.TB) net.Listener {
