Close no connection on which a request may be arriving

Change: a draining host announces the end with each answer and keeps idle connections; before it closes them it refuses what still arrives. Test: TestDrain.

--- a/relay/course_test.go
+++ b/relay/course_test.go
@@ -251,3 +251,51 @@
 		t.Errorf("%d answers ended their connection, want 1 to 10", closing)
 	}
 }
+
+// TestDrain guards against a planned stop that closes a connection on which a
+// request may just be arriving: while the host drains, idle connections stay
+// open and each answer announces the end; once it has stopped, requests are
+// refused and not passed on.
+func TestDrain(t *testing.T) {
+	h := newTestHost(t, func(_ int, r *http.Request) string { return ran(r, 200, "ok") })
+	c, err := net.Dial("tcp", h.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	steps := []struct {
+		name   string
+		before func()
+		status int
+		closes bool
+		sent   int
+	}{
+		{"serving", func() {}, 200, false, 1},
+		{"draining", h.front.Drain, 200, true, 2},
+	}
+	for _, s := range steps {
+		s.before()
+		if _, err := io.WriteString(c, "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: key\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		r, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", s.name, err)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			t.Fatal(err)
+		}
+		if r.StatusCode != s.status || r.Close != s.closes || len(h.target.list()) != s.sent {
+			t.Errorf("%s: status %d, closes %v, %d requests passed on", s.name, r.StatusCode, r.Close, len(h.target.list()))
+		}
+	}
+	h.handler.Stop()
+	r, _, err := h.call(t, newClient(t), http.MethodGet, "/safe/1", "key", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Header.Get("Run") != "not-run" || len(h.target.list()) != 2 {
+		t.Errorf("stopped: run %q, %d requests passed on", r.Header.Get("Run"), len(h.target.list()))
+	}
+}
--- a/relay/front.go
+++ b/relay/front.go
@@ -22,20 +22,23 @@
 type Front struct {
 	ref      *tasks.Ref
 	listener net.Listener
+	draining *atomic.Bool
 }
 
 // StartFront accepts connections until Drain or the end of ctx.
 //
 // It holds at most the given number of connections. When half of them are
 // open, each answer ends its connection: callers that ask again on a new
-// connection each time leave the old ones open.
+// connection each time leave the old ones open. The window, in bytes, bounds
+// what one connection may have on its way to the caller, so that a large
+// answer does not fill the queue of a slow link; 0 leaves it to the system.
 func StartFront(
-	ctx context.Context, system *tasks.System, listener net.Listener, handler http.Handler, connections int,
+	ctx context.Context, system *tasks.System, listener net.Listener, handler http.Handler, connections, window int,
 	c clock.Clock, log *slog.Logger,
 ) (*Front, error) {
-	t := &frontTask{ctx: ctx, listener: listener, connections: int64(connections), clock: c, log: log}
+	t := &frontTask{ctx: ctx, listener: listener, connections: int64(connections), window: window, draining: new(atomic.Bool), clock: c, log: log}
 	t.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if t.open.Load() > t.connections/2 {
+		if t.draining.Load() || t.open.Load() > t.connections/2 {
 			w.Header().Set("Connection", "close")
 		}
 		handler.ServeHTTP(w, r)
@@ -46,16 +49,17 @@
 	}
 	t.self = ref
 	go t.accept()
-	return &Front{ref: ref, listener: listener}, nil
+	return &Front{ref: ref, listener: listener, draining: t.draining}, nil
 }
 
 // Limit sets the limits of new connections. Until the first call, accepted
 // connections wait.
 func (f *Front) Limit(l scheme.Limits) { f.ref.Tell(setLimits{limits: l}) }
 
-// Drain ends idle connections and announces the end with each further
-// answer. New connections are still served.
-func (f *Front) Drain() { f.ref.Tell(drain{}) }
+// Drain announces the end of the connection with each further answer. New
+// connections are still served, and idle ones stay open: net/http may close a
+// connection as idle on which a request is just being read.
+func (f *Front) Drain() { f.draining.Store(true) }
 
 // Shutdown accepts no more connections and returns when all requests have
 // been answered or ctx ends.
@@ -78,7 +82,6 @@
 type (
 	accepted   struct{ conn net.Conn }
 	setLimits  struct{ limits scheme.Limits }
-	drain      struct{}
 	closeFront struct{ reply tasks.Reply[[]*http.Server] }
 )
 
@@ -94,10 +97,11 @@
 	servers  []*http.Server
 	feed     *feed
 	waiting  []net.Conn
-	draining bool
+	draining *atomic.Bool
 	// open counts the connections; the servers' goroutines change it.
 	open        atomic.Int64
 	connections int64
+	window      int
 }
 
 // acceptPause is the time without new connections after one could not be
@@ -127,6 +131,11 @@
 				return
 			}
 		}
+		if tcp, ok := conn.(*net.TCPConn); ok && t.window > 0 {
+			if err := tcp.SetWriteBuffer(t.window); err != nil {
+				t.log.Info("relay: window of a connection not set", "error", err)
+			}
+		}
 		t.self.Tell(accepted{conn: conn})
 	}
 }
@@ -147,11 +156,6 @@
 		t.feed.push(m.conn)
 	case setLimits:
 		t.setLimits(m.limits)
-	case drain:
-		t.draining = true
-		for _, s := range t.servers {
-			s.SetKeepAlivesEnabled(false)
-		}
 	case closeFront:
 		_ = t.listener.Close()
 		m.reply.Send(t.servers)
@@ -188,9 +192,6 @@
 		},
 		ErrorLog: slog.NewLogLogger(t.log.Handler(), slog.LevelDebug),
 	}
-	if t.draining {
-		server.SetKeepAlivesEnabled(false)
-	}
 	t.servers = append(t.servers, server)
 	feed := t.feed
 	go func() {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"rhubarbrack/admit"
@@ -57,6 +58,7 @@
 	log     *slog.Logger
 	meter   Meter
 	lender  Borrower
+	stopped atomic.Bool
 }
 
 // NewHandler returns a handler.
@@ -68,9 +70,19 @@
 
 var _ http.Handler = (*Handler)(nil)
 
+// Stop refuses all requests that arrive from now on. It is called before
+// connections are closed, so that no request is passed on whose connection
+// is about to end.
+func (h *Handler) Stop() { h.stopped.Store(true) }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	request := h.dialect.Request(r)
+	if h.stopped.Load() {
+		x := &course{handler: h, writer: w, caller: r, request: request}
+		x.refuse(admit.Decision{}.Refuse(admit.NotReady), admit.NotReady)
+		return
+	}
 	d, err := tasks.Ask(r.Context(), h.desk.ref, func(reply tasks.Reply[admit.Decision]) any {
 		return ask{request: request, reply: reply}
 	})
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -123,6 +123,8 @@
 type testHost struct {
 	address string
 	target  *testTarget
+	front   *Front
+	handler *Handler
 }
 
 func newTestHost(t testing.TB, script func(n int, r *http.Request) string) *testHost {
@@ -153,7 +155,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	log := slog.New(slog.DiscardHandler)
 	system := tasks.NewSystem(log)
-	pool, err := link.StartPool(ctx, system, clock.Wall())
+	pool, err := link.StartPool(ctx, system, clock.Wall(), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -168,7 +170,8 @@
 		list = append(list, spread.NewTarget(id, "s", targets, "z", "r", 4, false, time.Time{}))
 	}
 	desk.Update(list)
-	front, err := StartFront(ctx, system, listen(t), NewHandler(desk, pool, testDialect{}, noReserve{}, clock.Wall(), log, meter.New()), testConnections, clock.Wall(), log)
+	handler := NewHandler(desk, pool, testDialect{}, noReserve{}, clock.Wall(), log, meter.New())
+	front, err := StartFront(ctx, system, listen(t), handler, testConnections, 0, clock.Wall(), log)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,7 +182,7 @@
 		<-front.ref.Done()
 		system.Shutdown()
 	})
-	return &testHost{address: address}
+	return &testHost{address: address, front: front, handler: handler}
 }
 
 func listen(t testing.TB) net.Listener {
