Log every answer within the budget, and failures before them

Cause: answers were logged at a level that is not written, so that a late one could not be explained; refusals shared the budget of ordinary lines. A refusal over the rate names a time that counts the requests which wait for the same tokens.

--- a/quota/teams.go
+++ b/quota/teams.go
@@ -76,8 +76,10 @@
 	share := standing + e.held(now)
 	e.fill(now, share, hosts, t.span)
 	if e.tokens < 1 {
-		wait := (1 - e.tokens) / (share * flow(rate, burst, t.span))
-		return time.Duration(wait * float64(time.Second)), false
+		supply := share * flow(rate, burst, t.span)
+		// All that were refused wait for the same tokens.
+		rivals := max(1, e.asked.Sum(now)/(supply*t.span.Seconds()))
+		return time.Duration((1 - e.tokens) / supply * rivals * float64(time.Second)), false
 	}
 	e.tokens--
 	return 0, true
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -406,7 +406,7 @@
 	team, class := labels(d)
 	h.meter.Refuse(team, class, string(reason))
 	x.end(d, "refused", slog.String("reason", string(reason)), slog.String("run", outcome.String()),
-		slog.Duration("after", d.After()))
+		slog.Int64("after-ms", millis(d.After())))
 }
 
 // tell reports the end of a send to the desk.
@@ -417,9 +417,9 @@
 // note logs a send that did not bring the answer.
 func (x *course) note(d admit.Decision, v spread.Verdict, err error) {
 	c := d.Choice()
-	x.handler.log.Info("relay: send failed", "request", x.request.ID(), "target", c.Target().ID(),
-		"verdict", v.String(), "choice", c.Reason(), "load", c.Load(), "load-age", c.LoadAge(),
-		"sends", d.Ticket().Sends(), failure(err))
+	x.handler.log.Warn("relay: send failed", "request", x.request.ID(), "target", c.Target().ID(),
+		"verdict", v.String(), "choice", c.Reason(), "load", c.Load(),
+		"load-age-ms", millis(min(c.LoadAge(), time.Hour)), "sends", d.Ticket().Sends(), failure(err))
 	team, class := labels(d)
 	x.handler.meter.Count("send-"+v.String(), team, class, 1)
 }
@@ -433,18 +433,23 @@
 		took := h.clock.Now().Sub(t.Arrived())
 		h.meter.Observe("latency", team, class, took)
 		c := d.Choice()
-		fields = append(fields, "route", t.Route().Name(), "team", t.Team(), "version", t.Version(), "took", took,
+		fields = append(fields, "route", t.Route().Name(), "team", t.Team(), "service", t.Service(),
+			"version", t.Version(), "took-ms", millis(took), "left-ms", millis(t.Deadline().Sub(h.clock.Now())),
 			"sends", t.Sends(), "target", c.Target().ID(), "choice", c.Reason(), "load", c.Load(),
-			"load-age", c.LoadAge())
+			"load-age-ms", millis(min(c.LoadAge(), time.Hour)))
 	}
 	h.meter.Count("request-"+outcome, team, class, 1)
-	level := slog.LevelInfo
+	// Warnings have a budget of their own, so that answers never displace what
+	// explains a failure.
+	level := slog.LevelWarn
 	if outcome == "answered" {
-		level = slog.LevelDebug
+		level = slog.LevelInfo
 	}
 	h.log.Log(context.Background(), level, "relay: request ended", append(fields, more...)...)
 }
 
+func millis(d time.Duration) int64 { return d.Milliseconds() }
+
 func failure(err error) slog.Attr {
 	if err == nil {
 		return slog.Attr{}
