--- a/link/link_test.go
+++ b/link/link_test.go
@@ -48,7 +48,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
-	p, err := StartPool(ctx, system, clock.Wall(), 0)
+	p, err := StartPool(ctx, system, clock.Wall())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/link/pool.go
+++ b/link/pool.go
@@ -45,19 +45,16 @@
 	ref    *tasks.Ref
 	clock  clock.Clock
 	dialer net.Dialer
-	window int
 }
 
-// StartPool starts an empty pool. It ends with ctx. The window, in bytes,
-// bounds what a target may send ahead of the caller, so that a large answer
-// does not fill the queue of a slow link; 0 leaves it to the system.
-func StartPool(ctx context.Context, system *tasks.System, c clock.Clock, window int) (*Pool, error) {
+// StartPool starts an empty pool. It ends with ctx.
+func StartPool(ctx context.Context, system *tasks.System, c clock.Clock) (*Pool, error) {
 	ref, err := tasks.Spawn(ctx, system, "link-pool", &poolTask{clock: c, idle: map[string][]*Conn{}})
 	if err != nil {
 		return nil, fmt.Errorf("start pool: %w", err)
 	}
 	tasks.Every(ctx, c, sweepInterval, ref, sweep{})
-	p := &Pool{ref: ref, clock: c, window: window}
+	p := &Pool{ref: ref, clock: c}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -66,11 +63,6 @@
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var fault error
 			err := raw.Control(func(descriptor uintptr) {
-				if p.window > 0 {
-					// The window is announced with the first packet. One that
-					// the system does not take is no reason not to connect.
-					_ = syscall.SetsockoptInt(int(descriptor), syscall.SOL_SOCKET, syscall.SO_RCVBUF, p.window)
-				}
 				fault = syscall.SetsockoptInt(
 					int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(silenceLimit.Milliseconds()))
 			})
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -45,7 +45,6 @@
 	firstStart bool
 	grace      time.Duration
 	files      int
-	linkRate   float64
 	bounds     admit.Bounds
 	clock      clock.Clock
 	log        *slog.Logger
@@ -88,22 +87,6 @@
 	return f
 }
 
-// WithLink sets the rate of the host's network link in bits per second.
-func (f Fleet) WithLink(rate float64) Fleet {
-	f.linkRate = rate
-	return f
-}
-
-// window returns how many bytes one connection may have under way, or 0 for
-// no bound where the link is fast.
-func (f Fleet) window() int {
-	bytes := int(f.linkRate / 8 * linkQueue.Seconds())
-	if bytes <= 0 || bytes >= fastWindow {
-		return 0
-	}
-	return max(bytes, leastWindow)
-}
-
 // WithMetrics sets the address at which counters and histograms are served.
 func (f Fleet) WithMetrics(address string) Fleet {
 	f.metrics = address
@@ -335,13 +318,6 @@
 func (s *entrySink) Ready() { s.ready.Store(true) }
 
 const (
-	// linkQueue is how long a connection may keep the link of the host busy
-	// with what it has under way: about a round trip between regions.
-	linkQueue = 30 * time.Millisecond
-	// leastWindow is a few packets.
-	leastWindow = 8 << 10
-	// fastWindow is the window from which on the defaults of the system do.
-	fastWindow = 256 << 10
 	// callersPercent is the part of the descriptors that callers' connections
 	// may use. The rest is for targets and the process itself.
 	callersPercent = 60
@@ -365,7 +341,7 @@
 	defer system.Shutdown()
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	pool, err := link.StartPool(inner, system, f.clock, f.window())
+	pool, err := link.StartPool(inner, system, f.clock)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
@@ -387,7 +363,7 @@
 	}
 	handler := relay.NewHandler(desk, pool, dialect, follower, f.clock, f.log, gauges)
 	front, err := relay.StartFront(
-		inner, system, listener, handler, f.files*callersPercent/100, f.window(), f.clock, f.log)
+		inner, system, listener, handler, f.files*callersPercent/100, f.clock, f.log)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -89,3 +89,8 @@
 
 // After returns when the caller may come back, or 0.
 func (r Refusal) After() time.Duration { return r.after }
+
+// NewRefusal returns the refusal of a request.
+func NewRefusal(request ident.RequestID, outcome Outcome, reason admit.Reason, after time.Duration) Refusal {
+	return Refusal{request: request, outcome: outcome, reason: reason, after: after}
+}
--- a/relay/front.go
+++ b/relay/front.go
@@ -29,14 +29,12 @@
 //
 // It holds at most the given number of connections. When half of them are
 // open, each answer ends its connection: callers that ask again on a new
-// connection each time leave the old ones open. The window, in bytes, bounds
-// what one connection may have on its way to the caller, so that a large
-// answer does not fill the queue of a slow link; 0 leaves it to the system.
+// connection each time leave the old ones open.
 func StartFront(
-	ctx context.Context, system *tasks.System, listener net.Listener, handler http.Handler, connections, window int,
+	ctx context.Context, system *tasks.System, listener net.Listener, handler http.Handler, connections int,
 	c clock.Clock, log *slog.Logger,
 ) (*Front, error) {
-	t := &frontTask{ctx: ctx, listener: listener, connections: int64(connections), window: window, draining: new(atomic.Bool), clock: c, log: log}
+	t := &frontTask{ctx: ctx, listener: listener, connections: int64(connections), draining: new(atomic.Bool), clock: c, log: log}
 	t.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if t.draining.Load() || t.open.Load() > t.connections/2 {
 			w.Header().Set("Connection", "close")
@@ -101,7 +99,6 @@
 	// open counts the connections; the servers' goroutines change it.
 	open        atomic.Int64
 	connections int64
-	window      int
 }
 
 // acceptPause is the time without new connections after one could not be
@@ -131,11 +128,6 @@
 				return
 			}
 		}
-		if tcp, ok := conn.(*net.TCPConn); ok && t.window > 0 {
-			if err := tcp.SetWriteBuffer(t.window); err != nil {
-				t.log.Info("relay: window of a connection not set", "error", err)
-			}
-		}
 		t.self.Tell(accepted{conn: conn})
 	}
 }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -406,7 +406,7 @@
 		}
 	}
 	h := x.handler
-	refusal := Refusal{request: x.request.ID(), outcome: outcome, reason: reason, after: d.After()}
+	refusal := NewRefusal(x.request.ID(), outcome, reason, d.After())
 	h.dialect.Refuse(x.writer, refusal)
 	team, class := labels(d)
 	h.meter.Refuse(team, class, string(reason))
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -43,7 +43,7 @@
 }
 
 func (testDialect) Answer(r *http.Response) Answer {
-	return NewAnswer(ident.RequestID(r.Header.Get("Id")), r.Header.Get("Stamp") != "", r.Header.Get("Not-Run") != "",
+	return NewAnswer(ident.RequestID(r.Header.Get("Id")), r.Header.Get("Stamp") != "", r.Header.Get("Unrun") != "",
 		r.StatusCode == http.StatusMisdirectedRequest, ident.None[spread.Load](), ident.None[time.Duration]())
 }
 
@@ -116,7 +116,7 @@
 }
 
 func shed(r *http.Request) string {
-	return "HTTP/1.1 503 x\r\nId: " + r.Header.Get("Id") + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	return "HTTP/1.1 503 x\r\nId: " + r.Header.Get("Id") + "\r\nUnrun: 1\r\nContent-Length: 0\r\n\r\n"
 }
 
 // testHost is an entry host with two targets at one address.
@@ -155,7 +155,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	log := slog.New(slog.DiscardHandler)
 	system := tasks.NewSystem(log)
-	pool, err := link.StartPool(ctx, system, clock.Wall(), 0)
+	pool, err := link.StartPool(ctx, system, clock.Wall())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -171,7 +171,7 @@
 	}
 	desk.Update(list)
 	handler := NewHandler(desk, pool, testDialect{}, noReserve{}, clock.Wall(), log, meter.New())
-	front, err := StartFront(ctx, system, listen(t), handler, testConnections, 0, clock.Wall(), log)
+	front, err := StartFront(ctx, system, listen(t), handler, testConnections, clock.Wall(), log)
 	if err != nil {
 		t.Fatal(err)
 	}
