--- /dev/null
+++ b/admit/desk_test.go
@@ -0,0 +1,173 @@
+package admit
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/scheme"
+	"rhubarbrack/spread"
+)
+
+var start = time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+
+func newTestDesk(t *testing.T, slack float64) *Desk {
+	t.Helper()
+	d := NewDesk("z", "r", NewBounds(5*time.Second, 10*time.Second, 0.2, slack, 1.5, 5))
+	parts := []scheme.Part{scheme.NewPart("s", 3), scheme.NewPart("u", 1)}
+	c, err := scheme.New(3, scheme.Limits{},
+		[]*scheme.Team{
+			scheme.NewTeam("free", []string{"free"}, ident.None[int](), 0, 0, nil),
+			scheme.NewTeam("bound", []string{"bound"}, ident.None[int](), 1, 1, nil),
+			scheme.NewTeam("home", []string{"home"}, ident.None[int](), 0, 0, []ident.Region{"far"}),
+		},
+		[]*scheme.Route{
+			scheme.NewRoute("a", "h", "/a/", scheme.Repeatable, parts, time.Second, 3),
+			scheme.NewRoute("o", "h", "/o/", scheme.Repeatable, parts[:1], time.Second, 3, scheme.WithoutKey(true)),
+		}, []scheme.Service{scheme.NewService("s", "", 9, 0, 0), scheme.NewService("u", "", 9, 0, 0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Configure(c)
+	var list []spread.Target
+	for _, s := range []ident.Service{"s", "u"} {
+		for i := range 4 {
+			id := fmt.Sprintf("%s%d", s, i)
+			list = append(list, spread.NewTarget(ident.Target(id), s, id+":1", "z", "r", 1000, false, time.Time{}))
+		}
+	}
+	d.Table().Update(list)
+	return d
+}
+
+func ask(path, key string, patience time.Duration) Request {
+	return NewRequest("q", "h", path, key, "o", patience)
+}
+
+// TestAdmit guards against requests that pass although a rule forbids them,
+// and against refusals with a wrong reason.
+func TestAdmit(t *testing.T) {
+	cases := []struct {
+		name   string
+		ask    Request
+		reason Reason
+		team   ident.Team
+	}{
+		{"served", ask("/a/1", "free", 0), "", "free"},
+		{"open", ask("/o/1", "", 0), "", ""},
+		{"open with a key", ask("/o/1", "free", 0), "", ""},
+		{"no route", ask("/b/1", "free", 0), NoRoute, ""},
+		{"no key", ask("/a/1", "", 0), NoKey, ""},
+		{"unknown key", ask("/a/1", "x", 0), UnknownKey, ""},
+		{"no time left", ask("/a/1", "free", time.Millisecond), OutOfTime, "free"},
+		{"no target in the team's homes", ask("/a/1", "home", 0), NoTarget, "home"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := newTestDesk(t, 60).Admit(start, c.ask)
+			reason, _ := d.Refused()
+			if reason != c.reason {
+				t.Errorf("reason %q, want %q", reason, c.reason)
+			}
+			if d.Ticket() != nil && d.Ticket().Team() != c.team {
+				t.Errorf("team %q, want %q", d.Ticket().Team(), c.team)
+			}
+		})
+	}
+	if reason, _ := NewDesk("z", "r", Bounds{}).Admit(start, ask("/a/1", "free", 0)).Refused(); reason != NotReady {
+		t.Errorf("without a configuration: %q, want %q", reason, NotReady)
+	}
+}
+
+// TestSplit guards against services that get another share of a route than
+// their weight, also over short sequences.
+func TestSplit(t *testing.T) {
+	d := newTestDesk(t, 60)
+	got := map[ident.Service]int{}
+	const requests = 20
+	for range requests {
+		got[d.Admit(start, ask("/a/1", "free", 0)).Ticket().Service()]++
+	}
+	if want := requests * 3 / 4; math.Abs(float64(got["s"]-want)) > 1 {
+		t.Errorf("shares %v, want %d for s", got, want)
+	}
+}
+
+// TestAgain guards against a request that is sent to more targets than its
+// route allows, to the same one twice, after its time, or beyond the budget.
+func TestAgain(t *testing.T) {
+	cases := []struct {
+		name   string
+		slack  float64
+		later  time.Duration
+		sends  int
+		reason Reason
+	}{
+		{"attempts of the route", 1000, 0, 3, NoAttempts},
+		{"budget", 0, 0, 1, NoBudget},
+		{"time", 1000, time.Second, 1, OutOfTime},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			desk := newTestDesk(t, c.slack)
+			d := desk.Admit(start, ask("/a/1", "free", 0))
+			ticket := d.Ticket()
+			tried := map[ident.Target]bool{}
+			sends := 0
+			for range 10 {
+				if _, refused := d.Refused(); refused {
+					break
+				}
+				sends++
+				if tried[d.Choice().Target().ID()] {
+					t.Fatalf("sent to %s twice", d.Choice().Target().ID())
+				}
+				tried[d.Choice().Target().ID()] = true
+				d = desk.Again(start.Add(c.later), ticket)
+			}
+			if reason, _ := d.Refused(); reason != c.reason || sends != c.sends {
+				t.Errorf("%d sends, then %q; want %d, %q", sends, reason, c.sends, c.reason)
+			}
+		})
+	}
+}
+
+// TestUnsent guards against targets that could not be reached and cost an
+// attempt, although they got nothing.
+func TestUnsent(t *testing.T) {
+	desk := newTestDesk(t, 0)
+	d := desk.Admit(start, ask("/a/1", "free", 0))
+	for range 3 {
+		d = desk.Unsent(start, d.Ticket())
+		if reason, refused := d.Refused(); refused {
+			t.Fatalf("refused: %s", reason)
+		}
+	}
+	if d.Ticket().Sends() != 1 {
+		t.Errorf("%d sends, want 1", d.Ticket().Sends())
+	}
+}
+
+// TestBorrow guards against a team within its rate that is refused while the
+// lender has tokens, and against a host that asks for each of the requests of
+// a team far over its rate.
+func TestBorrow(t *testing.T) {
+	desk := newTestDesk(t, 60)
+	desk.SetHosts(10)
+	var asked int
+	var d Decision
+	for i := range 50 {
+		d = desk.Admit(start.Add(time.Duration(i)*time.Millisecond), ask("/a/1", "bound", 0))
+		if d.MayBorrow() {
+			asked++
+		}
+	}
+	if reason, _ := d.Refused(); reason != OverRate || asked != 1 {
+		t.Fatalf("reason %q, asked %d times in 50 ms; want %q, once", reason, asked, OverRate)
+	}
+	if reason, refused := desk.Paid(start, d.Ticket()).Refused(); refused {
+		t.Errorf("a paid request was refused: %s", reason)
+	}
+}
