--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -11,7 +11,7 @@
 
 	"rhubarbrack/ident"
 	"rhubarbrack/node"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/stand"
 	"rhubarbrack/tasks"
 
@@ -133,7 +133,7 @@
 func (c *targetCommand) run(ctx context.Context, zones, regions []string) error {
 	system := tasks.NewSystem(slog.Default())
 	defer system.Shutdown()
-	var list []platf.Target
+	var list []lister.Target
 	for _, service := range splitList(c.service) {
 		for i, zone := range zones {
 			for range c.count {
@@ -154,16 +154,16 @@
 	return nil
 }
 
-func (c *targetCommand) start(ctx context.Context, system *tasks.System, service, zone, region string, number int) (platf.Target, error) {
+func (c *targetCommand) start(ctx context.Context, system *tasks.System, service, zone, region string, number int) (lister.Target, error) {
 	t, err := stand.StartTarget(ctx, system, stand.WithID(ident.Target(fmt.Sprintf("target-%d", number))),
 		stand.WithService(ident.Service(service)), stand.WithPlace(ident.Zone(zone), ident.Region(region)),
 		stand.WithSlots(c.slots), stand.WithServiceTime(c.median, 0.5), stand.WithSeed(c.seed+uint64(number)))
 	if err != nil {
-		return platf.Target{}, fmt.Errorf("start target %d: %w", number, err)
+		return lister.Target{}, fmt.Errorf("start target %d: %w", number, err)
 	}
-	entry, err := t.Entry(platf.Live)
+	entry, err := t.Entry(lister.Live)
 	if err != nil {
-		return platf.Target{}, fmt.Errorf("start target %d: %w", number, err)
+		return lister.Target{}, fmt.Errorf("start target %d: %w", number, err)
 	}
 	return entry, nil
 }
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -13,7 +13,7 @@
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 	"rhubarbrack/plan"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/state"
 	"rhubarbrack/tasks"
 )
@@ -171,7 +171,7 @@
 	// moving holds the processes whose roles are being given to others. They
 	// get no lease for roles until the configuration shows that they have none.
 	moving  map[ident.Host]ident.Incarnation
-	targets platf.List
+	targets lister.List
 	waiting []*waiter
 	events  []Event
 }
@@ -209,7 +209,7 @@
 			l.fill(w)
 		}
 		l.wake()
-	case platf.List:
+	case lister.List:
 		l.targets = m
 	case renewal:
 		l.renew(m)
@@ -398,10 +398,10 @@
 }
 
 // planTargets converts the platform's list.
-func planTargets(list platf.List) []plan.Target {
+func planTargets(list lister.List) []plan.Target {
 	out := make([]plan.Target, 0, len(list.Targets()))
 	for _, t := range list.Targets() {
-		out = append(out, plan.NewTarget(t.ID(), t.Service(), t.Zone(), t.Region(), t.Slots(), t.State() == platf.Live))
+		out = append(out, plan.NewTarget(t.ID(), t.Service(), t.Zone(), t.Region(), t.Slots(), t.State() == lister.Live))
 	}
 	return out
 }
--- a/platf/lister.go
+++ b/lister/lister.go
@@ -1,4 +1,4 @@
-package platf
+package lister
 
 import (
 	"context"
@@ -56,7 +56,7 @@
 // WithLog sets the log. The default is slog.Default.
 func WithLog(l *slog.Logger) Option { return func(s *settings) { s.log = l } }
 
-// WithName sets the name of the task. The default is "platf".
+// WithName sets the name of the task. The default is "lister".
 func WithName(name string) Option { return func(s *settings) { s.name = name } }
 
 // WithInterval sets the time between polls. The default is 500 ms.
@@ -72,7 +72,7 @@
 // one poll at a time, until ctx ends.
 func StartLister(ctx context.Context, system *tasks.System, url string, sink Sink, options ...Option) (*Lister, error) {
 	s := settings{
-		clock: clock.Wall(), log: slog.Default(), name: "platf",
+		clock: clock.Wall(), log: slog.Default(), name: "lister",
 		interval: defaultInterval, timeout: defaultTimeout, limit: defaultListBytes,
 	}
 	for _, apply := range options {
@@ -192,9 +192,9 @@
 func (p *poller) report(err error) {
 	switch {
 	case err != nil && p.list.fault == nil:
-		p.log.Warn("platf: poll failed, the last list stays", "url", p.url, "error", err)
+		p.log.Warn("lister: poll failed, the last list stays", "url", p.url, "error", err)
 	case err == nil && p.list.fault != nil:
-		p.log.Info("platf: polls work again", "url", p.url)
+		p.log.Info("lister: polls work again", "url", p.url)
 	}
 }
 
--- a/platf/target.go
+++ b/lister/target.go
@@ -1,4 +1,4 @@
-package platf
+package lister
 
 import (
 	"fmt"
--- a/node/control.go
+++ b/node/control.go
@@ -16,7 +16,7 @@
 	"rhubarbrack/meter"
 	"rhubarbrack/oper"
 	"rhubarbrack/plan"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
 )
@@ -98,7 +98,7 @@
 	}
 	c.served = wire.Serve(ctx, peers, server, wire.WithTLS(c.secure.servers[conf.Peers]))
 	if url := s.PlatformList(); url != "" {
-		_, err = platf.StartLister(ctx, c.system, url, c.leader, platf.WithClock(o.clock), platf.WithLog(o.log))
+		_, err = lister.StartLister(ctx, c.system, url, c.leader, lister.WithClock(o.clock), lister.WithLog(o.log))
 		if err != nil {
 			return fmt.Errorf("start control host: %w", err)
 		}
--- a/node/dev.go
+++ b/node/dev.go
@@ -16,7 +16,7 @@
 	"rhubarbrack/conf"
 	"rhubarbrack/ident"
 	"rhubarbrack/oper"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/prof"
 	"rhubarbrack/route"
 	"rhubarbrack/stand"
@@ -190,7 +190,7 @@
 const devEntries = 2
 
 func (d *Dev) startStandIns(ctx context.Context, system *tasks.System) (*stand.Platform, error) {
-	var list []platf.Target
+	var list []lister.Target
 	number := 0
 	for _, s := range d.documents {
 		service, ok := s.Document().(*prof.Service)
@@ -208,7 +208,7 @@
 				if err != nil {
 					return nil, fmt.Errorf("stand-in target: %w", err)
 				}
-				entry, err := t.Entry(platf.Live)
+				entry, err := t.Entry(lister.Live)
 				if err != nil {
 					return nil, fmt.Errorf("stand-in target: %w", err)
 				}
--- a/node/entry.go
+++ b/node/entry.go
@@ -17,7 +17,7 @@
 	"rhubarbrack/ledger"
 	"rhubarbrack/meter"
 	"rhubarbrack/oper"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/route"
 	"rhubarbrack/state"
 	"rhubarbrack/target"
@@ -196,7 +196,7 @@
 	}
 	e.hub.Tell(useProbe{probe: probe})
 	if url := e.settings.PlatformList(); url != "" {
-		_, err = platf.StartLister(ctx, e.system, url, e.hub, platf.WithClock(o.clock), platf.WithLog(o.log))
+		_, err = lister.StartLister(ctx, e.system, url, e.hub, lister.WithClock(o.clock), lister.WithLog(o.log))
 		if err != nil {
 			return fmt.Errorf("platform list: %w", err)
 		}
--- a/node/fleet_entry_test.go
+++ b/node/fleet_entry_test.go
@@ -13,7 +13,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/oper"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/stand"
 )
 
@@ -307,7 +307,7 @@
 func leavingTarget(f *fleet) {
 	f.warmUp()
 	target := f.busiest()
-	f.platform.SetState(target.ID(), platf.Leaving)
+	f.platform.SetState(target.ID(), lister.Leaving)
 	target.SetDraining(true)
 	f.quiet(target)
 	f.takesNothing(target)
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -26,7 +26,7 @@
 	"rhubarbrack/codec"
 	"rhubarbrack/ident"
 	"rhubarbrack/oper"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/prof"
 	"rhubarbrack/route"
 	"rhubarbrack/stand"
@@ -167,7 +167,7 @@
 
 func (f *fleet) startTargets(documents []codec.Sample) {
 	ctx := context.Background()
-	var list []platf.Target
+	var list []lister.Target
 	for _, d := range documents {
 		service, ok := d.Document().(*prof.Service)
 		if !ok {
@@ -181,7 +181,7 @@
 					stand.WithPlace(ident.Zone(region+"-"+zone), ident.Region(region)), stand.WithSlots(4),
 					stand.WithServiceTime(5*time.Millisecond, 0.2), stand.WithSeed(uint64(number)))
 				f.check(err)
-				entry, err := target.Entry(platf.Live)
+				entry, err := target.Entry(lister.Live)
 				f.check(err)
 				f.targets = append(f.targets, target)
 				list = append(list, entry)
--- a/node/hub.go
+++ b/node/hub.go
@@ -16,7 +16,7 @@
 	"rhubarbrack/limit"
 	"rhubarbrack/locate"
 	"rhubarbrack/plan"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/prof"
 	"rhubarbrack/route"
 	"rhubarbrack/state"
@@ -54,7 +54,7 @@
 	fleet     *prof.Fleet
 	revision  ident.Revision
 	view      route.View
-	list      platf.List
+	list      lister.List
 	changes   uint64
 	regions   map[ident.Target]ident.Region
 	// released holds the epochs of the roles that this host has given up.
@@ -77,7 +77,7 @@
 var (
 	_ ctrl.ViewSink      = (*hubRef)(nil)
 	_ caller.Directories = (*hubRef)(nil)
-	_ platf.Sink         = (*hubRef)(nil)
+	_ lister.Sink         = (*hubRef)(nil)
 	_ target.ReportSink  = (*hubRef)(nil)
 )
 
@@ -87,7 +87,7 @@
 // Directory implements caller.Directories.
 func (h *hubRef) Directory() *locate.Directory { return h.directory.Load() }
 
-// Tell implements platf.Sink and target.ReportSink.
+// Tell implements lister.Sink and target.ReportSink.
 func (h *hubRef) Tell(message any) { h.ref.Tell(message) }
 
 // startHub starts the task. The probe is set by useProbe.
@@ -118,7 +118,7 @@
 		h.probe = m.probe
 	case route.View:
 		h.viewChanged(m)
-	case platf.List:
+	case lister.List:
 		h.list = m
 		if m.Received() && m.Changes() != h.changes {
 			h.changes = m.Changes()
@@ -310,7 +310,7 @@
 		byRegion[t.Region()] = append(byRegion[t.Region()], steer.NewTarget(
 			t.ID(), t.Service(), t.Address(), t.Zone(), t.Slots(), steer.State(t.State())))
 		if plan.Drained(h.view.Config(), plan.NewTarget(
-			t.ID(), t.Service(), t.Zone(), t.Region(), t.Slots(), t.State() == platf.Live), now) {
+			t.ID(), t.Service(), t.Zone(), t.Region(), t.Slots(), t.State() == lister.Live), now) {
 			if drained[t.Region()].Len() == 0 {
 				drained[t.Region()] = ident.NewSet[ident.Target]()
 			}
--- a/node/throughput_test.go
+++ b/node/throughput_test.go
@@ -13,7 +13,7 @@
 
 	"rhubarbrack/ident"
 	"rhubarbrack/node"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/stand"
 	"rhubarbrack/tasks"
 )
@@ -61,7 +61,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	if _, err := target.Entry(platf.Live); err != nil {
+	if _, err := target.Entry(lister.Live); err != nil {
 		b.Fatal(err)
 	}
 	transport := &http.Transport{MaxIdleConnsPerHost: 256}
--- a/node/trial_fleet_test.go
+++ b/node/trial_fleet_test.go
@@ -15,7 +15,7 @@
 	"rhubarbrack/clock"
 	"rhubarbrack/codec"
 	"rhubarbrack/ident"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/stand"
 	"rhubarbrack/tasks"
 )
@@ -80,13 +80,13 @@
 // startStandIns starts the targets with 3 to 6 slots, and for each service one
 // that is not listed and takes the direct calls.
 func (f *trialFleet) startStandIns() {
-	var list []platf.Target
+	var list []lister.Target
 	for _, region := range trialRegions {
 		for s, service := range trialServices {
 			for i := range trialPerService {
 				zone := ident.Zone(string(region) + []string{"-a", "-b"}[i%2])
 				target := f.startTarget(service, region, zone, 3+(i+s)%4, 0)
-				entry, err := target.Entry(platf.Live)
+				entry, err := target.Entry(lister.Live)
 				f.check(err)
 				f.targets, list = append(f.targets, target), append(list, entry)
 				f.regions[target.ID()] = region
--- a/node/trial_test.go
+++ b/node/trial_test.go
@@ -18,7 +18,7 @@
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 	"rhubarbrack/load"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 )
 
 var (
@@ -345,7 +345,7 @@
 		event = clock.Wall().Now()
 		for _, t := range f.targets {
 			if f.regions[t.ID()] == "south" {
-				f.platform.SetState(t.ID(), platf.Leaving)
+				f.platform.SetState(t.ID(), lister.Leaving)
 				t.SetDraining(true)
 			}
 		}
--- a/stand/command.go
+++ b/stand/command.go
@@ -16,7 +16,7 @@
 	"github.com/google/subcommands"
 
 	"rhubarbrack/ident"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/tasks"
 )
 
@@ -147,9 +147,9 @@
 }
 
 func (f *Fleet) list(ctx context.Context, system *tasks.System, r platformRecord) error {
-	var entries []platf.Target
+	var entries []lister.Target
 	for _, t := range f.targets {
-		e, err := t.Entry(platf.Live)
+		e, err := t.Entry(lister.Live)
 		if err != nil {
 			return fmt.Errorf("list targets: %w", err)
 		}
--- a/stand/control.go
+++ b/stand/control.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"rhubarbrack/ident"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/target"
 )
 
@@ -139,8 +139,8 @@
 }
 
 func (f *Fleet) listAs(t *Target, r *http.Request) error {
-	state := platf.State(r.FormValue("state"))
-	if state != platf.Live && state != platf.Leaving {
+	state := lister.State(r.FormValue("state"))
+	if state != lister.Live && state != lister.Leaving {
 		return fmt.Errorf("parameter state: %q", state)
 	}
 	f.platform.SetState(t.ID(), state)
--- a/stand/options.go
+++ b/stand/options.go
@@ -5,7 +5,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 )
 
 const (
@@ -35,7 +35,7 @@
 	restartAfter time.Duration
 	runs         int
 	lag          time.Duration
-	targets      []platf.Target
+	targets      []lister.Target
 }
 
 // Option changes a default of StartTarget or StartPlatform.
@@ -95,7 +95,7 @@
 func WithLag(d time.Duration) Option { return func(s *settings) { s.lag = d } }
 
 // WithTargets sets the first list of a Platform, which is served at once.
-func WithTargets(targets ...platf.Target) Option { return func(s *settings) { s.targets = targets } }
+func WithTargets(targets ...lister.Target) Option { return func(s *settings) { s.targets = targets } }
 
 func newSettings(options []Option) settings {
 	s := settings{
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -12,7 +12,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/tasks"
 )
 
@@ -61,12 +61,12 @@
 func (p *Platform) URL() string { return "http://" + p.server.address + PathHosts }
 
 // Set replaces the list.
-func (p *Platform) Set(targets ...platf.Target) {
+func (p *Platform) Set(targets ...lister.Target) {
 	p.board.Tell(setTargets{at: p.clock.Now(), targets: slices.Clone(targets)})
 }
 
 // SetState changes the state of one target.
-func (p *Platform) SetState(id ident.Target, s platf.State) {
+func (p *Platform) SetState(id ident.Target, s lister.State) {
 	p.board.Tell(setState{at: p.clock.Now(), id: id, state: s})
 }
 
@@ -96,7 +96,7 @@
 		http.Error(w, "platform fault", a.fault)
 		return
 	}
-	body, err := json.Marshal(platf.NewListRecord(a.targets))
+	body, err := json.Marshal(lister.NewListRecord(a.targets))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -117,12 +117,12 @@
 	// Changes carry the time at which they were made.
 	setTargets struct {
 		at      time.Time
-		targets []platf.Target
+		targets []lister.Target
 	}
 	setState struct {
 		at    time.Time
 		id    ident.Target
-		state platf.State
+		state lister.State
 	}
 	setLag   struct{ lag time.Duration }
 	setFault struct{ status int }
@@ -132,13 +132,13 @@
 // shown is what the list shows now.
 type shown struct {
 	fault   int
-	targets []platf.Target
+	targets []lister.Target
 }
 
 // version is the list from a moment on.
 type version struct {
 	at      time.Time
-	targets []platf.Target
+	targets []lister.Target
 }
 
 // board is the task that owns the versions of the list.
@@ -172,13 +172,13 @@
 	}
 }
 
-func (b *board) append(at time.Time, targets []platf.Target) {
+func (b *board) append(at time.Time, targets []lister.Target) {
 	b.versions = append(b.versions, version{at: at, targets: targets})
 }
 
 // visible returns the newest version that is at least as old as the lag, and
 // forgets the versions before it.
-func (b *board) visible() []platf.Target {
+func (b *board) visible() []lister.Target {
 	as := b.clock.Now().Add(-b.lag)
 	newest := 0
 	for i, v := range b.versions {
--- a/stand/platform_test.go
+++ b/stand/platform_test.go
@@ -8,13 +8,13 @@
 	"testing"
 	"time"
 
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/target"
 )
 
 // Guards against a list that shows changes before its lag has passed.
 func TestPlatformLag(t *testing.T) {
-	a, err := platf.NewTarget("a", "s", "127.0.0.1:1", "z", "r", 1, platf.Live)
+	a, err := lister.NewTarget("a", "s", "127.0.0.1:1", "z", "r", 1, lister.Live)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -25,10 +25,10 @@
 		want    string
 	}{
 		{name: "first list", change: func(*Platform) {}, want: "a live"},
-		{name: "leaving, at once", change: func(p *Platform) { p.SetState("a", platf.Leaving) }, want: "a live"},
+		{name: "leaving, at once", change: func(p *Platform) { p.SetState("a", lister.Leaving) }, want: "a live"},
 		{name: "leaving, shortly before the lag", change: func(*Platform) {}, advance: 4 * time.Second, want: "a live"},
 		{name: "leaving, after the lag", change: func(*Platform) {}, advance: time.Second, want: "a leaving"},
-		{name: "two changes", change: func(p *Platform) { p.SetState("a", platf.Live); p.Set() }, advance: 4 * time.Second, want: "a leaving"},
+		{name: "two changes", change: func(p *Platform) { p.SetState("a", lister.Live); p.Set() }, advance: 4 * time.Second, want: "a leaving"},
 		{name: "the later one counts", change: func(*Platform) {}, advance: time.Second, want: ""},
 		{name: "fault", change: func(p *Platform) { p.SetFault(500) }, want: "status 500"},
 		{name: "fault ends, no lag", change: func(p *Platform) { p.SetFault(0); p.SetLag(0); p.Set(a) }, want: "a live"},
@@ -55,7 +55,7 @@
 	if got.status != 200 {
 		return fmt.Sprintf("status %d", got.status)
 	}
-	targets, err := platf.Decode(strings.NewReader(string(got.body)), 1<<20)
+	targets, err := lister.Decode(strings.NewReader(string(got.body)), 1<<20)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/stand/target.go
+++ b/stand/target.go
@@ -10,7 +10,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
-	"rhubarbrack/platf"
+	"rhubarbrack/lister"
 	"rhubarbrack/target"
 	"rhubarbrack/tasks"
 )
@@ -110,11 +110,11 @@
 func (t *Target) ID() ident.Target { return t.settings.id }
 
 // Entry returns the target's entry for the platform's list.
-func (t *Target) Entry(state platf.State) (platf.Target, error) {
+func (t *Target) Entry(state lister.State) (lister.Target, error) {
 	s := t.settings
-	e, err := platf.NewTarget(s.id, s.service, t.Address(), s.zone, s.region, s.slots, state)
+	e, err := lister.NewTarget(s.id, s.service, t.Address(), s.zone, s.region, s.slots, state)
 	if err != nil {
-		return platf.Target{}, fmt.Errorf("entry of stand-in: %w", err)
+		return lister.Target{}, fmt.Errorf("entry of stand-in: %w", err)
 	}
 	return e, nil
 }
