Prefer targets of the caller's region as homes

Change: in the order of an object, targets of the host's own region weigh four times as much. Test: TestNearHomes.

--- a/spread/table.go
+++ b/spread/table.go
@@ -46,6 +46,11 @@
 	// longestQueue is how many requests a slot wait at a target at most.
 	// Later ones would miss the aim of their route.
 	longestQueue = 1.0
+	// nearWeight is how many times more objects a target gets from callers of
+	// its own region than from others. Objects are mostly asked for in one
+	// region, so that few have two homes for it, and regions with few targets
+	// still share the load of those with many.
+	nearWeight = 4.0
 	// answerWeight is the weight of the newest answer in the usual time.
 	answerWeight = 0.05
 )
@@ -327,8 +332,12 @@
 		if s.draining || t.empty[s.zone] || !q.allows(s) || now.Before(s.until) {
 			continue
 		}
+		weight := float64(s.slots)
+		if s.region == t.region {
+			weight *= nearWeight
+		}
 		list = append(list, candidate{
-			state: s, score: score(object, s.seed, s.slots), near: fleet || s.region == t.region,
+			state: s, score: score(object, s.seed, weight), near: fleet || s.region == t.region,
 		})
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
@@ -441,12 +450,12 @@
 	}
 }
 
-// score orders the targets of an object. A target with twice the slots is the
+// score orders the targets of an object. A target with twice the weight is the
 // home of twice as many objects.
-func score(object, target uint64, slots int) float64 {
+func score(object, target uint64, weight float64) float64 {
 	h := mix(object ^ mix(target))
 	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return -float64(slots) / math.Log(u)
+	return -weight / math.Log(u)
 }
 
 // mix is the finalizer of MurmurHash3 (Appleby, 2011).
--- a/spread/table_test.go
+++ b/spread/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -173,3 +174,35 @@
 		t.Error("the object did not return to its home after the pause")
 	}
 }
+
+// TestNearHomes guards against homes that are all far away, and against
+// objects whose home among the targets of one region depends on the region of
+// the caller.
+func TestNearHomes(t *testing.T) {
+	near, far := newTestTable(6, 100), newTestTable(6, 100)
+	far.zone, far.region = "b-1", "b"
+	own, same := 0, 0
+	const objects = 1000
+	for i := range objects {
+		q := query(fmt.Sprint(i))
+		a, b := near.Choose(start, q).Target(), far.Choose(start, q).Target()
+		if a.Region() == "a" {
+			own++
+		}
+		if a.Region() != b.Region() {
+			continue
+		}
+		same++
+		if a.ID() != b.ID() {
+			t.Errorf("object %d has the homes %s and %s in one region", i, a.ID(), b.ID())
+		}
+	}
+	// Of two equal regions, the own one gets its weight of the objects.
+	want := objects * nearWeight / (1 + nearWeight)
+	if math.Abs(float64(own)-want) > objects/20 {
+		t.Errorf("%d of %d objects have their home in the own region, want about %.0f", own, objects, want)
+	}
+	if same == 0 {
+		t.Error("no object has its home in the same region for both callers")
+	}
+}
