--- a/spread/table.go
+++ b/spread/table.go
@@ -41,11 +41,12 @@
 	// targets under load, all of them forget, and the load multiplies.
 	homes = 3
 	// rankCost is by how many requests a slot, in the queue of a target, the
-	// next one in the order must be shorter to be preferred.
-	rankCost = 0.25
+	// next one in the order must be shorter to be preferred. A target that
+	// does not remember the object works more than three times as long.
+	rankCost = 0.9
 	// longestQueue is how many requests a slot wait at a target at most.
 	// Later ones would miss the aim of their route.
-	longestQueue = 1.0
+	longestQueue = 1.4
 	// nearWeight is how many times more objects a target gets from callers of
 	// its own region than from others. Objects are mostly asked for in one
 	// region, so that few have two homes for it, and regions with few targets
