--- a/cmds/trial.go
+++ b/cmds/trial.go
@@ -10,8 +10,8 @@
 	"github.com/google/subcommands"
 
 	"rhubarbrack/ident"
-	"rhubarbrack/node"
 	"rhubarbrack/lister"
+	"rhubarbrack/node"
 	"rhubarbrack/stand"
 	"rhubarbrack/tasks"
 
--- a/ctrl/lead.go
+++ b/ctrl/lead.go
@@ -12,8 +12,8 @@
 	"rhubarbrack/agree"
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
-	"rhubarbrack/plan"
 	"rhubarbrack/lister"
+	"rhubarbrack/plan"
 	"rhubarbrack/state"
 	"rhubarbrack/tasks"
 )
--- a/link/pool.go
+++ b/link/pool.go
@@ -66,21 +66,18 @@
 				fault = syscall.SetsockoptInt(
 					int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(silenceLimit.Milliseconds()))
 			})
-			return errors.Trace(firstError(err, fault))
+			if err == nil {
+				err = fault
+			}
+			if err != nil {
+				return fmt.Errorf("bound the silence of a connection: %w", err)
+			}
+			return nil
 		},
 	}
 	return p, nil
 }
 
-func firstError(list ...error) error {
-	for _, err := range list {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Take returns an idle connection to the address, or opens one. Its error
 // wraps ErrUnreached: nothing was sent.
 func (p *Pool) Take(ctx context.Context, address string) (*Conn, error) {
--- a/mesh/keeper.go
+++ b/mesh/keeper.go
@@ -28,6 +28,7 @@
 	for pause(ctx, c.clock, keepInterval) {
 		status, err := c.replica.Status(ctx)
 		if err != nil {
+			c.log.Info("mesh: upkeep of the membership ends", "error", err)
 			return
 		}
 		var addresses []string
@@ -63,6 +64,7 @@
 func (c *Control) ask(ctx context.Context) {
 	list, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[[]string]) any { return askControls{reply: reply} })
 	if err != nil {
+		c.log.Info("mesh: cannot ask to join", "error", err)
 		return
 	}
 	ended := make(chan struct{}, len(list))
@@ -96,6 +98,7 @@
 func (c *Control) admit(ctx context.Context, status ctrl.Status) {
 	joiners, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[[]joiner]) any { return askJoiners{reply: reply} })
 	if err != nil {
+		c.log.Info("mesh: membership not looked at", "error", err)
 		return
 	}
 	change, cancel := context.WithTimeout(ctx, changeTimeout)
--- a/mesh/reader.go
+++ b/mesh/reader.go
@@ -43,6 +43,7 @@
 func (c *Control) isReader(ctx context.Context) bool {
 	status, err := c.replica.Status(ctx)
 	if err != nil {
+		c.log.Info("mesh: list of targets not read", "error", err)
 		return false
 	}
 	leads, known := c.isLeader(status)
--- a/node/control.go
+++ b/node/control.go
@@ -13,10 +13,10 @@
 	"rhubarbrack/conf"
 	"rhubarbrack/ctrl"
 	"rhubarbrack/ident"
+	"rhubarbrack/lister"
 	"rhubarbrack/meter"
 	"rhubarbrack/oper"
 	"rhubarbrack/plan"
-	"rhubarbrack/lister"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
 )
--- a/node/fleet_entry_test.go
+++ b/node/fleet_entry_test.go
@@ -12,8 +12,8 @@
 	"testing"
 
 	"rhubarbrack/clock"
-	"rhubarbrack/oper"
 	"rhubarbrack/lister"
+	"rhubarbrack/oper"
 	"rhubarbrack/stand"
 )
 
--- a/node/hub.go
+++ b/node/hub.go
@@ -14,9 +14,9 @@
 	"rhubarbrack/guard"
 	"rhubarbrack/ident"
 	"rhubarbrack/limit"
+	"rhubarbrack/lister"
 	"rhubarbrack/locate"
 	"rhubarbrack/plan"
-	"rhubarbrack/lister"
 	"rhubarbrack/prof"
 	"rhubarbrack/route"
 	"rhubarbrack/state"
@@ -77,7 +77,7 @@
 var (
 	_ ctrl.ViewSink      = (*hubRef)(nil)
 	_ caller.Directories = (*hubRef)(nil)
-	_ lister.Sink         = (*hubRef)(nil)
+	_ lister.Sink        = (*hubRef)(nil)
 	_ target.ReportSink  = (*hubRef)(nil)
 )
 
--- a/node/throughput_test.go
+++ b/node/throughput_test.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"rhubarbrack/ident"
-	"rhubarbrack/node"
 	"rhubarbrack/lister"
+	"rhubarbrack/node"
 	"rhubarbrack/stand"
 	"rhubarbrack/tasks"
 )
--- a/node/trial_test.go
+++ b/node/trial_test.go
@@ -17,8 +17,8 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
-	"rhubarbrack/load"
 	"rhubarbrack/lister"
+	"rhubarbrack/load"
 )
 
 var (
