--- a/mesh/follow_task.go
+++ b/mesh/follow_task.go
@@ -68,6 +68,7 @@
 	fetching bool
 	listTag  uint64
 	listRead time.Time
+	list     []Listed
 	listing  bool
 	hosts    int
 	most     time.Time
@@ -271,7 +272,7 @@
 		t.listRead = read
 	case !t.listing && read.After(t.listRead.Add(listAdvance)):
 		t.listing = true
-		go t.fetchList(m.peer)
+		go t.fetchList(m.peer, t.listTag)
 	}
 	t.settle(now)
 }
@@ -325,11 +326,11 @@
 	t.settle(t.clock.Now())
 }
 
-func (t *followTask) fetchList(p *peer) {
+func (t *followTask) fetchList(p *peer, have uint64) {
 	call, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
 	m := received{peer: p}
-	m.err = p.client.Call(call, methodTargets, &EmptyRecord{}, &m.record)
+	m.err = p.client.Call(call, methodTargets, &HaveRecord{Tag: have}, &m.record)
 	t.self.Tell(m)
 }
 
@@ -343,14 +344,20 @@
 	if !read.After(t.listRead) {
 		return
 	}
-	list := make([]Listed, len(m.record.Targets))
-	for i, r := range m.record.Targets {
-		list[i] = NewListed(ident.Target(r.ID), ident.Service(r.Service), r.Address, ident.Zone(r.Zone), r.Slots,
-			r.Draining, r.Cold)
+	changed := recordsOf(m.record)
+	list := changed
+	if m.record.Base != 0 {
+		if m.record.Base != t.listTag {
+			// Another control host's list came in between; the next report
+			// leads to a new fetch.
+			t.log.Info("mesh: changes of another list", "base", m.record.Base, "tag", t.listTag)
+			return
+		}
+		list = apply(t.list, changed, gonesOf(m.record))
 	}
-	t.listTag, t.listRead = m.record.Tag, read
+	t.listTag, t.listRead, t.list = m.record.Tag, read, list
 	t.sink.Targets(read, list)
-	t.log.Info("mesh: list of targets in force", "targets", len(list), "tag", m.record.Tag,
+	t.log.Info("mesh: list of targets in force", "targets", len(list), "changed", len(changed), "tag", m.record.Tag,
 		"age", m.record.Age.String(), "peer", m.peer.address)
 	t.settle(t.clock.Now())
 }
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -42,11 +42,13 @@
 	controls map[string]bool
 	joiners  map[string]joiner
 	list     *listing
-	tags     uint64
-	clients  map[string]*wire.Client
-	led      time.Time
-	lender   *quota.Lender
-	running  map[ident.Host]runningReport
+	// earlier holds the lists before, the oldest first.
+	earlier []*listing
+	tags    uint64
+	clients map[string]*wire.Client
+	led     time.Time
+	lender  *quota.Lender
+	running map[ident.Host]runningReport
 }
 
 // runningReport is what an entry host has under way at targets.
@@ -80,8 +82,11 @@
 		reply  tasks.Reply[GreetedRecord]
 	}
 	fetch   struct{ reply tasks.Reply[StateRecord] }
-	targets struct{ reply tasks.Reply[ListRecord] }
-	join    struct {
+	targets struct {
+		have  uint64
+		reply tasks.Reply[ListRecord]
+	}
+	join struct {
 		record JoinRecord
 		reply  tasks.Reply[[]string]
 	}
@@ -138,7 +143,7 @@
 	case fetch:
 		m.reply.Send(fromLedger(h.revision, h.ledger))
 	case targets:
-		m.reply.Send(h.listRecord())
+		m.reply.Send(h.listRecord(m.have))
 	case join:
 		h.join(m.record)
 		m.reply.Send(h.controlList())
@@ -326,20 +331,37 @@
 	}
 	h.tags++
 	h.log.Info("mesh: list of targets changed", "targets", len(list), "tag", h.tags)
+	if h.list != nil {
+		h.earlier = append(h.earlier, h.list)
+		h.earlier = h.earlier[max(0, len(h.earlier)-keptLists):]
+	}
 	h.list = &listing{read: now, tag: h.tags, targets: list}
 }
 
-func (h *hub) listRecord() ListRecord {
+// listRecord returns the list, or what has changed since the one with the
+// given tag if that is still known: a whole list fills a slow link for a
+// while, and it changes often while targets are replaced.
+func (h *hub) listRecord(have uint64) ListRecord {
 	if h.list == nil {
 		return ListRecord{}
 	}
 	r := ListRecord{HasList: true, Tag: h.list.tag, Age: h.clock.Now().Sub(h.list.read)}
-	for _, l := range h.list.targets {
+	changed, gone := h.list.targets, []ident.Target(nil)
+	for _, e := range h.earlier {
+		if e.tag == have {
+			r.Base = have
+			changed, gone = h.list.since(e)
+		}
+	}
+	for _, l := range changed {
 		r.Targets = append(r.Targets, TargetRecord{
 			ID: string(l.id), Service: string(l.service), Address: l.address, Zone: string(l.zone), Slots: l.slots,
 			Draining: l.draining, Cold: l.cold,
 		})
 	}
+	for _, id := range gone {
+		r.Gone = append(r.Gone, string(id))
+	}
 	return r
 }
 
--- a/mesh/hub_test.go
+++ b/mesh/hub_test.go
@@ -173,3 +173,44 @@
 		t.Errorf("old reports count: %v", got)
 	}
 }
+
+// TestListDelta guards against entry hosts whose list differs from that of
+// the control host after changes, and against whole lists for small changes.
+func TestListDelta(t *testing.T) {
+	target := func(id string, draining bool, cold time.Duration) Listed {
+		return NewListed(ident.Target(id), "s", id+":1", "z", 4, draining, cold)
+	}
+	lists := [][]Listed{
+		{target("a", false, 0), target("b", false, 0), target("c", false, 0)},
+		{target("a", true, 0), target("b", false, 0), target("c", false, 0)},
+		{target("b", false, 0), target("c", false, 0), target("d", false, 3*time.Second)},
+		{target("b", false, 0), target("d", false, 0), target("e", false, 0)},
+	}
+	h, c := newTestHub(t)
+	h.listed(slices.Clone(lists[0]))
+	first := h.list.tag
+	have := slices.Clone(lists[0])
+	tag := first
+	for i, list := range lists[1:] {
+		c.Advance(time.Second)
+		h.listed(slices.Clone(list))
+		r := h.listRecord(tag)
+		if r.Base != tag {
+			t.Fatalf("step %d: base %d, want %d", i, r.Base, tag)
+		}
+		if len(r.Targets) > 2 {
+			t.Errorf("step %d: %d targets sent", i, len(r.Targets))
+		}
+		have = apply(have, recordsOf(r), gonesOf(r))
+		tag = r.Tag
+		if !slices.Equal(have, list) {
+			t.Errorf("step %d: %v, want %v", i, have, list)
+		}
+	}
+	if r := h.listRecord(first + 12345); r.Base != 0 || len(r.Targets) != 3 {
+		t.Errorf("unknown list: base %d and %d targets, want a whole list", r.Base, len(r.Targets))
+	}
+	if r := h.listRecord(first); r.Base != first {
+		t.Errorf("list three changes ago: base %d, want %d", r.Base, first)
+	}
+}
--- a/mesh/listing.go
+++ b/mesh/listing.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"rhubarbrack/ident"
@@ -84,3 +86,50 @@
 	}
 	return true
 }
+
+// keptLists is the number of earlier lists to which changes can be told. An
+// entry host is seldom more than two behind.
+const keptLists = 8
+
+// since returns the targets that differ from an earlier list, and those that
+// are gone. Cold targets always differ, since their time counts down.
+func (l *listing) since(earlier *listing) ([]Listed, []ident.Target) {
+	old := map[ident.Target]Listed{}
+	for _, t := range earlier.targets {
+		old[t.id] = t
+	}
+	var changed []Listed
+	for _, t := range l.targets {
+		o, ok := old[t.id]
+		delete(old, t.id)
+		if !ok || o != t || t.cold > 0 {
+			changed = append(changed, t)
+		}
+	}
+	var gone []ident.Target
+	for id := range old {
+		gone = append(gone, id)
+	}
+	slices.Sort(gone)
+	return changed, gone
+}
+
+// apply returns the list after the given changes, in the order of ids.
+func apply(list []Listed, changed []Listed, gone []ident.Target) []Listed {
+	targets := map[ident.Target]Listed{}
+	for _, t := range list {
+		targets[t.id] = t
+	}
+	for _, id := range gone {
+		delete(targets, id)
+	}
+	for _, t := range changed {
+		targets[t.id] = t
+	}
+	out := make([]Listed, 0, len(targets))
+	for _, t := range targets {
+		out = append(out, t)
+	}
+	slices.SortFunc(out, func(a, b Listed) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -102,12 +102,17 @@
 		Draining bool
 		Cold     time.Duration
 	}
-	// ListRecord is the list of targets.
+	// HaveRecord asks for the list and names the one that the host has.
+	HaveRecord struct{ Tag uint64 }
+	// ListRecord is the list of targets. With a base it holds only what has
+	// changed since the list of that tag, and the targets that are gone.
 	ListRecord struct {
 		HasList bool
 		Tag     uint64
+		Base    uint64
 		Age     time.Duration
 		Targets []TargetRecord
+		Gone    []string
 	}
 	// JoinRecord asks to become a member of the replicated log.
 	JoinRecord struct {
@@ -137,3 +142,22 @@
 	}
 	return scheme.NewLedger(r.Version, r.Source, zones)
 }
+
+// recordsOf returns the targets of a list, or those that have changed.
+func recordsOf(r ListRecord) []Listed {
+	list := make([]Listed, len(r.Targets))
+	for i, t := range r.Targets {
+		list[i] = NewListed(ident.Target(t.ID), ident.Service(t.Service), t.Address, ident.Zone(t.Zone), t.Slots,
+			t.Draining, t.Cold)
+	}
+	return list
+}
+
+// gonesOf returns the targets that are gone.
+func gonesOf(r ListRecord) []ident.Target {
+	list := make([]ident.Target, len(r.Gone))
+	for i, id := range r.Gone {
+		list[i] = ident.Target(id)
+	}
+	return list
+}
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -23,9 +23,9 @@
 	return answer(s, reply, func(r tasks.Reply[StateRecord]) any { return fetch{reply: r} })
 }
 
-// Targets returns the list of targets.
-func (s *service) Targets(_ *EmptyRecord, reply *ListRecord) error {
-	return answer(s, reply, func(r tasks.Reply[ListRecord]) any { return targets{reply: r} })
+// Targets returns the list of targets, or what has changed of it.
+func (s *service) Targets(args *HaveRecord, reply *ListRecord) error {
+	return answer(s, reply, func(r tasks.Reply[ListRecord]) any { return targets{have: args.Tag, reply: r} })
 }
 
 // Join notes that a control host wants to become a member.
