--- a/node/fleet.go
+++ b/node/fleet.go
@@ -378,9 +378,10 @@
 	ready.Store(false)
 	follower.SetReady(false)
 	front.Drain()
-	f.wait(leaveTime)
+	leave := min(leaveTime, f.grace/2)
+	f.wait(leave)
 	handler.Stop()
-	closing, cancel := context.WithTimeout(inner, f.grace-leaveTime-stopMargin)
+	closing, cancel := context.WithTimeout(inner, max(f.grace-leave-stopMargin, stopMargin))
 	defer cancel()
 	if err := front.Shutdown(closing); err != nil {
 		f.log.Warn("node: requests were cut at the end of the grace", "error", err)
