Close only connections on which no request has begun

Cause: at a planned stop http.Server.Shutdown closed connections as idle on which a part of a request had been read already: net/http counts a connection as active only when the whole header is parsed. Ruled out: the accept queue (the connection was open before) and a lost answer (no handler ran).

Change: the front owns its connections.

--- a/relay/course_test.go
+++ b/relay/course_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -299,3 +300,78 @@
 		t.Errorf("stopped: run %q, %d requests passed on", r.Header.Get("Run"), len(h.target.list()))
 	}
 }
+
+// untilRefused returns when no connection to the address comes about any more.
+func untilRefused(t *testing.T, address string) {
+	t.Helper()
+	for {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			return
+		}
+		if err := c.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestShutdownServesWhatArrived guards against a planned stop that closes a
+// kept connection as idle although a request, or a part of one, has arrived
+// on it.
+func TestShutdownServesWhatArrived(t *testing.T) {
+	const request = "GET /safe/1 HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: key\r\n\r\n"
+	cases := []struct {
+		name   string
+		before int
+		served bool
+	}{
+		{"nothing", 0, false},
+		{"first byte", 1, true},
+		{"half of the header", len(request) / 2, true},
+		{"whole request", len(request), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newTestHost(t, func(_ int, r *http.Request) string { return ran(r, 200, "ok") })
+			conn, err := net.Dial("tcp", h.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			reader := bufio.NewReader(conn)
+			exchange := func(text string) (*http.Response, error) {
+				if _, err := io.WriteString(conn, text); err != nil {
+					return nil, err
+				}
+				r, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					return nil, err
+				}
+				_, err = io.Copy(io.Discard, r.Body)
+				return r, err
+			}
+			if _, err := exchange(request); err != nil {
+				t.Fatal(err)
+			}
+			h.front.Drain()
+			if _, err := io.WriteString(conn, request[:c.before]); err != nil {
+				t.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- h.front.Shutdown(context.Background()) }()
+			untilRefused(t, h.address)
+			if c.served {
+				r, err := exchange(request[c.before:])
+				if err != nil || r.StatusCode != http.StatusOK || !r.Close {
+					t.Errorf("answer %+v, error %v; want status 200 and the end of the connection", r, err)
+				}
+			}
+			if _, err := reader.ReadByte(); !errors.Is(err, io.EOF) {
+				t.Errorf("connection ends with %v, want EOF", err)
+			}
+			if err := <-ended; err != nil {
+				t.Errorf("shutdown: %v", err)
+			}
+		})
+	}
+}
--- a/relay/front.go
+++ b/relay/front.go
@@ -34,7 +34,8 @@
 	ctx context.Context, system *tasks.System, listener net.Listener, handler http.Handler, connections int,
 	c clock.Clock, log *slog.Logger,
 ) (*Front, error) {
-	t := &frontTask{ctx: ctx, listener: listener, connections: int64(connections), draining: new(atomic.Bool), clock: c, log: log}
+	t := &frontTask{ctx: ctx, listener: listener, connections: int64(connections),
+		draining: new(atomic.Bool), conns: map[*callerConn]bool{}, clock: c, log: log}
 	t.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if t.draining.Load() || t.open.Load() > t.connections/2 {
 			w.Header().Set("Connection", "close")
@@ -55,35 +56,36 @@
 func (f *Front) Limit(l scheme.Limits) { f.ref.Tell(setLimits{limits: l}) }
 
 // Drain announces the end of the connection with each further answer. New
-// connections are still served, and idle ones stay open: net/http may close a
-// connection as idle on which a request is just being read.
+// connections are still served, and idle ones stay open.
 func (f *Front) Drain() { f.draining.Store(true) }
 
 // Shutdown accepts no more connections and returns when all requests have
 // been answered or ctx ends.
 func (f *Front) Shutdown(ctx context.Context) error {
-	servers, err := tasks.Ask(ctx, f.ref, func(reply tasks.Reply[[]*http.Server]) any { return closeFront{reply: reply} })
+	f.draining.Store(true)
+	ended, err := tasks.Ask(ctx, f.ref, func(reply tasks.Reply[<-chan struct{}]) any { return closeFront{reply: reply} })
 	if err != nil {
 		return fmt.Errorf("shut down front: %w", err)
 	}
-	var faults []error
-	for _, s := range servers {
-		faults = append(faults, s.Shutdown(ctx))
-	}
-	if err := errors.Join(faults...); err != nil {
-		return fmt.Errorf("shut down front: %w", err)
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("shut down front: %w", context.Cause(ctx))
 	}
-	return nil
 }
 
 // The messages of the front.
 type (
 	accepted   struct{ conn net.Conn }
 	setLimits  struct{ limits scheme.Limits }
-	closeFront struct{ reply tasks.Reply[[]*http.Server] }
+	closeFront struct{ reply tasks.Reply[<-chan struct{}] }
+	connRests  struct{ conn *callerConn }
+	connEnded  struct{ conn *callerConn }
 )
 
-// frontTask owns the servers, one for each set of limits.
+// frontTask owns the callers' connections and the servers that read them, one
+// for each set of limits.
 type frontTask struct {
 	ctx      context.Context
 	self     *tasks.Ref
@@ -94,11 +96,14 @@
 	limits   scheme.Limits
 	servers  []*http.Server
 	feed     *feed
-	waiting  []net.Conn
+	waiting  []*callerConn
 	draining *atomic.Bool
-	// open counts the connections; the servers' goroutines change it.
+	conns    map[*callerConn]bool
+	// open is the number of conns, for the goroutines of requests.
 	open        atomic.Int64
 	connections int64
+	// ended is set once the front closes, and closed with the last connection.
+	ended chan struct{}
 }
 
 // acceptPause is the time without new connections after one could not be
@@ -136,21 +141,76 @@
 func (t *frontTask) Handle(message any) {
 	switch m := message.(type) {
 	case accepted:
-		if t.feed == nil {
-			t.waiting = append(t.waiting, m.conn)
-			return
-		}
-		if t.open.Load() >= t.connections {
-			t.log.Warn("relay: connection closed unread", "open", t.open.Load())
-			_ = m.conn.Close()
-			return
-		}
-		t.feed.push(m.conn)
+		t.accepted(m.conn)
 	case setLimits:
 		t.setLimits(m.limits)
+	case connRests:
+		if t.ended != nil {
+			m.conn.leave()
+		}
+	case connEnded:
+		delete(t.conns, m.conn)
+		t.open.Store(int64(len(t.conns)))
+		t.endIfEmpty()
 	case closeFront:
 		_ = t.listener.Close()
-		m.reply.Send(t.servers)
+		m.reply.Send(t.close())
+	}
+}
+
+func (t *frontTask) accepted(socket net.Conn) {
+	if open := len(t.conns) + len(t.waiting); int64(open) >= t.connections {
+		t.log.Warn("relay: connection closed unread", "open", open)
+		_ = socket.Close()
+		return
+	}
+	c := newCallerConn(socket, t.clock)
+	if t.feed == nil {
+		t.waiting = append(t.waiting, c)
+		return
+	}
+	t.serve(c)
+}
+
+// serve passes a connection on to the server with the newest limits.
+func (t *frontTask) serve(c *callerConn) {
+	if !t.feed.push(c) {
+		t.log.Warn("relay: connection closed unread", "open", len(t.conns))
+		_ = c.Close()
+		return
+	}
+	t.conns[c] = true
+	t.open.Store(int64(len(t.conns)))
+	if t.ended != nil {
+		c.leave()
+	}
+}
+
+// close ends all connections between two requests, and returns a channel that
+// is closed with the last one.
+func (t *frontTask) close() <-chan struct{} {
+	if t.ended == nil {
+		t.ended = make(chan struct{})
+		for c := range t.conns {
+			c.leave()
+		}
+		for _, c := range t.waiting {
+			_ = c.Close()
+		}
+		t.waiting = nil
+		t.endIfEmpty()
+	}
+	return t.ended
+}
+
+func (t *frontTask) endIfEmpty() {
+	if t.ended == nil || len(t.conns) > 0 {
+		return
+	}
+	select {
+	case <-t.ended:
+	default:
+		close(t.ended)
 	}
 }
 
@@ -174,14 +234,7 @@
 		MaxHeaderBytes:    l.HeaderBytes(),
 		ReadHeaderTimeout: l.HeaderTime(),
 		IdleTimeout:       l.IdleTime(),
-		ConnState: func(_ net.Conn, s http.ConnState) {
-			switch s {
-			case http.StateNew:
-				t.open.Add(1)
-			case http.StateClosed, http.StateHijacked:
-				t.open.Add(-1)
-			}
-		},
+		ConnState: t.connState,
 		ErrorLog: slog.NewLogLogger(t.log.Handler(), slog.LevelDebug),
 	}
 	t.servers = append(t.servers, server)
@@ -195,11 +248,29 @@
 		_ = old.Close()
 	}
 	for _, c := range t.waiting {
-		t.feed.push(c)
+		t.serve(c)
 	}
 	t.waiting = nil
 }
 
+// connState follows a connection through its server, which calls it on the
+// goroutine of the connection.
+func (t *frontTask) connState(conn net.Conn, s http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateIdle:
+		c.rest()
+		if t.draining.Load() {
+			t.self.Tell(connRests{conn: c})
+		}
+	case http.StateClosed, http.StateHijacked:
+		t.self.Tell(connEnded{conn: c})
+	}
+}
+
 func maxBody(l scheme.Limits) int64 {
 	if l.BodyBytes() > 0 {
 		return l.BodyBytes()
@@ -222,12 +293,14 @@
 	return &feed{address: address, conns: make(chan net.Conn, feedConns), closed: make(chan struct{})}
 }
 
-// push passes a connection on, or closes it when too many wait.
-func (f *feed) push(c net.Conn) {
+// push passes a connection on, and reports whether it did: false means that
+// too many wait.
+func (f *feed) push(c net.Conn) bool {
 	select {
 	case f.conns <- c:
+		return true
 	default:
-		_ = c.Close()
+		return false
 	}
 }
 
