--- a/mesh/hub_test.go
+++ b/mesh/hub_test.go
@@ -214,3 +214,19 @@
 		t.Errorf("list three changes ago: base %d, want %d", r.Base, first)
 	}
 }
+
+// TestIntervalFor guards against a long list that is read at the pace of a
+// short one, each page of which is a call to the platform.
+func TestIntervalFor(t *testing.T) {
+	cases := []struct {
+		targets int
+		want    time.Duration
+	}{
+		{0, time.Second}, {longList - 1, time.Second}, {longList, 2 * time.Second}, {10 * longList, 2 * time.Second},
+	}
+	for _, c := range cases {
+		if got := intervalFor(c.targets, time.Second); got != c.want {
+			t.Errorf("%d targets: %v, want %v", c.targets, got, c.want)
+		}
+	}
+}
--- a/mesh/reader.go
+++ b/mesh/reader.go
@@ -11,6 +11,9 @@
 const (
 	// listTimeout bounds one reading of the list.
 	listTimeout = 2 * time.Second
+	// longList is the number of targets from which the list is read at half the
+	// pace. Each page is a call, and the platform limits and counts calls.
+	longList = 200
 	// leaderless is how long the list must be old before a host reads it that
 	// does not lead.
 	leaderless = 3 * time.Second
@@ -18,9 +21,10 @@
 
 // ReadList reads the platform's list again and again until ctx ends. One
 // control host reads for the fleet: the leader, or any that knows no leader
-// for a while.
+// for a while. The interval is the time between two readings of a short list.
 func (c *Control) ReadList(ctx context.Context, lister Lister, interval time.Duration) {
 	failed := false
+	next := interval
 	for {
 		if c.isReader(ctx) {
 			call, cancel := context.WithTimeout(ctx, listTimeout)
@@ -32,14 +36,24 @@
 			}
 			if err == nil {
 				c.ref.Tell(listed{targets: list})
+				next = intervalFor(len(list), interval)
 			}
 		}
-		if !pause(ctx, c.clock, interval) {
+		if !pause(ctx, c.clock, next) {
 			return
 		}
 	}
 }
 
+// intervalFor returns the time between two readings of a list of the given
+// length.
+func intervalFor(targets int, interval time.Duration) time.Duration {
+	if targets >= longList {
+		return 2 * interval
+	}
+	return interval
+}
+
 func (c *Control) isReader(ctx context.Context) bool {
 	status, err := c.replica.Status(ctx)
 	if err != nil {
