--- a/node/fleet.go
+++ b/node/fleet.go
@@ -45,6 +45,7 @@
 	firstStart bool
 	grace      time.Duration
 	files      int
+	link       float64
 	bounds     admit.Bounds
 	clock      clock.Clock
 	log        *slog.Logger
@@ -87,6 +88,12 @@
 	return f
 }
 
+// WithLink sets the bytes per second that the link of the host carries.
+func (f Fleet) WithLink(rate float64) Fleet {
+	f.link = rate
+	return f
+}
+
 // WithMetrics sets the address at which counters and histograms are served.
 func (f Fleet) WithMetrics(address string) Fleet {
 	f.metrics = address
@@ -363,7 +370,11 @@
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
-	handler := relay.NewHandler(desk, pool, dialect, follower, f.clock, f.log, gauges)
+	options, err := f.pacing(inner, system)
+	if err != nil {
+		return fmt.Errorf("entry host: %w", err)
+	}
+	handler := relay.NewHandler(desk, pool, dialect, follower, f.clock, f.log, gauges, options...)
 	front, err := relay.StartFront(
 		inner, system, listener, handler, f.files*callersPercent/100, f.clock, f.log)
 	if err != nil {
@@ -393,4 +404,20 @@
 	return nil
 }
 
+// fastLink is the bytes per second from which a link needs no pacing: a long
+// answer then holds up others for a few milliseconds only.
+const fastLink = 10e6
+
+// pacing returns the options of a handler on a slow link.
+func (f Fleet) pacing(ctx context.Context, system *tasks.System) ([]relay.HandlerOption, error) {
+	if f.link <= 0 || f.link >= fastLink {
+		return nil, nil
+	}
+	p, err := relay.StartPacer(ctx, system, f.clock, f.link)
+	if err != nil {
+		return nil, fmt.Errorf("pace answers: %w", err)
+	}
+	return []relay.HandlerOption{relay.WithPacer(p)}, nil
+}
+
 func (f Fleet) wait(d time.Duration) { <-f.clock.NewTimer(d).C() }
--- a/relay/course.go
+++ b/relay/course.go
@@ -308,7 +308,7 @@
 	written, err := x.writer.Write(first)
 	if err == nil {
 		var n int64
-		n, err = io.CopyBuffer(writerOnly{x.writer}, r.Body, make([]byte, copyBytes))
+		n, err = io.CopyBuffer(writerOnly{x.writer}, x.paced(r.Body), make([]byte, copyBytes))
 		written += int(n)
 	}
 	if err != nil {
@@ -320,6 +320,15 @@
 	x.end(d, "answered", slog.Int("status", r.StatusCode), slog.Int("bytes", written))
 }
 
+// paced returns the rest of a long answer as the link of the host allows.
+func (x *course) paced(body io.Reader) io.Reader {
+	h := x.handler
+	if h.pacer == nil {
+		return body
+	}
+	return h.pacer.reader(x.ctx, body, h.clock.Now())
+}
+
 // writerOnly hides io.ReaderFrom, which would ignore the copy buffer.
 type writerOnly struct{ io.Writer }
 
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -92,7 +92,7 @@
 		tight  []ident.Team
 		until  time.Time
 	}
-	denied struct{ team ident.Team }
+	denied    struct{ team ident.Team }
 	configure struct{ config *scheme.Config }
 	update    struct{ targets []spread.Target }
 	evacuate  struct{ zones []ident.Zone }
--- a/relay/front.go
+++ b/relay/front.go
@@ -234,8 +234,8 @@
 		MaxHeaderBytes:    l.HeaderBytes(),
 		ReadHeaderTimeout: l.HeaderTime(),
 		IdleTimeout:       l.IdleTime(),
-		ConnState: t.connState,
-		ErrorLog: slog.NewLogLogger(t.log.Handler(), slog.LevelDebug),
+		ConnState:         t.connState,
+		ErrorLog:          slog.NewLogLogger(t.log.Handler(), slog.LevelDebug),
 	}
 	t.servers = append(t.servers, server)
 	feed := t.feed
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -55,14 +55,27 @@
 	log     *slog.Logger
 	meter   Meter
 	lender  Borrower
+	// pacer is nil where the link is fast.
+	pacer   *Pacer
 	stopped atomic.Bool
 }
 
+// HandlerOption sets an optional property of a handler.
+type HandlerOption func(*Handler)
+
+// WithPacer passes long answers on as a slow link allows.
+func WithPacer(p *Pacer) HandlerOption { return func(h *Handler) { h.pacer = p } }
+
 // NewHandler returns a handler.
 func NewHandler(
 	desk *Desk, pool *link.Pool, dialect Dialect, lender Borrower, c clock.Clock, log *slog.Logger, m Meter,
+	list ...HandlerOption,
 ) *Handler {
-	return &Handler{desk: desk, pool: pool, dialect: dialect, lender: lender, clock: c, log: log, meter: m}
+	h := &Handler{desk: desk, pool: pool, dialect: dialect, lender: lender, clock: c, log: log, meter: m}
+	for _, apply := range list {
+		apply(h)
+	}
+	return h
 }
 
 var _ http.Handler = (*Handler)(nil)
--- a/tasks/every.go
+++ b/tasks/every.go
@@ -40,3 +40,18 @@
 	}()
 	return done
 }
+
+// After tells a message once, after the given time, unless ctx ends before.
+func After(ctx context.Context, c clock.Clock, d time.Duration, r *Ref, message any) {
+	go func() {
+		t := c.NewTimer(d)
+		select {
+		case <-t.C():
+			r.Tell(message)
+		case <-ctx.Done():
+			t.Stop()
+		case <-r.Done():
+			t.Stop()
+		}
+	}()
+}
