Put changed cold rates in force; keep a waiting request's services

Causes, found by reading: Desk.Configure set the cold rate of a service only for routes whose services changed, so a configuration that changes nothing else kept the old bound. A request that waited for a token while a configuration removed its route dereferenced nil, which ends the process. Change: cold rates are set with each configuration, and a ticket carries the division of its route. Tests, failing before: TestColdRate, TestPaidAfterChange.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -53,7 +53,7 @@
 	teams   *quota.Teams
 	bounds  Bounds
 	budgets map[ident.Service]*quota.Budget
-	splits  map[string]*split
+	splits  map[*scheme.Route]*split
 	hosts   int
 	share   float64
 }
@@ -65,7 +65,7 @@
 		teams:   quota.NewTeams(b.rateSpan),
 		bounds:  b,
 		budgets: map[ident.Service]*quota.Budget{},
-		splits:  map[string]*split{},
+		splits:  map[*scheme.Route]*split{},
 		hosts:   1,
 		share:   1,
 	}
@@ -74,20 +74,22 @@
 // Configure puts a configuration in force.
 func (d *Desk) Configure(c *scheme.Config) {
 	d.config = c
-	splits := map[string]*split{}
+	former := map[string]*split{}
+	for r, s := range d.splits {
+		former[r.Host()+r.Prefix()] = s
+	}
+	d.splits = map[*scheme.Route]*split{}
 	for _, r := range c.Routes() {
-		id := r.Host() + r.Prefix()
-		if old, ok := d.splits[id]; ok && old.isFor(r.Parts()) {
-			splits[id] = old
-			continue
+		s, ok := former[r.Host()+r.Prefix()]
+		if !ok || !s.isFor(r.Parts()) {
+			s = newSplit(r.Parts())
 		}
-		splits[id] = newSplit(r.Parts())
+		d.splits[r] = s
 		for _, p := range r.Parts() {
-			s, _ := c.Service(p.Service())
-			d.table.SetColdRate(s.Name(), s.ColdRate())
+			service, _ := c.Service(p.Service())
+			d.table.SetColdRate(service.Name(), service.ColdRate())
 		}
 	}
-	d.splits = splits
 	known := map[ident.Team]bool{}
 	for _, t := range c.Teams() {
 		known[t.Name()] = true
@@ -146,7 +148,8 @@
 		return Decision{reason: NoRoute}
 	}
 	t := &Ticket{
-		request: r, route: route, priority: route.Priority(), arrived: now, version: d.config.Version(),
+		request: r, route: route, split: d.splits[route], priority: route.Priority(), arrived: now,
+		version: d.config.Version(),
 	}
 	t.deadline = now.Add(d.patience(r, route))
 	if reason, wait := d.identify(now, t); reason != "" {
@@ -166,7 +169,7 @@
 
 // accept sends a request that is within its team's rate.
 func (d *Desk) accept(now time.Time, t *Ticket) Decision {
-	t.service = d.splits[t.route.Host()+t.route.Prefix()].next()
+	t.service = t.split.next()
 	d.budget(t.service).Request(now)
 	return d.send(now, t)
 }
--- a/admit/desk_test.go
+++ b/admit/desk_test.go
@@ -172,3 +172,53 @@
 		t.Errorf("a paid request was refused: %s", reason)
 	}
 }
+
+// TestColdRate guards against a configuration that changes only the rate which
+// cold targets tolerate, and does not take effect.
+func TestColdRate(t *testing.T) {
+	part := []scheme.Part{scheme.NewPart("s", 1)}
+	desk := NewDesk("z", "r", NewBounds(5*time.Second, 10*time.Second, 0.2, 60, 1, 0))
+	desk.Table().Update([]spread.Target{
+		spread.NewTarget("s0", "s", "s0:1", "z", "r", 1000, false, start.Add(time.Hour)),
+	})
+	for i, rate := range []float64{10, 3, 20} {
+		c, err := scheme.New(uint64(i+1), scheme.Limits{}, nil,
+			[]*scheme.Route{scheme.NewRoute("a", "h", "/a/", scheme.Repeatable, part, time.Second, 3)},
+			[]scheme.Service{scheme.NewService("s", "", 9, time.Hour, rate)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		desk.Configure(c)
+		now := start.Add(time.Duration(i) * time.Minute)
+		sent := 0
+		for range 100 {
+			d := desk.Admit(now, ask("/a/1", "", 0))
+			if _, refused := d.Refused(); !refused {
+				sent++
+				desk.Done(now, d.Choice(), spread.Served, ident.None[spread.Load]())
+			}
+		}
+		if sent != int(rate) {
+			t.Errorf("%d requests sent to a cold target in one moment, want %v", sent, rate)
+		}
+	}
+}
+
+// TestPaidAfterChange guards against a request whose route is removed while it
+// waits for a token, and then finds no service.
+func TestPaidAfterChange(t *testing.T) {
+	desk := newTestDesk(t, 60)
+	desk.SetHosts(10)
+	d := desk.Admit(start, ask("/a/1", "bound", 0))
+	for !d.MayBorrow() {
+		d = desk.Admit(start, ask("/a/1", "bound", 0))
+	}
+	c, err := scheme.New(4, scheme.Limits{}, nil, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	desk.Configure(c)
+	if reason, refused := desk.Paid(start, d.Ticket()).Refused(); refused {
+		t.Errorf("refused: %s", reason)
+	}
+}
--- a/admit/request.go
+++ b/admit/request.go
@@ -61,6 +61,7 @@
 type Ticket struct {
 	request  Request
 	route    *scheme.Route
+	split    *split
 	team     ident.Team
 	homes    []ident.Region
 	service  ident.Service
