Remove what serves nobody: room of a window, count of stray answers

quota.Window.RoomAfter and link.Exchange.Stray had no callers left, the report of a follower asked twice whether its peer leads, and mesh.Control.isLeader returned two values for two callers of which one dropped the second. No change of behaviour.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -36,7 +36,6 @@
 	stop    func() bool
 	written <-chan error
 	done    bool
-	stray   int
 }
 
 // Send writes the request to the connection and reads the header of the
@@ -82,7 +81,6 @@
 		if own(answer) {
 			return answer, nil
 		}
-		x.stray++
 		n, err := io.CopyN(io.Discard, answer.Body, strayBytes)
 		if err == nil || !errors.Is(err, io.EOF) || answer.Close || !isDelimited(answer) {
 			return nil, fmt.Errorf("%w: %d bytes of its body", ErrForeign, n)
@@ -100,9 +98,6 @@
 // Answer returns the answer. Its body must be read to the end or not at all.
 func (x *Exchange) Answer() *http.Response { return x.answer }
 
-// Stray returns how many answers of other requests were skipped.
-func (x *Exchange) Stray() int { return x.stray }
-
 // Finish hands the connection back after the body was read to its end.
 func (x *Exchange) Finish() {
 	if x.done {
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -9,7 +9,6 @@
 
 	"github.com/juju/errors"
 
-	"rhubarbrack/agree"
 	"rhubarbrack/board"
 	"rhubarbrack/clock"
 	"rhubarbrack/ctrl"
@@ -214,8 +213,3 @@
 		return false
 	}
 }
-
-// isLeader reports whether the replica leads, and whether it knows a leader.
-func (c *Control) isLeader(s ctrl.Status) (leads, known bool) {
-	return s.Role() == agree.Leader, s.Leader() != ""
-}
--- a/mesh/follow_task.go
+++ b/mesh/follow_task.go
@@ -203,8 +203,6 @@
 			report.Needs = append(report.Needs,
 				NeedRecord{Team: string(n.Team()), Asked: n.Asked(), Taken: n.Taken(), Held: n.Held()})
 		}
-	}
-	if leads {
 		counts, err := t.sink.Running(call)
 		if err != nil {
 			t.log.Warn("mesh: report without the requests under way", "error", err)
--- a/mesh/keeper.go
+++ b/mesh/keeper.go
@@ -38,7 +38,7 @@
 			voter = voter || m.Member().Host() == c.host && m.Member().IsVoter()
 		}
 		c.ref.Tell(members{addresses: addresses})
-		if leads, _ := c.isLeader(status); leads {
+		if status.Role() == agree.Leader {
 			c.confirm(ctx)
 			c.admit(ctx, status)
 		} else if !voter {
--- a/mesh/reader.go
+++ b/mesh/reader.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rhubarbrack/agree"
 	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
 )
@@ -60,8 +61,7 @@
 		c.log.Info("mesh: list of targets not read", "error", err)
 		return false
 	}
-	leads, known := c.isLeader(status)
-	if leads || known {
+	if leads := status.Role() == agree.Leader; leads || status.Leader() != "" {
 		return leads
 	}
 	age, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[ident.Option[time.Duration]]) any {
--- a/quota/window.go
+++ b/quota/window.go
@@ -31,20 +31,6 @@
 	return w.sum
 }
 
-// RoomAfter returns how long it takes until the sum is at most the limit when
-// no event is added.
-func (w *Window) RoomAfter(now time.Time, limit float64) time.Duration {
-	w.move(now)
-	left := w.sum
-	for i := int64(1); i <= int64(len(w.counts)); i++ {
-		if left <= limit {
-			return time.Duration(i-1) * w.part
-		}
-		left -= w.counts[(w.latest+i)%int64(len(w.counts))]
-	}
-	return time.Duration(len(w.counts)) * w.part
-}
-
 // move drops the parts that have left the window.
 func (w *Window) move(now time.Time) {
 	at := now.UnixNano() / int64(w.part)
