--- a/relay/pacer.go
+++ b/relay/pacer.go
@@ -15,7 +15,7 @@
 const (
 	// pacedShare is the part of the host's link that long answers may take.
 	// The rest is for short ones and for the other hosts of the system.
-	pacedShare = 0.8
+	pacedShare = 0.6
 	// pacedBytes is the size of the pieces in which a paced answer passes.
 	pacedBytes = 4 << 10
 )
