Tell each other of targets that fail

Ruled out: repeats (a deposit that may have run is not sent again) and the memory of failures, which is 3 s already. Tests: TestFailingTargets, TestFailuresElsewhere, TestCounts.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -120,11 +120,12 @@
 	d.teams.Lend(shares, tight, until)
 }
 
-// Running returns the requests of this host that are under way at each
-// target.
-func (d *Desk) Running() []spread.Count { return d.table.Running() }
+// Counts returns the requests of this host that are under way at targets, and
+// the results at those that fail.
+func (d *Desk) Counts(now time.Time) []spread.Count { return d.table.Counts(now) }
 
-// Observe takes over what other hosts have under way at targets.
+// Observe takes over what other hosts have under way at targets, and their
+// results.
 func (d *Desk) Observe(now time.Time, counts []spread.Count) { d.table.Observe(now, counts) }
 
 // Evacuate sets the zones whose targets get nothing.
--- a/mesh/follow.go
+++ b/mesh/follow.go
@@ -45,9 +45,11 @@
 	// Lend takes over the shares of rates lent until the given time, and the
 	// teams that have used most of their limit.
 	Lend(shares []quota.Share, tight []ident.Team, until time.Time)
-	// Running reports the requests under way at targets.
-	Running(ctx context.Context) ([]spread.Count, error)
-	// Observe takes over what other hosts have under way at targets.
+	// Counts reports the requests under way at targets, and the results at
+	// those that fail.
+	Counts(ctx context.Context) ([]spread.Count, error)
+	// Observe takes over what other hosts have under way at targets, and their
+	// results.
 	Observe(counts []spread.Count)
 	// Ready tells that the host knows enough to serve.
 	Ready()
--- a/mesh/follow_task.go
+++ b/mesh/follow_task.go
@@ -203,12 +203,14 @@
 			report.Needs = append(report.Needs,
 				NeedRecord{Team: string(n.Team()), Asked: n.Asked(), Taken: n.Taken(), Held: n.Held()})
 		}
-		counts, err := t.sink.Running(call)
+		counts, err := t.sink.Counts(call)
 		if err != nil {
-			t.log.Warn("mesh: report without the requests under way", "error", err)
+			t.log.Warn("mesh: report without the counts of targets", "error", err)
 		}
 		for _, c := range counts {
-			report.Running = append(report.Running, CountRecord{Target: string(c.Target()), Count: c.Count()})
+			report.Counts = append(report.Counts, CountRecord{
+				Target: string(c.Target()), Running: c.Running(), Failed: c.Failed(), Served: c.Served(),
+			})
 		}
 	}
 	m := greeted{peer: p, sent: sent}
@@ -228,11 +230,11 @@
 		tight[i] = ident.Team(name)
 	}
 	t.sink.Lend(shares, tight, m.sent.Add(quota.LendTime))
-	busy := make([]spread.Count, len(m.record.Busy))
-	for i, r := range m.record.Busy {
-		busy[i] = spread.NewCount(ident.Target(r.Target), r.Count)
+	others := make([]spread.Count, len(m.record.Others))
+	for i, r := range m.record.Others {
+		others[i] = spread.NewCount(ident.Target(r.Target), r.Running, r.Failed, r.Served)
 	}
-	t.sink.Observe(busy)
+	t.sink.Observe(others)
 }
 
 func (t *followTask) greeted(m greeted) {
--- a/mesh/hub_test.go
+++ b/mesh/hub_test.go
@@ -162,18 +162,45 @@
 	h, c := newTestHub(t)
 	h.listed([]Listed{NewListed("i", "s", "h:1", "z", 4, false, 0), NewListed("j", "s", "h:2", "z", 4, false, 0)})
 	for n := range 3 {
-		h.running[ident.Host(fmt.Sprint(n))] = runningReport{at: c.Now(), counts: []CountRecord{{Target: "i", Count: n}}}
+		h.counts[ident.Host(fmt.Sprint(n))] = countReport{at: c.Now(), counts: []CountRecord{{Target: "i", Running: n}}}
 	}
-	got := h.busy(c.Now(), "2")
-	if len(got) != 1 || got[0].Target != "i" || got[0].Count != 1 {
+	got := h.others(c.Now(), "2")
+	if len(got) != 1 || got[0].Target != "i" || got[0].Running != 1 {
 		t.Errorf("busy targets %v, want i with 1 request of the others", got)
 	}
-	c.Advance(2 * runningMemory)
-	if got := h.busy(c.Now(), "2"); len(got) != 0 {
+	c.Advance(2 * countMemory)
+	if got := h.others(c.Now(), "2"); len(got) != 0 {
 		t.Errorf("old reports count: %v", got)
 	}
 }
 
+// TestFailingTargets guards against a failing target that each of many hosts
+// has to find by itself, and against one that is avoided by all because one
+// host has lost its way to it or because of single failures.
+func TestFailingTargets(t *testing.T) {
+	fails := func(failed, served int) CountRecord { return CountRecord{Target: "i", Failed: failed, Served: served} }
+	cases := []struct {
+		name    string
+		reports []CountRecord
+		want    []CountRecord
+	}{
+		{"several hosts", []CountRecord{fails(1, 0), fails(2, 1), fails(0, 0)}, []CountRecord{fails(3, 1)}},
+		{"with the own failures", []CountRecord{fails(1, 0), fails(1, 5), fails(1, 0)}, []CountRecord{fails(2, 5)}},
+		{"one host", []CountRecord{fails(9, 0), fails(0, 4)}, nil},
+		{"single failures", []CountRecord{fails(1, 3), fails(1, 3)}, nil},
+	}
+	for _, c := range cases {
+		h, k := newTestHub(t)
+		h.listed([]Listed{NewListed("i", "s", "h:1", "z", 4, false, 0)})
+		for n, r := range c.reports {
+			h.counts[ident.Host(fmt.Sprint(n))] = countReport{at: k.Now(), counts: []CountRecord{r}}
+		}
+		if got := h.others(k.Now(), "2"); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
 // TestListDelta guards against entry hosts whose list differs from that of
 // the control host after changes, and against whole lists for small changes.
 func TestListDelta(t *testing.T) {
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -30,14 +30,17 @@
 		Ready   bool
 		// ReadyTag is that of the list of ready hosts which the host has.
 		ReadyTag uint64
-		// Needs and Running are set towards the leader only.
-		Needs   []NeedRecord
-		Running []CountRecord
+		// Needs and Counts are set towards the leader only.
+		Needs  []NeedRecord
+		Counts []CountRecord
 	}
-	// CountRecord is a number of requests under way at a target.
+	// CountRecord is a number of requests under way at a target, and of sends
+	// that ended lately.
 	CountRecord struct {
-		Target string
-		Count  int
+		Target  string
+		Running int
+		Failed  int
+		Served  int
 	}
 	// BorrowRecord asks for a token of a team's rate.
 	BorrowRecord struct {
@@ -82,8 +85,9 @@
 		Shares []ShareRecord
 		// Tight holds the teams that have used most of their limit.
 		Tight []string
-		// Busy holds what the other hosts have under way at busy targets.
-		Busy []CountRecord
+		// Others holds the counts of the other hosts at busy and at failing
+		// targets.
+		Others []CountRecord
 	}
 	// EmptyRecord asks without parameters.
 	EmptyRecord struct{}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -311,9 +311,9 @@
 	s.desk.Lend(shares, tight, until)
 }
 
-// Running implements mesh.Sink.
-func (s *entrySink) Running(ctx context.Context) ([]spread.Count, error) {
-	list, err := s.desk.Running(ctx)
+// Counts implements mesh.Sink.
+func (s *entrySink) Counts(ctx context.Context) ([]spread.Count, error) {
+	list, err := s.desk.Counts(ctx)
 	if err != nil {
 		return nil, fmt.Errorf("entry host: %w", err)
 	}
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -66,23 +66,25 @@
 	d.ref.Tell(lend{shares: shares, tight: tight, until: until})
 }
 
-// Running returns the requests of this host that are under way.
-func (d *Desk) Running(ctx context.Context) ([]spread.Count, error) {
-	list, err := tasks.Ask(ctx, d.ref, func(reply tasks.Reply[[]spread.Count]) any { return askRunning{reply: reply} })
+// Counts returns the requests of this host that are under way at targets, and
+// the results at those that fail.
+func (d *Desk) Counts(ctx context.Context) ([]spread.Count, error) {
+	list, err := tasks.Ask(ctx, d.ref, func(reply tasks.Reply[[]spread.Count]) any { return askCounts{reply: reply} })
 	if err != nil {
-		return nil, fmt.Errorf("requests under way: %w", err)
+		return nil, fmt.Errorf("counts of targets: %w", err)
 	}
 	return list, nil
 }
 
-// Observe takes over what other hosts have under way at targets.
+// Observe takes over what other hosts have under way at targets, and their
+// results.
 func (d *Desk) Observe(counts []spread.Count) { d.ref.Tell(observe{counts: counts}) }
 
 // The messages of the desk task.
 type (
-	askRunning struct{ reply tasks.Reply[[]spread.Count] }
-	observe    struct{ counts []spread.Count }
-	paid       struct {
+	askCounts struct{ reply tasks.Reply[[]spread.Count] }
+	observe   struct{ counts []spread.Count }
+	paid      struct {
 		ticket *admit.Ticket
 		reply  tasks.Reply[admit.Decision]
 	}
@@ -156,8 +158,8 @@
 		t.desk.SetHosts(m.hosts)
 	case paid:
 		m.reply.Send(t.desk.Paid(now, m.ticket))
-	case askRunning:
-		m.reply.Send(t.desk.Running())
+	case askCounts:
+		m.reply.Send(t.desk.Counts(now))
 	case observe:
 		t.desk.Observe(now, m.counts)
 	case askNeeds:
--- a/spread/result.go
+++ b/spread/result.go
@@ -75,6 +75,7 @@
 			s.full = now.Add(fullPause)
 		}
 	case Unreached:
+		s.failed.Add(now, 1)
 		s.pause(now)
 	case Lost:
 		s.fail(now, true)
--- a/spread/table_test.go
+++ b/spread/table_test.go
@@ -206,3 +206,58 @@
 		t.Error("no object has its home in the same region for both callers")
 	}
 }
+
+// TestFailuresElsewhere guards against a host that sends to a failing target
+// until it has failed here too, and against a target that stays avoided after
+// the failures have ended.
+func TestFailuresElsewhere(t *testing.T) {
+	cases := []struct {
+		name   string
+		failed int
+		served int
+		after  time.Duration
+		moves  bool
+	}{
+		{"all fail", 4, 0, 0, true},
+		{"one in ten fails", 3, 27, 0, false},
+		{"long ago", 4, 0, 3 * failureMemory, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTestTable(5, 100)
+			home := table.Choose(start, query("o")).Target().ID()
+			table.Observe(start, []Count{NewCount(home, 0, c.failed, c.served)})
+			got := table.Choose(start.Add(c.after), query("o")).Target().ID()
+			if (got != home) != c.moves {
+				t.Errorf("sent to %s, home %s; want another target: %v", got, home, c.moves)
+			}
+		})
+	}
+}
+
+// TestCounts guards against failures that are not told to other hosts, and
+// against served sends that are left out where others saw failures, which
+// makes the share of failures too great.
+func TestCounts(t *testing.T) {
+	table := newTestTable(1, 100)
+	end := func(v Verdict) ident.Target {
+		c := table.Choose(start, query("o"))
+		table.Done(start, c, v, ident.None[Load]())
+		return c.Target().ID()
+	}
+	id := end(Served)
+	if got := table.Counts(start); len(got) != 0 {
+		t.Errorf("%v told of a target at rest", got)
+	}
+	table.Observe(start, []Count{NewCount(id, 0, 3, 100)})
+	if got := table.Counts(start); len(got) != 1 || got[0] != NewCount(id, 0, 0, 1) {
+		t.Errorf("%v told, want the answer of the target that fails elsewhere", got)
+	}
+	end(Lost)
+	if got := table.Counts(start); len(got) != 1 || got[0] != NewCount(id, 0, 1, 1) {
+		t.Errorf("%v told, want one failure and one answer", got)
+	}
+	if got := table.Counts(start.Add(2 * resultSpan)); len(got) != 0 {
+		t.Errorf("%v told after the span", got)
+	}
+}
--- a/spread/target.go
+++ b/spread/target.go
@@ -75,6 +75,9 @@
 	// failureCost is by how many requests a slot the queue of a target must be
 	// shorter to make up for failures only.
 	failureCost = 2.0
+	// resultSpan is the time over which the results of sends are counted for
+	// other hosts.
+	resultSpan = 2 * time.Second
 	// slowCost is the same for each time that a target is slower than the
 	// others of its service, beyond slowBound: without the object in its
 	// memory a target takes about three times as long as with it.
@@ -99,13 +102,19 @@
 // state is what the host knows of one target.
 type state struct {
 	Target
-	seed      uint64
-	running   int
-	others    float64
-	othersAt  time.Time
-	cold      *quota.Window
-	failures  float64
-	failedAt  time.Time
+	seed     uint64
+	running  int
+	others   float64
+	othersAt time.Time
+	cold     *quota.Window
+	failures float64
+	failedAt time.Time
+	// failed and served count the results of this host's own sends.
+	failed *quota.Window
+	served *quota.Window
+	// blame is the share of failures at other hosts.
+	blame     float64
+	blamedAt  time.Time
 	row       int
 	until     time.Time
 	full      time.Time
@@ -137,6 +146,9 @@
 	s.failures = s.failureShare(now) * (1 - failureWeight)
 	if failed {
 		s.failures += failureWeight
+		s.failed.Add(now, 1)
+	} else {
+		s.served.Add(now, 1)
 	}
 	s.failedAt = now
 }
@@ -151,10 +163,12 @@
 }
 
 // trouble returns what the failures and the slowness of the target cost, in
-// requests a slot.
+// requests a slot. A host that seldom uses the target learns of failures from
+// others.
 func (s *state) trouble(now time.Time) float64 {
 	slow := s.slow * math.Exp(-now.Sub(s.slowAt).Seconds()/failureMemory.Seconds())
-	return failureCost*s.failureShare(now) + slowCost*max(0, slow-slowBound)
+	blame := s.blame * math.Exp(-now.Sub(s.blamedAt).Seconds()/failureMemory.Seconds())
+	return failureCost*max(s.failureShare(now), blame) + slowCost*max(0, slow-slowBound)
 }
 
 // pause keeps requests away after the target could not be reached.
