--- a/wire/client.go
+++ b/wire/client.go
@@ -46,7 +46,7 @@
 		}
 		o.security = o.securityFor(host)
 	}
-	t := &connection{ctx: ctx, address: address, options: o}
+	t := &connection{ctx: ctx, address: address, options: o, patience: o.firstDial}
 	ref, err := tasks.Spawn(ctx, system, name, t)
 	if err != nil {
 		return nil, fmt.Errorf("start client of %s: %w", address, err)
@@ -134,6 +134,8 @@
 	waiting   []invoke
 	lastHeard time.Time
 	nextDial  time.Time
+	// patience bounds the next attempt to dial.
+	patience time.Duration
 }
 
 var (
@@ -181,13 +183,13 @@
 	n.waiting = append(n.waiting, m)
 	if !n.dialling {
 		n.dialling = true
-		go n.dial()
+		go n.dial(n.patience)
 	}
 }
 
 // dial runs in its own goroutine and reports to the task.
-func (n *connection) dial() {
-	ctx, cancel := context.WithTimeout(n.ctx, n.options.dialTimeout)
+func (n *connection) dial(patience time.Duration) {
+	ctx, cancel := context.WithTimeout(n.ctx, patience)
 	defer cancel()
 	var conn net.Conn
 	var err error
@@ -208,11 +210,12 @@
 func (n *connection) dialled(m dialled) {
 	n.dialling = false
 	if m.err != nil {
+		n.patience = min(2*n.patience, n.options.dialTimeout)
 		n.nextDial = n.clock().Now().Add(n.options.redialPause)
 		n.refuse(fmt.Errorf("%w: %w", ErrUnreachable, m.err))
 		return
 	}
-	n.client = m.client
+	n.client, n.patience = m.client, n.options.firstDial
 	n.lastHeard = n.clock().Now()
 	waiting := n.waiting
 	n.waiting = nil
--- a/wire/client_test.go
+++ b/wire/client_test.go
@@ -214,3 +214,28 @@
 		})
 	}
 }
+
+// TestDialPatience guards against a client that waits a second for a peer
+// which has lost the opening packet and answers the next one at once, and
+// against one that never waits long enough for a peer on a slow link.
+func TestDialPatience(t *testing.T) {
+	lost := dialled{err: errors.New("timeout")}
+	steps := []struct {
+		name string
+		end  dialled
+		want time.Duration
+	}{
+		{"first failure", lost, 2 * defaultFirstDial},
+		{"second failure", lost, 4 * defaultFirstDial},
+		{"later failure", lost, defaultDialTimeout},
+		{"success", dialled{client: new(rpc.Client)}, defaultFirstDial},
+		{"failure after it", lost, 2 * defaultFirstDial},
+	}
+	n := &connection{options: newOptions(nil), patience: defaultFirstDial}
+	for _, s := range steps {
+		n.dialled(s.end)
+		if n.patience != s.want {
+			t.Errorf("%s: %v, want %v", s.name, n.patience, s.want)
+		}
+	}
+}
--- a/wire/options.go
+++ b/wire/options.go
@@ -16,7 +16,13 @@
 	defaultServerCalls = 4096
 	// defaultClientCalls bounds the calls in flight of one client.
 	defaultClientCalls = 4096
-	// defaultDialTimeout bounds the setting up of a connection.
+	// defaultFirstDial bounds the first attempt to set up a connection, and
+	// the first after a connection has ended. A peer that has just been
+	// without power has lost the opening packet, which the kernel repeats
+	// only after a second. It is several round trips between regions.
+	defaultFirstDial = 250 * time.Millisecond
+	// defaultDialTimeout bounds later attempts, each of which may take twice
+	// as long as the one before: a slow link needs more time.
 	defaultDialTimeout = time.Second
 	// defaultRedialPause keeps a client from dialling a dead peer in a loop.
 	defaultRedialPause = 100 * time.Millisecond
@@ -29,6 +35,7 @@
 	messageBytes int64
 	serverCalls  int
 	clientCalls  int
+	firstDial    time.Duration
 	dialTimeout  time.Duration
 	redialPause  time.Duration
 }
@@ -60,6 +67,7 @@
 		messageBytes: defaultMessageBytes,
 		serverCalls:  defaultServerCalls,
 		clientCalls:  defaultClientCalls,
+		firstDial:    defaultFirstDial,
 		dialTimeout:  defaultDialTimeout,
 		redialPause:  defaultRedialPause,
 	}
