Serve figures of control hosts; pause after a fault of the disk

Causes: on the platform the metrics address of a control host served an empty meter. Change: orders and readings of the list are counted and timed, and served with the gauges of the replica.

--- a/mesh/control.go
+++ b/mesh/control.go
@@ -38,20 +38,31 @@
 	log     *slog.Logger
 	host    ident.Host
 	own     string
+	meter   Meter
 }
 
+// Option sets an optional property of a Control.
+type Option func(*Control)
+
+// WithMeter counts orders, readings of the list and their times.
+func WithMeter(m Meter) Option { return func(c *Control) { c.meter = m } }
+
 // Start starts the hub of a control host whose replica listens at the own
 // address. The seeds are the addresses of some control hosts. Use must be
 // called before the server serves.
 func Start(
 	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, host ident.Host, own string,
-	seeds []string,
+	seeds []string, list ...Option,
 ) (*Control, error) {
 	ref, err := tasks.Spawn(ctx, system, "mesh-hub", newHub(ctx, system, c, log, own, seeds))
 	if err != nil {
 		return nil, fmt.Errorf("start mesh: %w", err)
 	}
-	return &Control{ref: ref, clock: c, log: log, host: host, own: own}, nil
+	control := &Control{ref: ref, clock: c, log: log, host: host, own: own, meter: noMeter{}}
+	for _, apply := range list {
+		apply(control)
+	}
+	return control, nil
 }
 
 // Publish is the listener of the board.
@@ -74,7 +85,7 @@
 func (c *Control) Put(ctx context.Context, version uint64, source []byte) error {
 	order, err := board.Put(version, source)
 	if err == nil {
-		err = c.submit(ctx, order)
+		err = c.timed(ctx, "order-put", func(ctx context.Context) error { return c.submit(ctx, order) })
 	}
 	if err != nil {
 		return fmt.Errorf("put configuration %d: %w", version, err)
@@ -86,7 +97,7 @@
 func (c *Control) Evacuate(ctx context.Context, zone ident.Zone, begin bool) error {
 	order, err := board.Evacuate(zone, begin)
 	if err == nil {
-		err = c.submit(ctx, order)
+		err = c.timed(ctx, "order-evacuate", func(ctx context.Context) error { return c.submit(ctx, order) })
 	}
 	if err != nil {
 		return fmt.Errorf("evacuate zone %s: %w", zone, err)
@@ -98,20 +109,22 @@
 // call.
 func (c *Control) Read(ctx context.Context) (scheme.Ledger, error) {
 	var found scheme.Ledger
-	err := c.atLeader(ctx, func(ctx context.Context) error {
-		l, err := c.readHere(ctx)
-		if err != nil {
-			return fmt.Errorf("read on the leader: %w", err)
-		}
-		found = l.ledger()
-		return nil
-	}, func(ctx context.Context, client *wire.Client) error {
-		var r StateRecord
-		if err := client.Call(ctx, methodRead, &EmptyRecord{}, &r); err != nil {
-			return fmt.Errorf("ask the leader: %w", err)
-		}
-		found = r.ledger()
-		return nil
+	err := c.timed(ctx, "order-read", func(ctx context.Context) error {
+		return c.atLeader(ctx, func(ctx context.Context) error {
+			l, err := c.readHere(ctx)
+			if err != nil {
+				return fmt.Errorf("read on the leader: %w", err)
+			}
+			found = l.ledger()
+			return nil
+		}, func(ctx context.Context, client *wire.Client) error {
+			var r StateRecord
+			if err := client.Call(ctx, methodRead, &EmptyRecord{}, &r); err != nil {
+				return fmt.Errorf("ask the leader: %w", err)
+			}
+			found = r.ledger()
+			return nil
+		})
 	})
 	if err != nil {
 		return scheme.Ledger{}, fmt.Errorf("read configuration: %w", err)
--- a/mesh/reader.go
+++ b/mesh/reader.go
@@ -28,8 +28,13 @@
 	next := interval
 	for {
 		if c.isReader(ctx) {
+			var list []Listed
 			call, cancel := context.WithTimeout(ctx, listTimeout)
-			list, err := lister.List(call)
+			err := c.timed(call, "list-read", func(ctx context.Context) error {
+				var err error
+				list, err = lister.List(ctx)
+				return err
+			})
 			cancel()
 			if (err != nil) != failed {
 				failed = err != nil
--- a/node/control.go
+++ b/node/control.go
@@ -123,23 +123,7 @@
 	if listener == nil {
 		return
 	}
-	gauges := meter.New()
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if status, err := c.replica.Status(r.Context()); err == nil {
-			gauges.SetGauge("term", int64(status.Term()))
-			gauges.SetGauge("revision-committed", int64(status.Commit()))
-			gauges.SetGauge("revision-applied", int64(status.Applied()))
-			gauges.SetGauge("revision-snapshot", int64(status.Snapshot()))
-			gauges.SetGauge("control-hosts", int64(len(status.Members())))
-			leads := int64(0)
-			if status.Leader() == c.settings.Host() {
-				leads = 1
-			}
-			gauges.SetGauge("leads", leads)
-		}
-		gauges.Handler().ServeHTTP(w, r)
-	})
-	c.metrics = serveHTTP(listener, handler, c.settings, c.options)
+	c.metrics = serveHTTP(listener, replicaMetrics(c.replica, c.settings.Host(), meter.New()), c.settings, c.options)
 }
 
 // wait returns when ctx has ended and the host has stopped, or when the
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -118,9 +118,9 @@
 
 // serveEndpoints serves all endpoints, and the metrics where an address is
 // set.
-func (f Fleet) serveEndpoints(ctx context.Context, list []Endpoint, m *meter.Meter) ([]*caller.Server, error) {
+func (f Fleet) serveEndpoints(ctx context.Context, list []Endpoint, metrics http.Handler) ([]*caller.Server, error) {
 	if f.metrics != "" {
-		list = append(list, NewEndpoint(f.metrics, m.Handler()))
+		list = append(list, NewEndpoint(f.metrics, metrics))
 	}
 	var servers []*caller.Server
 	for _, e := range list {
@@ -193,10 +193,32 @@
 // listInterval is the time between two readings of the platform's list.
 const listInterval = 500 * time.Millisecond
 
+// faultPause is how long a control host waits after a fault, mostly of its
+// disk, before it ends to be started again. A full disk stays full for
+// seconds, and each start costs the other hosts a request to join.
+const faultPause = 2 * time.Second
+
 // RunFleetControl runs a control host until ctx ends or its disk fails. The
 // endpoints are built around the host's part of the mesh.
 func RunFleetControl(
 	ctx context.Context, f Fleet, lister mesh.Lister, endpoints func(*mesh.Control) []Endpoint,
+) error {
+	err := f.runControl(ctx, lister, endpoints)
+	if err == nil {
+		return nil
+	}
+	f.log.Error("node: control host ends after a pause", "host", f.host, "pause", faultPause.String(), "error", err)
+	t := f.clock.NewTimer(faultPause)
+	select {
+	case <-t.C():
+	case <-ctx.Done():
+		t.Stop()
+	}
+	return err
+}
+
+func (f Fleet) runControl(
+	ctx context.Context, lister mesh.Lister, endpoints func(*mesh.Control) []Endpoint,
 ) error {
 	f.log.Info("node: control host starts", "host", f.host, "zone", f.zone, "first-start", f.firstStart)
 	name, err := f.replicaName()
@@ -207,7 +229,8 @@
 	defer system.Shutdown()
 	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	control, err := mesh.Start(inner, system, f.clock, f.log, name, f.own(), f.seeds)
+	gauges := meter.New()
+	control, err := mesh.Start(inner, system, f.clock, f.log, name, f.own(), f.seeds, mesh.WithMeter(gauges))
 	if err != nil {
 		return fmt.Errorf("control host: %w", err)
 	}
@@ -228,7 +251,7 @@
 	served := wire.Serve(inner, listener, server)
 	kept := tasks.Go(inner, control.Keep)
 	read := tasks.Go(inner, func(ctx context.Context) { control.ReadList(ctx, lister, listInterval) })
-	servers, err := f.serveEndpoints(ctx, endpoints(control), meter.New())
+	servers, err := f.serveEndpoints(ctx, endpoints(control), replicaMetrics(replica, name, gauges))
 	if err == nil {
 		select {
 		case <-ctx.Done():
@@ -382,7 +405,7 @@
 	}
 	sink.front = front
 	follower.Start(inner)
-	servers, err := f.serveEndpoints(ctx, endpoints(ready.Load, follower), gauges)
+	servers, err := f.serveEndpoints(ctx, endpoints(ready.Load, follower), gauges.Handler())
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
--- /dev/null
+++ b/node/gauges.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"net/http"
+
+	"rhubarbrack/ctrl"
+	"rhubarbrack/ident"
+	"rhubarbrack/meter"
+)
+
+// replicaMetrics serves the figures of a meter together with those of the
+// replica of a host.
+func replicaMetrics(replica *ctrl.Replica, host ident.Host, m *meter.Meter) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if status, err := replica.Status(r.Context()); err == nil {
+			m.SetGauge("term", int64(status.Term()))
+			m.SetGauge("revision-committed", int64(status.Commit()))
+			m.SetGauge("revision-applied", int64(status.Applied()))
+			m.SetGauge("revision-snapshot", int64(status.Snapshot()))
+			m.SetGauge("control-hosts", int64(len(status.Members())))
+			leads := int64(0)
+			if status.Leader() == host {
+				leads = 1
+			}
+			m.SetGauge("leads", leads)
+		}
+		m.Handler().ServeHTTP(w, r)
+	})
+}
