Measure the use of a rate by the limit of its window

Cause: the lender denied tokens from 5.5 times the rate in 5 s on, while a team may send 6 times its rate: it measured by the flow of tokens.

--- a/mesh/record.go
+++ b/mesh/record.go
@@ -57,7 +57,7 @@
 		Zone    string
 		Region  string
 	}
-	// NeedRecord is the demand of a team, in parts of its limit.
+	// NeedRecord is the demand of a team, see quota.Need.
 	NeedRecord struct {
 		Team  string
 		Asked float64
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -31,9 +31,9 @@
 	tightUse = 0.75
 )
 
-// Need is the demand of a team on one host, in parts of the team's limit: what
-// was asked and what the host admitted by itself in the last window, and the
-// share that the host holds.
+// Need is the demand of a team on one host: what was asked in the last window
+// and the share that the host holds, in parts of the team's rate, and what the
+// host admitted by itself, in parts of the team's limit.
 type Need struct {
 	team  ident.Team
 	asked float64
@@ -153,11 +153,12 @@
 		a.given, a.filled = NewWindow(span), l.since
 	}
 	supply := flow(rate, burst, span)
-	a.givenPart = 1 / (supply * span.Seconds())
+	most := limit(rate, burst, span)
+	a.givenPart = 1 / most
 	use := a.use(now)
 	spare := 0.0
 	if now.Sub(l.since) >= takeOverTime {
-		spare = max(0, Standing+Lent-a.local) * supply
+		spare = max(0, (Standing+Lent)*supply-a.local*most/span.Seconds())
 		if use < tightUse {
 			spare = min(spare, spareRate)
 		}
--- a/quota/teams.go
+++ b/quota/teams.go
@@ -100,6 +100,9 @@
 	return rate + flowPart*burst/span.Seconds()
 }
 
+// limit returns how many requests a team may send in each span.
+func limit(rate, burst float64, span time.Duration) float64 { return rate*span.Seconds() + burst }
+
 // borrowPause keeps a host from asking for the reserve of a team again after
 // it was empty: a team far over its rate must not load the lender.
 const borrowPause = 100 * time.Millisecond
@@ -166,8 +169,8 @@
 		if asked == 0 && held == 0 {
 			continue
 		}
-		limit := flow(e.rate, e.burst, t.span) * t.span.Seconds()
-		list = append(list, NewNeed(name, asked/limit, e.taken.Sum(now)/limit, held))
+		supply := flow(e.rate, e.burst, t.span) * t.span.Seconds()
+		list = append(list, NewNeed(name, asked/supply, e.taken.Sum(now)/limit(e.rate, e.burst, t.span), held))
 	}
 	slices.SortFunc(list, func(a, b Need) int { return cmp.Compare(a.team, b.team) })
 	return list
