Wait for a time or the end of a context in one place

The pause of a control host after a fault repeated a select that stood in eight more places: mesh, ctrl (three), relay, load, oper and stand each had their own. All of them call clock.Sleep now. Where the time has passed and the context has ended at once, the end of the context decides; before, most of them chose by lot.

--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -175,8 +175,8 @@
 		if errors.Is(err, errNoCandidate) {
 			return err
 		}
-		if err := pause(ctx, c.clock); err != nil {
-			return err
+		if !clock.Sleep(ctx, c.clock, retryPause) {
+			return fmt.Errorf("wait: %w", ctx.Err())
 		}
 	}
 }
@@ -211,7 +211,7 @@
 			return state.Outcome{}, fmt.Errorf("propose %s: %s", command.Kind(), reply.Error)
 		}
 		unknown = unknown || errors.Is(err, wire.ErrLost) || err == nil && reply.Verdict == VerdictUnknown
-		if pause(ctx, c.clock) != nil {
+		if !clock.Sleep(ctx, c.clock, retryPause) {
 			return state.Outcome{}, proposeError(ctx, command, unknown)
 		}
 	}
@@ -323,16 +323,3 @@
 	}
 	return nil
 }
-
-// pause returns after the retry pause, or the error of ctx when that ends
-// first.
-func pause(ctx context.Context, c clock.Clock) error {
-	t := c.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-t.C():
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("wait: %w", ctx.Err())
-	}
-}
--- a/ctrl/follow.go
+++ b/ctrl/follow.go
@@ -204,7 +204,7 @@
 		sent := f.clock.Now()
 		reply, err := f.client.poll(f.ctx, args)
 		if err != nil {
-			_ = pause(f.ctx, f.clock)
+			clock.Sleep(f.ctx, f.clock, retryPause)
 		}
 		f.ref.Tell(polled{sent: sent, reply: reply, err: err})
 	}()
--- a/ctrl/replica_form.go
+++ b/ctrl/replica_form.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rhubarbrack/agree"
+	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -64,11 +65,7 @@
 			f.task.Tell(formed{members: members})
 			return
 		}
-		timer := f.options.clock.NewTimer(formationPause)
-		select {
-		case <-timer.C():
-		case <-ctx.Done():
-			timer.Stop()
+		if !clock.Sleep(ctx, f.options.clock, formationPause) {
 			return
 		}
 	}
--- a/ctrl/replica_member.go
+++ b/ctrl/replica_member.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"rhubarbrack/agree"
+	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
 )
@@ -95,11 +96,7 @@
 		if !again {
 			return fmt.Errorf("change membership: %w", result.err)
 		}
-		timer := r.options.clock.NewTimer(r.options.tick)
-		select {
-		case <-timer.C():
-		case <-ctx.Done():
-			timer.Stop()
+		if !clock.Sleep(ctx, r.options.clock, r.options.tick) {
 			return fmt.Errorf("%w: %w", result.err, ctx.Err())
 		}
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -181,14 +181,7 @@
 	if left <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := r.clock.NewTimer(left)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, r.clock, left)
 }
 
 // direct calls one target without the system in between.
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -180,7 +180,7 @@
 		if err == nil {
 			return nil
 		}
-		if !pause(ctx, c.clock, retryPause) {
+		if !clock.Sleep(ctx, c.clock, retryPause) {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
 	}
@@ -214,15 +214,3 @@
 	}
 	return r.ledger(), nil
 }
-
-// pause waits and reports whether ctx is still alive.
-func pause(ctx context.Context, c clock.Clock, d time.Duration) bool {
-	t := c.NewTimer(d)
-	select {
-	case <-t.C():
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		t.Stop()
-		return false
-	}
-}
--- a/mesh/keeper.go
+++ b/mesh/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rhubarbrack/agree"
+	"rhubarbrack/clock"
 	"rhubarbrack/ctrl"
 	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
@@ -25,7 +26,7 @@
 // asks to join while this host is no member, and lets others join while it
 // leads.
 func (c *Control) Keep(ctx context.Context) {
-	for pause(ctx, c.clock, keepInterval) {
+	for clock.Sleep(ctx, c.clock, keepInterval) {
 		status, err := c.replica.Status(ctx)
 		if err != nil {
 			c.log.Info("mesh: upkeep of the membership ends", "error", err)
--- a/mesh/reader.go
+++ b/mesh/reader.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbrack/agree"
+	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
 )
@@ -45,7 +46,7 @@
 				next = intervalFor(len(list), interval)
 			}
 		}
-		if !pause(ctx, c.clock, next) {
+		if !clock.Sleep(ctx, c.clock, next) {
 			return
 		}
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -208,12 +208,7 @@
 		return nil
 	}
 	f.log.Error("node: control host ends after a pause", "host", f.host, "pause", faultPause.String(), "error", err)
-	t := f.clock.NewTimer(faultPause)
-	select {
-	case <-t.C():
-	case <-ctx.Done():
-		t.Stop()
-	}
+	clock.Sleep(ctx, f.clock, faultPause)
 	return err
 }
 
--- a/oper/client.go
+++ b/oper/client.go
@@ -232,11 +232,7 @@
 			}
 			last = err
 		}
-		t := c.clock.NewTimer(clientRetryPause)
-		select {
-		case <-t.C():
-		case <-ctx.Done():
-			t.Stop()
+		if !clock.Sleep(ctx, c.clock, clientRetryPause) {
 			return fmt.Errorf("%w: %w", last, ctx.Err())
 		}
 	}
--- a/relay/front.go
+++ b/relay/front.go
@@ -124,14 +124,10 @@
 		}
 		if err != nil {
 			t.log.Warn("relay: connection not accepted", "open", t.open.Load(), "error", err)
-			timer := t.clock.NewTimer(acceptPause)
-			select {
-			case <-timer.C():
-				continue
-			case <-t.ctx.Done():
-				timer.Stop()
+			if !clock.Sleep(t.ctx, t.clock, acceptPause) {
 				return
 			}
+			continue
 		}
 		t.self.Tell(accepted{conn: conn})
 	}
--- a/stand/serve.go
+++ b/stand/serve.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"rhubarbrack/clock"
 	"rhubarbrack/target"
 	"rhubarbrack/tasks"
 )
@@ -178,7 +179,7 @@
 			duration, end = left, Expired
 		}
 	}
-	if err := wait(r.Context(), t.settings.clock, duration); err != nil {
+	if !clock.Sleep(r.Context(), t.settings.clock, duration) {
 		end = Cancelled
 	}
 	defer func() { t.desk.Tell(leave{number: a.number, index: a.index, end: end}) }()
--- a/stand/target.go
+++ b/stand/target.go
@@ -207,7 +207,7 @@
 	}
 	tasks.Go(t.ctx, func(ctx context.Context) {
 		defer t.restarts.Done()
-		if wait(ctx, t.settings.clock, t.settings.restartAfter) == nil {
+		if clock.Sleep(ctx, t.settings.clock, t.settings.restartAfter) {
 			// A port that is taken meanwhile leaves the target down.
 			_ = t.Restart()
 		}
@@ -230,18 +230,6 @@
 // Done returns a channel that is closed when the target has ended.
 func (t *Target) Done() <-chan struct{} { return t.done }
 
-// wait returns nil after d, or the error of ctx.
-func wait(ctx context.Context, c clock.Clock, d time.Duration) error {
-	timer := c.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C():
-		return nil
-	case <-ctx.Done():
-		return fmt.Errorf("wait: %w", context.Cause(ctx))
-	}
-}
-
 // server is an HTTP server on its own listener.
 type server struct {
 	address string
