Read the leader's orders in a method of its own; wrap errors of calls

Counting the reads had nested Control.Read three functions deep, and handed errors on without context. No change of behaviour but the text of errors.

--- a/mesh/control.go
+++ b/mesh/control.go
@@ -108,28 +108,29 @@
 // Read returns the orders that include every one acknowledged before the
 // call.
 func (c *Control) Read(ctx context.Context) (scheme.Ledger, error) {
-	var found scheme.Ledger
-	err := c.timed(ctx, "order-read", func(ctx context.Context) error {
-		return c.atLeader(ctx, func(ctx context.Context) error {
-			l, err := c.readHere(ctx)
-			if err != nil {
-				return fmt.Errorf("read on the leader: %w", err)
-			}
-			found = l.ledger()
-			return nil
-		}, func(ctx context.Context, client *wire.Client) error {
-			var r StateRecord
-			if err := client.Call(ctx, methodRead, &EmptyRecord{}, &r); err != nil {
-				return fmt.Errorf("ask the leader: %w", err)
-			}
-			found = r.ledger()
-			return nil
-		})
-	})
+	var found StateRecord
+	err := c.timed(ctx, "order-read", func(ctx context.Context) error { return c.readLeader(ctx, &found) })
 	if err != nil {
 		return scheme.Ledger{}, fmt.Errorf("read configuration: %w", err)
 	}
-	return found, nil
+	return found.ledger(), nil
+}
+
+// readLeader takes over the orders of the leader.
+func (c *Control) readLeader(ctx context.Context, found *StateRecord) error {
+	return c.atLeader(ctx, func(ctx context.Context) error {
+		r, err := c.readHere(ctx)
+		if err != nil {
+			return fmt.Errorf("read on the leader: %w", err)
+		}
+		*found = r
+		return nil
+	}, func(ctx context.Context, client *wire.Client) error {
+		if err := client.Call(ctx, methodRead, &EmptyRecord{}, found); err != nil {
+			return fmt.Errorf("ask the leader: %w", err)
+		}
+		return nil
+	})
 }
 
 // readHere reads on the leader.
--- a/mesh/reader.go
+++ b/mesh/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"rhubarbrack/agree"
@@ -33,8 +34,10 @@
 			call, cancel := context.WithTimeout(ctx, listTimeout)
 			err := c.timed(call, "list-read", func(ctx context.Context) error {
 				var err error
-				list, err = lister.List(ctx)
-				return err
+				if list, err = lister.List(ctx); err != nil {
+					return fmt.Errorf("read list: %w", err)
+				}
+				return nil
 			})
 			cancel()
 			if (err != nil) != failed {
