Keep the request that arrives while a connection is being closed

Cause: closeWhenIdle read idle as true, Read then returned the first byte of a request, and the read deadline that closeWhenIdle set afterwards ended the next read, so the request was lost. The deadline of the server was not put back either, so the rest of a header had to arrive within the grace of the close.

Change: idle, closing and the server's read deadline are kept under one mutex. The first byte of a request puts the server's deadline back in force, and the close sets the deadline of the blocked read directly instead of interrupting it.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -1,10 +1,9 @@
 package relay
 
 import (
-	"errors"
+	"fmt"
 	"net"
-	"os"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"rhubarbrack/clock"
@@ -18,52 +17,86 @@
 // callerConn is a caller's connection that can be closed between two requests
 // without losing a partially received one. By itself, net/http counts a
 // connection as idle until it has read the whole header of a request.
+//
+// The server and closeWhenIdle both set read deadlines. The connection keeps
+// the one of the server, and puts it back in force with the first byte of a
+// request.
 type callerConn struct {
 	net.Conn
 	clock clock.Clock
+	mu    sync.Mutex
 	// idle is set while no byte of the next request has been read.
-	idle    atomic.Bool
-	closing atomic.Bool
+	idle bool
+	// closing is set while closeWhenIdle has replaced the read deadline.
+	closing bool
+	// deadline is the read deadline that the server has set.
+	deadline time.Time
 }
 
 func newCallerConn(c net.Conn, k clock.Clock) *callerConn {
-	conn := &callerConn{Conn: c, clock: k}
-	conn.idle.Store(true)
-	return conn
+	return &callerConn{Conn: c, clock: k, idle: true}
 }
 
 // markIdle records that the response to the last request is complete.
-func (c *callerConn) markIdle() { c.idle.Store(true) }
+func (c *callerConn) markIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = true
+}
 
 // closeWhenIdle closes the connection once no request has arrived for
-// closeGrace.
+// closeGrace. It does nothing during a request.
 func (c *callerConn) closeWhenIdle() {
-	c.closing.Store(true)
-	if c.idle.Load() {
-		// An error means that the connection is closed already.
-		_ = c.SetReadDeadline(c.clock.Now())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || c.closing {
+		return
+	}
+	c.closing = true
+	// An error means that the connection is closed already.
+	_ = c.Conn.SetReadDeadline(c.clock.Now().Add(closeGrace))
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if c.closing {
+		return nil
+	}
+	if err := c.Conn.SetReadDeadline(t); err != nil {
+		return fmt.Errorf("set read deadline: %w", err)
 	}
+	return nil
+}
+
+// SetDeadline implements net.Conn.
+func (c *callerConn) SetDeadline(t time.Time) error {
+	if err := c.SetWriteDeadline(t); err != nil {
+		return fmt.Errorf("set write deadline: %w", err)
+	}
+	return c.SetReadDeadline(t)
 }
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.read(b)
-	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
-		// closeWhenIdle may have set the deadline to interrupt a blocked read.
-		n, err = c.read(b)
-	}
+	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.idle.Store(false)
+		c.beginRequest()
 	}
 	return n, err
 }
 
-func (c *callerConn) read(b []byte) (int, error) {
-	if c.isClosing() {
+// beginRequest records the first byte of a request and restores the deadline
+// of the server, so that the rest of the request can be read.
+func (c *callerConn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = false
+	if c.closing {
+		c.closing = false
 		// An error means that the connection is closed already.
-		_ = c.SetReadDeadline(c.clock.Now().Add(closeGrace))
+		_ = c.Conn.SetReadDeadline(c.deadline)
 	}
-	return c.Conn.Read(b)
 }
-
-func (c *callerConn) isClosing() bool { return c.closing.Load() && c.idle.Load() }
