Send configurations as compressed differences in pieces

Cause: an entry host fetched the whole configuration in one call with a deadline of 900 ms, over the connection of its heartbeats. On a link of 2 Mbit/s a configuration of 1,800 routes (half a megabyte) never arrived in time and was begun anew for ever; heartbeats, lists and token requests on that connection failed with it. After a loss of power no host had a configuration.

Package fetch decides which pieces are requested from which peer: two in flight, sized by the link, smaller after a loss, from near peers first, spread by the host's name, resumed from another peer. The fetcher task of an entry host has connections of its own. Evacuated zones and the version travel in the heartbeat's reply. A control host reads the newest configuration from the leader without its text when it has that version. Hosts of earlier releases still fetch the whole.

Ruled out: a longer deadline alone, since the transfer still holds up heartbeats and begins anew after each loss.

--- /dev/null
+++ b/mesh/config_fetcher.go
@@ -0,0 +1,204 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"rhubarbrack/clock"
+	"rhubarbrack/fetch"
+	"rhubarbrack/patch"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
+)
+
+const (
+	// pieceTime is how long one piece may occupy the host's link.
+	pieceTime = 50 * time.Millisecond
+	// maxPieceBytes limits the pieces on fast links.
+	maxPieceBytes = 64 << 10
+	// progressInterval is the least time between two log lines on the progress
+	// of a transfer.
+	progressInterval = time.Second
+)
+
+// pieceBytes returns the size of the largest piece for a link with the given
+// bytes per second. 0 stands for an unknown rate.
+func pieceBytes(linkRate float64) int {
+	if linkRate <= 0 {
+		return maxPieceBytes
+	}
+	return min(int(linkRate*pieceTime.Seconds()), maxPieceBytes)
+}
+
+// The messages of the config fetcher.
+type (
+	// announceConfig reports the version that a control host has.
+	announceConfig struct {
+		address string
+		version uint64
+		isNear  bool
+	}
+	// forgetPeer reports that a control host is no longer asked.
+	forgetPeer struct{ address string }
+	pieceDone  struct {
+		order fetch.Order
+		piece patch.Piece
+		err   error
+	}
+	configDecoded struct {
+		version uint64
+		source  []byte
+		err     error
+	}
+)
+
+// configFetcher is the task that brings an entry host's configuration up to
+// date. It has connections of its own, so that heartbeats never wait behind a
+// transfer.
+type configFetcher struct {
+	ctx      context.Context
+	self     *tasks.Ref
+	system   *tasks.System
+	clock    clock.Clock
+	log      *slog.Logger
+	listener Listener
+	// owner receives a configInForce message for each new configuration.
+	owner    *tasks.Ref
+	receiver *fetch.Receiver
+	clients  map[string]*wire.Client
+	// source is the configuration that the host has.
+	source   []byte
+	loggedAt time.Time
+}
+
+var _ tasks.Task = (*configFetcher)(nil)
+
+// startConfigFetcher starts the fetcher of a control client.
+func startConfigFetcher(owner *controlClientTask, o clientOptions) (*tasks.Ref, error) {
+	t := &configFetcher{
+		ctx: owner.ctx, system: owner.system, clock: owner.clock, log: owner.log, listener: owner.listener,
+		owner: owner.self, clients: map[string]*wire.Client{},
+		receiver: fetch.NewReceiver(owner.heartbeat.Host, fetch.WithPieceBytes(pieceBytes(o.linkRate))),
+	}
+	ref, err := tasks.Spawn(t.ctx, t.system, "mesh-fetcher", t)
+	if err != nil {
+		return nil, fmt.Errorf("start config fetcher: %w", err)
+	}
+	t.self = ref
+	return ref, nil
+}
+
+// Handle implements tasks.Task.
+func (t *configFetcher) Handle(message any) {
+	switch m := message.(type) {
+	case announceConfig:
+		t.receiver.Announce(m.address, m.version, m.isNear)
+	case forgetPeer:
+		t.receiver.Forget(m.address)
+		if c, ok := t.clients[m.address]; ok {
+			c.Close()
+			delete(t.clients, m.address)
+		}
+	case pieceDone:
+		t.pieceDone(m)
+	case configDecoded:
+		t.configDecoded(m)
+	}
+	t.advance()
+}
+
+// advance decodes a complete configuration and requests missing pieces.
+func (t *configFetcher) advance() {
+	if encoded, ok := t.receiver.Complete(); ok {
+		go t.decode(encoded, t.source)
+		return
+	}
+	now := t.clock.Now()
+	for _, order := range t.receiver.Next(now) {
+		go t.fetchPiece(order, t.client(order.Peer()))
+	}
+	t.logProgress(now)
+}
+
+// client returns the client for transfers from a control host, or nil if it
+// cannot start.
+func (t *configFetcher) client(address string) *wire.Client {
+	if c, ok := t.clients[address]; ok {
+		return c
+	}
+	c, err := wire.StartClient(t.ctx, t.system, "fetch-"+address, address)
+	if err != nil {
+		t.log.Error("mesh: cannot start a client", "address", address, "error", err)
+		return nil
+	}
+	t.clients[address] = c
+	return c
+}
+
+func (t *configFetcher) fetchPiece(order fetch.Order, client *wire.Client) {
+	m := pieceDone{order: order}
+	if client == nil {
+		m.err = fmt.Errorf("fetch piece: %w", wire.ErrUnreachable)
+		t.self.Tell(m)
+		return
+	}
+	call, cancel := context.WithTimeout(t.ctx, callTimeout)
+	defer cancel()
+	request, record := newPieceRequestRecord(order.Request()), PieceRecord{}
+	m.err = client.Call(call, methodPiece, &request, &record)
+	m.piece = record.piece()
+	t.self.Tell(m)
+}
+
+func (t *configFetcher) pieceDone(m pieceDone) {
+	now := t.clock.Now()
+	if m.err == nil {
+		t.receiver.Received(now, m.order, m.piece)
+		return
+	}
+	t.log.Warn("mesh: piece of a configuration not fetched", "peer", m.order.Peer(), "version", m.order.Request().Version(),
+		"offset", m.order.Request().Offset(), "bytes", m.order.Request().Size(), "error", m.err)
+	t.receiver.Failed(now, m.order)
+}
+
+// decode decodes a configuration and puts it in force. It runs in a goroutine
+// of its own, because a large configuration takes a while.
+func (t *configFetcher) decode(encoded fetch.Encoded, base []byte) {
+	m := configDecoded{version: encoded.Version()}
+	m.source, m.err = encoded.Decode(base)
+	if m.err == nil {
+		if err := t.listener.SetConfig(m.version, m.source); err != nil {
+			// Every host would fail alike, so another transfer would not help.
+			t.log.Error("mesh: configuration cannot be put in force", "version", m.version, "error", err)
+		}
+	}
+	t.self.Tell(m)
+}
+
+func (t *configFetcher) configDecoded(m configDecoded) {
+	now := t.clock.Now()
+	progress, _ := t.receiver.Progress()
+	t.receiver.Finish(now, m.err == nil)
+	if m.err != nil {
+		t.log.Error("mesh: configuration is corrupt and is fetched anew", "version", m.version, "base", progress.Base(),
+			"peer", progress.Peer(), "error", m.err)
+		return
+	}
+	t.source = m.source
+	t.owner.Tell(configInForce{version: m.version, source: m.source})
+	t.log.Info("mesh: configuration in force", "version", m.version, "base", progress.Base(), "peer", progress.Peer(),
+		"sent-bytes", progress.Total(), "bytes", len(m.source), "took", now.Sub(progress.Started()).String())
+}
+
+// logProgress reports a transfer that takes long.
+func (t *configFetcher) logProgress(now time.Time) {
+	p, ok := t.receiver.Progress()
+	if !ok || now.Sub(p.Started()) < progressInterval || now.Sub(t.loggedAt) < progressInterval {
+		return
+	}
+	t.loggedAt = now
+	t.log.Info("mesh: configuration on its way", "version", p.Version(), "base", p.Base(), "peer", p.Peer(),
+		"received", p.Received(), "total", p.Total(), "age", now.Sub(p.Started()).String())
+}
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -13,6 +13,7 @@
 	"rhubarbrack/clock"
 	"rhubarbrack/ctrl"
 	"rhubarbrack/ident"
+	"rhubarbrack/patch"
 	"rhubarbrack/scheme"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -33,11 +34,13 @@
 // use.
 type Control struct {
 	ref        *tasks.Ref
+	archive    *tasks.Ref
 	replica    *ctrl.Replica
 	clock      clock.Clock
 	log        *slog.Logger
 	host       ident.Host
 	ownAddress string
+	region     ident.Region
 	meter      Meter
 }
 
@@ -48,6 +51,10 @@
 // the target list, and their latencies.
 func WithMeter(m Meter) Option { return func(c *Control) { c.meter = m } }
 
+// WithRegion sets the region of the control host. Entry hosts prefer to fetch
+// configurations from control hosts of their region.
+func WithRegion(region ident.Region) Option { return func(c *Control) { c.region = region } }
+
 // Start starts the registry of a control host whose replica listens at
 // ownAddress. The seeds are the addresses of some control hosts. Register must
 // be called before the server accepts calls.
@@ -55,19 +62,27 @@
 	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, host ident.Host, ownAddress string,
 	seeds []string, options ...Option,
 ) (*Control, error) {
-	ref, err := tasks.Spawn(ctx, system, "mesh-hub", newRegistry(ctx, system, c, log, ownAddress, seeds))
+	r := newRegistry(ctx, system, c, log, ownAddress, seeds)
+	ref, err := tasks.Spawn(ctx, system, "mesh-hub", r)
 	if err != nil {
 		return nil, fmt.Errorf("start mesh: %w", err)
 	}
-	control := &Control{ref: ref, clock: c, log: log, host: host, ownAddress: ownAddress, meter: noMeter{}}
+	archive, err := tasks.Spawn(ctx, system, "mesh-archive", &archiveTask{log: log, archive: patch.NewArchive()})
+	if err != nil {
+		return nil, fmt.Errorf("start mesh: %w", err)
+	}
+	control := &Control{ref: ref, archive: archive, clock: c, log: log, host: host, ownAddress: ownAddress, meter: noMeter{}}
 	for _, apply := range options {
 		apply(control)
 	}
+	ref.Tell(setRegion{region: control.region})
 	return control, nil
 }
 
 // Publish receives each state of the board.
 func (c *Control) Publish(revision ident.Revision, s scheme.DesiredState) {
+	// The archive has a configuration before the registry announces it.
+	c.archive.Tell(archiveConfig{version: s.Version(), source: s.Source()})
 	c.ref.Tell(published{revision: revision, state: s})
 }
 
@@ -127,9 +142,19 @@
 		*state = r
 		return nil
 	}, func(ctx context.Context, client *wire.Client) error {
-		if err := client.Call(ctx, methodRead, &EmptyRecord{}, state); err != nil {
+		held, err := c.ownState(ctx)
+		if err != nil {
+			return fmt.Errorf("read own state: %w", err)
+		}
+		var reply StateRecord
+		if err := client.Call(ctx, methodRead, &ReadRecord{Version: held.Version}, &reply); err != nil {
 			return fmt.Errorf("ask the leader: %w", err)
 		}
+		// A version has one content, so the source need not be sent again.
+		if reply.Version == held.Version {
+			reply.Source = held.Source
+		}
+		*state = reply
 		return nil
 	})
 }
@@ -141,6 +166,11 @@
 	}
 	// The registry already has the state of the barrier: the replica publishes
 	// it before Barrier returns.
+	return c.ownState(ctx)
+}
+
+// ownState returns the state that this host has applied.
+func (c *Control) ownState(ctx context.Context) (StateRecord, error) {
 	r, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[StateRecord]) any { return getState{reply: reply} })
 	if err != nil {
 		return StateRecord{}, fmt.Errorf("read state: %w", err)
@@ -211,7 +241,7 @@
 // DesiredState returns the state that this host has applied, which may be
 // outdated.
 func (c *Control) DesiredState(ctx context.Context) (scheme.DesiredState, error) {
-	r, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[StateRecord]) any { return getState{reply: reply} })
+	r, err := c.ownState(ctx)
 	if err != nil {
 		return scheme.DesiredState{}, fmt.Errorf("read desired state: %w", err)
 	}
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -35,11 +35,14 @@
 
 // Listener receives what an entry host learns from the control hosts, and
 // provides the data for its heartbeats. Its methods must not block, except
-// those with a context.
+// SetConfig and those with a context.
 type Listener interface {
-	// SetDesiredState puts a desired state in force. An error means that it
-	// cannot be decoded.
-	SetDesiredState(revision ident.Revision, s scheme.DesiredState) error
+	// SetConfig puts a configuration in force. An error means that it cannot
+	// be decoded. It may take long, and is called for one configuration at a
+	// time.
+	SetConfig(version uint64, source []byte) error
+	// SetEvacuated sets the evacuated zones.
+	SetEvacuated(zones []ident.Zone)
 	// SetTargets replaces the list of targets, which was read at the given
 	// time.
 	SetTargets(readAt time.Time, list []ListedTarget)
@@ -71,13 +74,27 @@
 	startup context.Context
 }
 
+// ClientOption sets an optional property of a ControlClient.
+type ClientOption func(*clientOptions)
+
+type clientOptions struct{ linkRate float64 }
+
+// WithLinkRate sets the capacity of the host's link in bytes per second, to
+// which the pieces of configurations are adapted.
+func WithLinkRate(rate float64) ClientOption { return func(o *clientOptions) { o.linkRate = rate } }
+
 // NewControlClient returns a client that sends heartbeats from Start on. The
 // seeds are the addresses of some control hosts. Team rates are enforced over
 // the given window.
 func NewControlClient(
 	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, host ident.Host, address string,
 	zone ident.Zone, region ident.Region, seeds []string, window time.Duration, listener Listener,
+	options ...ClientOption,
 ) (*ControlClient, error) {
+	var o clientOptions
+	for _, apply := range options {
+		apply(&o)
+	}
 	t := &controlClientTask{
 		ctx: ctx, system: system, clock: c, log: log, listener: listener, peers: map[string]*peer{},
 		heartbeat: HeartbeatRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
@@ -90,6 +107,10 @@
 		return nil, fmt.Errorf("start control client: %w", err)
 	}
 	t.self = ref
+	if t.fetcher, err = startConfigFetcher(t, o); err != nil {
+		endStartup()
+		return nil, fmt.Errorf("start control client: %w", err)
+	}
 	ref.Tell(updateControlHosts{addresses: seeds})
 	client := &ControlClient{ref: ref, window: window, clock: c, startup: startup}
 	return client, nil
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"rhubarbrack/clock"
@@ -29,10 +30,10 @@
 		record HeartbeatReplyRecord
 		err    error
 	}
-	stateFetched struct {
-		peer   *peer
-		record StateRecord
-		err    error
+	// configInForce reports a configuration that the fetcher put in force.
+	configInForce struct {
+		version uint64
+		source  []byte
 	}
 	listFetched struct {
 		peer   *peer
@@ -56,23 +57,26 @@
 
 // controlClientTask owns what the entry host has learned.
 type controlClientTask struct {
-	ctx           context.Context
-	self          *tasks.Ref
-	system        *tasks.System
-	clock         clock.Clock
-	log           *slog.Logger
-	listener      Listener
-	heartbeat     HeartbeatRecord
-	peers         map[string]*peer
-	revision      ident.Revision
-	state         scheme.DesiredState
-	hasConfig     bool
-	fetchingState bool
-	listTag       uint64
-	listReadAt    time.Time
-	list          []ListedTarget
-	fetchingList  bool
-	hostCount     int
+	ctx       context.Context
+	self      *tasks.Ref
+	system    *tasks.System
+	clock     clock.Clock
+	log       *slog.Logger
+	listener  Listener
+	heartbeat HeartbeatRecord
+	peers     map[string]*peer
+	// fetcher is the task that fetches configurations.
+	fetcher *tasks.Ref
+	// revision is that of the evacuated zones in force.
+	revision ident.Revision
+	state    scheme.DesiredState
+	// announced is the newest version that a control host has reported.
+	announced    uint64
+	listTag      uint64
+	listReadAt   time.Time
+	list         []ListedTarget
+	fetchingList bool
+	hostCount    int
 	// hostCountSeen is when a control host last reported hostCount or more
 	// hosts.
 	hostCountSeen time.Time
@@ -98,8 +102,9 @@
 		t.updateControlHosts(m.addresses)
 	case heartbeatDone:
 		t.heartbeatDone(m)
-	case stateFetched:
-		t.stateFetched(m)
+	case configInForce:
+		t.state = scheme.NewDesiredState(m.version, m.source, t.state.Evacuated())
+		t.checkReady(t.clock.Now())
 	case listFetched:
 		t.listFetched(m)
 	case getEntryHosts:
@@ -175,6 +180,7 @@
 		if !known[a] && now.Sub(p.lastHeard) > memberTimeout {
 			p.client.Close()
 			delete(t.peers, a)
+			t.fetcher.Tell(forgetPeer{address: a})
 		}
 	}
 }
@@ -274,10 +280,7 @@
 	}
 	t.updateControlHosts(m.record.Controls)
 	t.updateHostCount(now)
-	if ident.Revision(m.record.Revision) > t.revision && !t.fetchingState {
-		t.fetchingState = true
-		go t.fetchState(m.peer)
-	}
+	t.applyState(m.peer, m.record)
 	// The age was measured after the heartbeat was sent, so the list was read
 	// no earlier than this.
 	read := m.sent.Add(-m.record.ListAge)
@@ -312,33 +315,22 @@
 	}
 }
 
-func (t *controlClientTask) fetchState(p *peer) {
-	call, cancel := context.WithTimeout(t.ctx, callTimeout)
-	defer cancel()
-	m := stateFetched{peer: p}
-	m.err = p.client.Call(call, methodFetch, &EmptyRecord{}, &m.record)
-	t.self.Tell(m)
-}
-
-func (t *controlClientTask) stateFetched(m stateFetched) {
-	t.fetchingState = false
-	if m.err != nil {
-		t.log.Warn("mesh: desired state not fetched", "peer", m.peer.address, "error", m.err)
-		return
-	}
-	revision := ident.Revision(m.record.Revision)
-	if revision <= t.revision {
+// applyState puts the evacuated zones in force and reports the version of the
+// configuration to the fetcher.
+func (t *controlClientTask) applyState(p *peer, r HeartbeatReplyRecord) {
+	if !r.HasState {
 		return
 	}
-	if err := t.listener.SetDesiredState(revision, m.record.desiredState()); err != nil {
-		t.log.Error("mesh: desired state cannot be decoded", "revision", revision, "error", err)
-		return
+	if revision := ident.Revision(r.Revision); revision > t.revision {
+		zones := zonesOf(r.Zones)
+		if !slices.Equal(zones, t.state.Evacuated()) {
+			t.log.Info("mesh: evacuated zones in force", "revision", revision, "zones", zones, "peer", p.address)
+			t.listener.SetEvacuated(zones)
+		}
+		t.revision, t.state = revision, scheme.NewDesiredState(t.state.Version(), t.state.Source(), zones)
 	}
-	t.revision, t.state = revision, m.record.desiredState()
-	t.hasConfig = t.hasConfig || m.record.Version > 0
-	t.log.Info("mesh: desired state in force", "revision", revision, "version", m.record.Version,
-		"evacuated", m.record.Zones, "peer", m.peer.address)
-	t.checkReady(t.clock.Now())
+	t.announced = max(t.announced, r.Version)
+	t.fetcher.Tell(announceConfig{address: p.address, version: r.Version, isNear: r.Region == t.heartbeat.Region})
 }
 
 func (t *controlClientTask) fetchList(p *peer, have uint64) {
@@ -377,10 +369,11 @@
 	t.checkReady(t.clock.Now())
 }
 
-// checkReady makes the host ready once it has a configuration and the targets,
+// checkReady makes the host ready once it has the newest configuration that it
+// knows of and the targets,
 // and a majority of the control hosts has replied or startupWait is over.
 func (t *controlClientTask) checkReady(now time.Time) {
-	if t.ready || !t.hasConfig || t.listReadAt.IsZero() || t.fetchingState {
+	if t.ready || t.state.Version() == 0 || t.state.Version() < t.announced || t.listReadAt.IsZero() {
 		return
 	}
 	heard := 0
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rhubarbrack/ident"
+	"rhubarbrack/patch"
 	"rhubarbrack/scheme"
 )
 
@@ -11,11 +12,11 @@
 const (
 	serviceName        = "Mesh"
 	methodHeartbeat    = serviceName + ".Greet"
-	methodFetch        = serviceName + ".Fetch"
+	methodPiece        = serviceName + ".Piece"
 	methodTargets      = serviceName + ".Targets"
 	methodJoin         = serviceName + ".Join"
 	methodSubmit       = serviceName + ".Submit"
-	methodRead         = serviceName + ".Read"
+	methodRead         = serviceName + ".ReadSince"
 	methodRequestToken = serviceName + ".Borrow"
 )
 
@@ -72,7 +73,15 @@
 	// HeartbeatReplyRecord is the reply of a control host to a heartbeat.
 	HeartbeatReplyRecord struct {
 		Controls []string
+		// Region is the region of the control host.
+		Region string
+		// Version is that of the configuration, and Zones are the evacuated
+		// zones, at the revision. Control hosts of earlier releases send only
+		// the revision, without HasState.
 		Revision uint64
+		HasState bool
+		Version  uint64
+		Zones    []string
 		Hosts    int
 		HasList  bool
 		ListTag  uint64
@@ -92,7 +101,30 @@
 	}
 	// EmptyRecord is a request without parameters.
 	EmptyRecord struct{}
-	// StateRecord holds the desired state.
+	// ReadRecord requests the desired state and names the version of the
+	// configuration that the sender has.
+	ReadRecord struct{ Version uint64 }
+	// PieceRequestRecord requests a piece of a configuration, see
+	// patch.Request.
+	PieceRequestRecord struct {
+		Version uint64
+		Base    uint64
+		Offset  int
+		Size    int
+	}
+	// PieceRecord is a piece of a configuration, see patch.Piece.
+	PieceRecord struct {
+		Version  uint64
+		Base     uint64
+		Digest   patch.Digest
+		Encoding uint64
+		Total    int
+		Offset   int
+		Data     []byte
+		Checksum uint64
+	}
+	// StateRecord holds the desired state. In the reply to a ReadRecord with
+	// the same version, the source is empty.
 	StateRecord struct {
 		Revision uint64
 		Version  uint64
@@ -135,20 +167,51 @@
 	SubmitReplyRecord struct{ Revision uint64 }
 )
 
+func newPieceRequestRecord(r patch.Request) PieceRequestRecord {
+	return PieceRequestRecord{Version: r.Version(), Base: r.Base(), Offset: r.Offset(), Size: r.Size()}
+}
+
+func (r PieceRequestRecord) request() patch.Request {
+	return patch.NewRequest(r.Version, r.Base, r.Offset, r.Size)
+}
+
+func newPieceRecord(p patch.Piece) PieceRecord {
+	return PieceRecord{
+		Version: p.Version(), Base: p.Base(), Digest: p.Digest(), Encoding: p.Encoding(), Total: p.Total(),
+		Offset: p.Offset(), Data: p.Data(), Checksum: p.Checksum(),
+	}
+}
+
+func (r PieceRecord) piece() patch.Piece {
+	return patch.NewPiece(r.Version, r.Base, r.Digest, r.Encoding, r.Total, r.Offset, r.Data).WithChecksum(r.Checksum)
+}
+
+// zoneNames returns the zones as strings.
+func zoneNames(zones []ident.Zone) []string {
+	var names []string
+	for _, z := range zones {
+		names = append(names, string(z))
+	}
+	return names
+}
+
+// zonesOf returns the zones with the given names.
+func zonesOf(names []string) []ident.Zone {
+	zones := make([]ident.Zone, len(names))
+	for i, n := range names {
+		zones[i] = ident.Zone(n)
+	}
+	return zones
+}
+
 func newStateRecord(revision ident.Revision, s scheme.DesiredState) StateRecord {
-	r := StateRecord{Revision: uint64(revision), Version: s.Version(), Source: s.Source()}
-	for _, z := range s.Evacuated() {
-		r.Zones = append(r.Zones, string(z))
+	return StateRecord{
+		Revision: uint64(revision), Version: s.Version(), Source: s.Source(), Zones: zoneNames(s.Evacuated()),
 	}
-	return r
 }
 
 func (r StateRecord) desiredState() scheme.DesiredState {
-	zones := make([]ident.Zone, len(r.Zones))
-	for i, z := range r.Zones {
-		zones[i] = ident.Zone(z)
-	}
-	return scheme.NewDesiredState(r.Version, r.Source, zones)
+	return scheme.NewDesiredState(r.Version, r.Source, zonesOf(r.Zones))
 }
 
 // targetsOf returns the targets of a list, or the changed ones.
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -39,6 +39,7 @@
 	clock        clock.Clock
 	log          *slog.Logger
 	ownAddress   string
+	region       ident.Region
 	revision     ident.Revision
 	state        scheme.DesiredState
 	hosts        map[ident.Host]EntryHost
@@ -73,6 +74,7 @@
 		record HeartbeatRecord
 		reply  tasks.Reply[HeartbeatReplyRecord]
 	}
+	setRegion  struct{ region ident.Region }
 	getState   struct{ reply tasks.Reply[StateRecord] }
 	getTargets struct {
 		have  uint64
@@ -133,6 +135,8 @@
 			r.log.Info("mesh: evacuated zones changed", "zones", m.state.Evacuated(), "revision", m.revision)
 		}
 		r.revision, r.state = m.revision, m.state
+	case setRegion:
+		r.region = m.region
 	case heartbeat:
 		m.reply.Send(r.heartbeat(m.record))
 	case getState:
@@ -185,7 +189,10 @@
 			delete(r.hosts, id)
 		}
 	}
-	reply := HeartbeatReplyRecord{Controls: r.controlHostList(), Revision: uint64(r.revision), Hosts: len(r.hosts)}
+	reply := HeartbeatReplyRecord{
+		Controls: r.controlHostList(), Region: string(r.region), Revision: uint64(r.revision), HasState: true,
+		Version: r.state.Version(), Zones: zoneNames(r.state.Evacuated()), Hosts: len(r.hosts),
+	}
 	if r.list != nil {
 		reply.HasList, reply.ListTag, reply.ListAge = true, r.list.tag, now.Sub(r.list.readAt)
 	}
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -18,7 +18,15 @@
 	return askRegistry(s, reply, func(r tasks.Reply[HeartbeatReplyRecord]) any { return heartbeat{record: *args, reply: r} })
 }
 
-// Fetch returns the desired state that this host has applied.
+// Piece returns a piece of a configuration.
+func (s *service) Piece(args *PieceRequestRecord, reply *PieceRecord) error {
+	return askTask(s, s.control.archive, reply, func(r tasks.Reply[PieceRecord]) any {
+		return getPiece{request: args.request(), reply: r}
+	})
+}
+
+// Fetch returns the desired state that this host has applied, for entry hosts
+// of earlier releases, which do not fetch configurations in pieces.
 func (s *service) Fetch(_ *EmptyRecord, reply *StateRecord) error {
 	return askRegistry(s, reply, func(r tasks.Reply[StateRecord]) any { return getState{reply: r} })
 }
@@ -50,25 +58,39 @@
 	return nil
 }
 
-// Read returns the newest desired state, confirmed by a majority.
+// Read serves control hosts of earlier releases like ReadSince.
 func (s *service) Read(_ *EmptyRecord, reply *StateRecord) error {
+	return s.ReadSince(&ReadRecord{}, reply)
+}
+
+// ReadSince returns the newest desired state, confirmed by a majority, without
+// the configuration if the sender has it.
+func (s *service) ReadSince(args *ReadRecord, reply *StateRecord) error {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	r, err := s.control.readLocal(ctx)
 	if err != nil {
 		return fmt.Errorf("read: %w", err)
 	}
+	if r.Version == args.Version {
+		r.Source = nil
+	}
 	*reply = r
 	return nil
 }
 
 // askRegistry sends a message to the registry and waits for its reply.
 func askRegistry[T any](s *service, reply *T, build func(tasks.Reply[T]) any) error {
+	return askTask(s, s.control.ref, reply, build)
+}
+
+// askTask sends a message to a task and waits for its reply.
+func askTask[T any](s *service, ref *tasks.Ref, reply *T, build func(tasks.Reply[T]) any) error {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	r, err := tasks.Ask(ctx, s.control.ref, build)
+	r, err := tasks.Ask(ctx, ref, build)
 	if err != nil {
-		return fmt.Errorf("ask the hub: %w", err)
+		return fmt.Errorf("ask task: %w", err)
 	}
 	*reply = r
 	return nil
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -229,7 +229,8 @@
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	hostMeter := meter.New()
-	control, err := mesh.Start(taskCtx, system, c.clock, c.log, name, c.peerAddress(), c.seeds, mesh.WithMeter(hostMeter))
+	control, err := mesh.Start(taskCtx, system, c.clock, c.log, name, c.peerAddress(), c.seeds,
+		mesh.WithMeter(hostMeter), mesh.WithRegion(c.region))
 	if err != nil {
 		return fmt.Errorf("control host: %w", err)
 	}
@@ -282,27 +283,25 @@
 	decode    Decoder
 	admission *relay.Admission
 	front     *relay.Front
-	config    *scheme.Config
 	ready     *atomic.Bool
 }
 
 var _ mesh.Listener = (*entryListener)(nil)
 
-// SetDesiredState implements mesh.Listener.
-func (e *entryListener) SetDesiredState(_ ident.Revision, desired scheme.DesiredState) error {
-	if len(desired.Source()) > 0 && (e.config == nil || e.config.Version() != desired.Version()) {
-		c, err := e.decode(desired.Source())
-		if err != nil {
-			return fmt.Errorf("configuration %d: %w", desired.Version(), err)
-		}
-		e.config = c
-		e.admission.Configure(c)
-		e.front.SetLimits(c.Limits())
+// SetConfig implements mesh.Listener.
+func (e *entryListener) SetConfig(version uint64, source []byte) error {
+	c, err := e.decode(source)
+	if err != nil {
+		return fmt.Errorf("configuration %d: %w", version, err)
 	}
-	e.admission.SetEvacuated(desired.Evacuated())
+	e.admission.Configure(c)
+	e.front.SetLimits(c.Limits())
 	return nil
 }
 
+// SetEvacuated implements mesh.Listener.
+func (e *entryListener) SetEvacuated(zones []ident.Zone) { e.admission.SetEvacuated(zones) }
+
 // SetTargets implements mesh.Listener.
 func (e *entryListener) SetTargets(readAt time.Time, list []mesh.ListedTarget) {
 	out := make([]spread.Target, 0, len(list))
@@ -394,7 +393,7 @@
 	var ready atomic.Bool
 	listener := &entryListener{host: c, decode: decode, admission: admission, ready: &ready}
 	client, err := mesh.NewControlClient(taskCtx, system, c.clock, c.log, c.host, callers, c.zone, c.region, c.seeds,
-		c.bounds.RateWindow(), listener)
+		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
