Handle pipelined requests side by side

While requests wait unread in the connection, net/http does not notice either that the caller has left.

Change: a pipeline reads the connection ahead of the server while a request is handled, within 16 KiB and 16 requests, and begins to handle those that are plain GET requests of retryable routes. A connection whose bytes could be read in two ways is never read ahead again. The end of the connection ends all its requests. A response closes the connection only if no request behind it was begun.

Ruled out: an HTTP server of our own, since limits, timeouts and the strictness of net/http would have to be rebuilt.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -142,6 +142,17 @@
 	})
 }
 
+// IsRetryable reports whether a request may run more than once and has a short
+// response, so that it may be handled before an earlier one of the same
+// connection is answered.
+func (c *Controller) IsRetryable(r Request) bool {
+	if c.config == nil {
+		return false
+	}
+	route, ok := c.config.Match(r.host, r.path)
+	return ok && route.Kind() == scheme.Retryable
+}
+
 // Admit decides on a newly arrived request.
 func (c *Controller) Admit(now time.Time, r Request) Decision {
 	if c.config == nil {
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -111,6 +111,10 @@
 		request admit.Request
 		reply   tasks.Reply[admit.Decision]
 	}
+	getRetryable struct {
+		request admit.Request
+		reply   tasks.Reply[bool]
+	}
 	retryRequest struct {
 		state       *admit.RequestState
 		unreachable bool
@@ -139,6 +143,8 @@
 	switch m := message.(type) {
 	case admitRequest:
 		m.reply.Send(t.controller.Admit(now, m.request))
+	case getRetryable:
+		m.reply.Send(t.controller.IsRetryable(m.request))
 	case retryRequest:
 		if m.unreachable {
 			m.reply.Send(t.controller.RetryUnreachable(now, m.state))
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -23,8 +24,9 @@
 // request.
 type callerConn struct {
 	net.Conn
-	clock clock.Clock
-	mu    sync.Mutex
+	clock    clock.Clock
+	pipeline *pipeline
+	mu       sync.Mutex
 	// idle is set while no byte of the next request has been read.
 	idle bool
 	// closing is set while closeWhenIdle has replaced the read deadline.
@@ -33,8 +35,8 @@
 	deadline time.Time
 }
 
-func newCallerConn(c net.Conn, k clock.Clock) *callerConn {
-	return &callerConn{Conn: c, clock: k, idle: true}
+func newCallerConn(c net.Conn, k clock.Clock, p *pipeline) *callerConn {
+	return &callerConn{Conn: c, clock: k, pipeline: p, idle: true}
 }
 
 // markIdle records that the response to the last request is complete.
@@ -49,10 +51,11 @@
 func (c *callerConn) closeWhenIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || c.closing {
+	if !c.idle || c.closing || c.pipeline.hasUnhandled() {
 		return
 	}
 	c.closing = true
+	c.pipeline.deadlineSet()
 	// An error means that the connection is closed already.
 	_ = c.Conn.SetReadDeadline(c.clock.Now().Add(closeGrace))
 }
@@ -65,6 +68,7 @@
 	if c.closing {
 		return nil
 	}
+	c.pipeline.deadlineSet()
 	if err := c.Conn.SetReadDeadline(t); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
 	}
@@ -81,7 +85,7 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	n, err := c.pipeline.read(b)
 	if n > 0 {
 		c.beginRequest()
 	}
@@ -96,7 +100,26 @@
 	c.idle = false
 	if c.closing {
 		c.closing = false
+		c.pipeline.deadlineSet()
 		// An error means that the connection is closed already.
 		_ = c.Conn.SetReadDeadline(c.deadline)
 	}
 }
+
+// Close implements net.Conn. It ends the requests that nobody waits for any
+// more.
+func (c *callerConn) Close() error {
+	c.pipeline.end()
+	if err := c.Conn.Close(); err != nil {
+		return fmt.Errorf("close connection: %w", err)
+	}
+	return nil
+}
+
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// withConn returns the context of the requests on a connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
--- a/relay/front.go
+++ b/relay/front.go
@@ -25,23 +25,26 @@
 	draining *atomic.Bool
 }
 
+// FrontHandler handles requests. It tells which ones may be handled before a
+// request that the caller has sent earlier on the same connection is answered.
+type FrontHandler interface {
+	http.Handler
+	IsRetryable(r *http.Request) bool
+}
+
 // StartFront accepts connections until Shutdown or the end of ctx.
 //
 // It holds at most maxConns connections. While more than half of them are
 // open, each response closes its connection, because callers that open a new
 // connection for every request leave the old ones open.
 func StartFront(
-	ctx context.Context, system *tasks.System, listener net.Listener, handler http.Handler, maxConns int,
+	ctx context.Context, system *tasks.System, listener net.Listener, handler FrontHandler, maxConns int,
 	c clock.Clock, log *slog.Logger,
 ) (*Front, error) {
-	t := &frontTask{ctx: ctx, listener: listener, maxConns: int64(maxConns),
-		draining: new(atomic.Bool), conns: map[*callerConn]bool{}, clock: c, log: log}
-	t.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if t.draining.Load() || t.openConns.Load() > t.maxConns/2 {
-			w.Header().Set("Connection", "close")
-		}
-		handler.ServeHTTP(w, r)
-	})
+	t := &frontTask{
+		ctx: ctx, listener: listener, maxConns: int64(maxConns), handler: handler, draining: new(atomic.Bool),
+		conns: map[*callerConn]bool{}, clock: c, log: log,
+	}
 	ref, err := tasks.Spawn(ctx, system, "front", t)
 	if err != nil {
 		return nil, fmt.Errorf("start front: %w", err)
@@ -90,7 +93,7 @@
 	ctx      context.Context
 	self     *tasks.Ref
 	listener net.Listener
-	handler  http.Handler
+	handler  FrontHandler
 	clock    clock.Clock
 	log      *slog.Logger
 	limits   scheme.Limits
@@ -136,6 +139,30 @@
 	}
 }
 
+// handle handles a request that the server has read. It runs on the
+// connection's goroutine.
+func (t *frontTask) handle(w http.ResponseWriter, r *http.Request) {
+	conn, ok := r.Context().Value(connKey{}).(*callerConn)
+	if !ok {
+		// The server was given only callers' connections.
+		panic(http.ErrAbortHandler)
+	}
+	p := conn.pipeline
+	early, closes := p.begin(r, t.draining.Load() || t.openConns.Load() > t.maxConns/2)
+	defer p.finish()
+	if closes {
+		w.Header().Set("Connection", "close")
+	}
+	if early != nil && early.deliver(w) {
+		return
+	}
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	// The server cannot notice the end of a connection that is read ahead.
+	defer context.AfterFunc(p.ctx, cancel)()
+	t.handler.ServeHTTP(w, r.WithContext(ctx))
+}
+
 // Handle implements tasks.Task.
 func (t *frontTask) Handle(message any) {
 	switch m := message.(type) {
@@ -163,7 +190,7 @@
 		_ = socket.Close()
 		return
 	}
-	c := newCallerConn(socket, t.clock)
+	c := newCallerConn(socket, t.clock, newPipeline(t.ctx, socket, t.handler, t.log))
 	if t.queue == nil {
 		t.pending = append(t.pending, c)
 		return
@@ -229,7 +256,8 @@
 	t.limits = l
 	t.queue = newConnListener(t.listener.Addr())
 	server := &http.Server{
-		Handler:           http.MaxBytesHandler(t.handler, bodyLimit(l)),
+		Handler:           http.MaxBytesHandler(http.HandlerFunc(t.handle), bodyLimit(l)),
+		ConnContext:       withConn,
 		MaxHeaderBytes:    l.HeaderBytes(),
 		ReadHeaderTimeout: l.HeaderTime(),
 		IdleTimeout:       l.IdleTime(),
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -80,13 +80,27 @@
 	return h
 }
 
-var _ http.Handler = (*Handler)(nil)
+var _ FrontHandler = (*Handler)(nil)
 
 // Stop refuses all requests that arrive from now on. It is called before
 // connections are closed, so that no request is forwarded whose connection is
 // about to close.
 func (h *Handler) Stop() { h.stopped.Store(true) }
 
+// IsRetryable implements FrontHandler. It counts the requests for which it
+// returns true, since they are handled early.
+func (h *Handler) IsRetryable(r *http.Request) bool {
+	request := h.dialect.DecodeRequest(r)
+	ok, err := tasks.Ask(r.Context(), h.admission.ref, func(reply tasks.Reply[bool]) any {
+		return getRetryable{request: request, reply: reply}
+	})
+	if err != nil || !ok {
+		return false
+	}
+	h.meter.Count("pipelined", "", "", 1)
+	return true
+}
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	request := h.dialect.DecodeRequest(r)
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -202,6 +202,7 @@
 		[]*scheme.Route{
 			scheme.NewRoute("safe", "h", "/safe/", scheme.Retryable, services, 2*time.Second, 2, scheme.WithAffinity(true)),
 			scheme.NewRoute("once", "h", "/once/", scheme.AtMostOnce, services, 2*time.Second, 2, scheme.WithAffinity(true)),
+			scheme.NewRoute("long", "h", "/long/", scheme.Retryable, services, time.Hour, 2),
 			scheme.NewRoute("open", "h", "/open/", scheme.Retryable, services, 2*time.Second, 2, scheme.WithPublicAccess(true)),
 		}, []scheme.Service{scheme.NewService("s", "/health", 10, 0, 0)})
 	if err != nil {
--- /dev/null
+++ b/relay/pipeline.go
@@ -0,0 +1,241 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+)
+
+const (
+	// maxEarlyRequests is the number of requests of one connection that are
+	// handled while one before them is unanswered. Further ones wait unread.
+	maxEarlyRequests = 16
+	// maxAheadBytes is the number of bytes that are read ahead.
+	maxAheadBytes = 16 << 10
+	// aheadChunkBytes is the size of one read ahead.
+	aheadChunkBytes = 4 << 10
+)
+
+// pipeline reads a caller's connection ahead of the server, which handles one
+// request at a time, and begins to handle the requests that are waiting. The
+// server still reads all bytes and writes all responses, in order.
+//
+// The server reads while a request is handled only to notice the end of the
+// connection. If it gets a byte instead, the pipeline goes on reading.
+type pipeline struct {
+	ctx     context.Context
+	end     context.CancelFunc
+	socket  net.Conn
+	handler FrontHandler
+	log     *slog.Logger
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	scanner headScanner
+	// waiting holds the headers that have arrived and were not begun.
+	waiting []waitingHead
+	// scanned and begun count the requests that have arrived and that the
+	// server has begun.
+	scanned uint64
+	begun   uint64
+	early   []*earlyRequest
+	// ahead holds the bytes that the server has not read yet, and failure the
+	// error behind them.
+	ahead   []byte
+	failure error
+	// isReading is set while a goroutine reads ahead.
+	isReading bool
+	// deadlines counts the deadlines that were set, to ignore the expiry of one
+	// that has been replaced.
+	deadlines uint64
+	// isHandling is set while the server handles a request.
+	isHandling bool
+	// isSealed is set once the connection is to be closed: no request begins
+	// early any more.
+	isSealed bool
+}
+
+// waitingHead is the header of a request and its number on the connection.
+type waitingHead struct {
+	number uint64
+	head   []byte
+}
+
+func newPipeline(ctx context.Context, socket net.Conn, handler FrontHandler, log *slog.Logger) *pipeline {
+	p := &pipeline{socket: socket, handler: handler, log: log}
+	p.ctx, p.end = context.WithCancel(ctx)
+	p.changed = sync.NewCond(&p.mu)
+	return p
+}
+
+// read reads for the server: first what was read ahead.
+func (p *pipeline) read(b []byte) (int, error) {
+	if n, err, ok := p.takeAhead(b); ok {
+		return n, err
+	}
+	n, err := p.socket.Read(b)
+	if n > 0 {
+		p.mu.Lock()
+		p.scan(b[:n])
+		p.mu.Unlock()
+	}
+	return n, err
+}
+
+// takeAhead returns what was read ahead. It waits while a goroutine reads
+// ahead, and returns false if none does and nothing is there.
+func (p *pipeline) takeAhead(b []byte) (int, error, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.ahead) == 0 && p.failure == nil && p.isReading {
+		p.changed.Wait()
+	}
+	if len(p.ahead) > 0 {
+		n := copy(b, p.ahead)
+		p.ahead = p.ahead[n:]
+		p.readAhead()
+		return n, nil, true
+	}
+	if err := p.failure; err != nil {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			p.failure = nil
+		}
+		return 0, err, true
+	}
+	return 0, nil, false
+}
+
+// scan records the requests that end in the next bytes of the connection.
+func (p *pipeline) scan(chunk []byte) {
+	for _, head := range p.scanner.feed(chunk) {
+		p.scanned++
+		if p.scanned > p.begun+1 || p.isHandling {
+			p.waiting = append(p.waiting, waitingHead{number: p.scanned, head: head})
+		}
+	}
+	p.startEarly()
+	p.readAhead()
+}
+
+// startEarly begins to handle waiting requests.
+func (p *pipeline) startEarly() {
+	for p.isHandling && !p.isSealed && len(p.waiting) > 0 && len(p.early) < maxEarlyRequests {
+		w := p.waiting[0]
+		p.waiting = p.waiting[1:]
+		if w.number <= p.begun {
+			continue
+		}
+		e, err := newEarlyRequest(p.ctx, w.number, w.head)
+		if err != nil {
+			// The server rejects the request when it reads it.
+			p.scanner.giveUp()
+			p.waiting = nil
+			return
+		}
+		p.early = append(p.early, e)
+		go e.serve(p.handler, p.log)
+	}
+}
+
+// readAhead starts to read ahead if the server handles a request, the caller
+// has sent something behind it and there is room for more.
+func (p *pipeline) readAhead() {
+	if p.isReading || !p.canReadAhead() {
+		return
+	}
+	p.isReading = true
+	go p.readLoop()
+}
+
+func (p *pipeline) canReadAhead() bool {
+	return p.isHandling && !p.isSealed && !p.scanner.gaveUp && p.failure == nil && len(p.ahead) < maxAheadBytes &&
+		len(p.early) < maxEarlyRequests
+}
+
+// readLoop reads ahead until there is no room, no request is being handled, or
+// the connection fails.
+func (p *pipeline) readLoop() {
+	b := make([]byte, aheadChunkBytes)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.canReadAhead() {
+		deadlines := p.deadlines
+		p.mu.Unlock()
+		n, err := p.socket.Read(b)
+		p.mu.Lock()
+		p.ahead = append(p.ahead, b[:n]...)
+		p.scan(b[:n])
+		isTimeout := errors.Is(err, os.ErrDeadlineExceeded)
+		if err != nil && !(isTimeout && deadlines != p.deadlines) {
+			p.failure = err
+		}
+		if err != nil && !isTimeout {
+			p.end()
+		}
+		p.changed.Broadcast()
+	}
+	p.isReading = false
+	p.changed.Broadcast()
+}
+
+// deadlineSet records that a read deadline was set.
+func (p *pipeline) deadlineSet() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deadlines++
+	if errors.Is(p.failure, os.ErrDeadlineExceeded) {
+		p.failure = nil
+	}
+}
+
+// hasUnhandled reports whether a request, or a part of one, has arrived that
+// the server has not begun.
+func (p *pipeline) hasUnhandled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.scanner.gaveUp && (p.scanned > p.begun || p.scanner.hasPartial()) || len(p.ahead) > 0
+}
+
+// begin records that the server has begun to handle a request. It returns the
+// early request if it has been begun before, and whether the response is to
+// close the connection, if the host wants that: not before the responses to
+// requests that have been begun.
+func (p *pipeline) begin(r *http.Request, wantsClose bool) (*earlyRequest, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begun++
+	p.isHandling = true
+	p.isSealed = p.isSealed || wantsClose
+	found := p.takeEarly(r)
+	p.startEarly()
+	if len(p.early) > 0 {
+		p.readAhead()
+	}
+	return found, p.isSealed && len(p.early) == 0
+}
+
+// takeEarly removes the early request that the server has begun, if there is
+// one.
+func (p *pipeline) takeEarly(r *http.Request) *earlyRequest {
+	if len(p.early) == 0 || p.early[0].number != p.begun {
+		return nil
+	}
+	e := p.early[0]
+	p.early = p.early[1:]
+	if !e.isSame(r) {
+		e.cancel()
+		return nil
+	}
+	return e
+}
+
+// finish records that the server has handled a request.
+func (p *pipeline) finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isHandling = false
+}
