Limit what a target can send that is no response

Cause: http.ReadResponse has no limit of its own, so a status line, a header or interim responses without end filled the memory of the host until the deadline of the request. Bytes on an idle connection stayed in the socket's buffer until the connection expired. After a response that proves that the request has not run, the host read its body first, up to the request's deadline, before it tried another target.

--- a/link/conn.go
+++ b/link/conn.go
@@ -5,15 +5,53 @@
 	"net"
 	"syscall"
 	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// bufferBytes is the size of the read buffer of a connection.
+	bufferBytes = 4 << 10
+	// maxHeadBytes limits what is read of a target's connection before the
+	// header of the response is complete, interim responses included. The
+	// header of a response is a few hundred bytes long.
+	maxHeadBytes = 64 << 10
 )
 
-// bufferBytes is the size of the read buffer of a connection.
-const bufferBytes = 4 << 10
+// ErrHeadTooLong means that a target has sent more than maxHeadBytes without
+// completing the header of a response.
+const ErrHeadTooLong = errors.ConstError("header of the response is too long")
+
+// boundedReader reads a connection. While a header is read, it fails after
+// maxHeadBytes, because the parser of net/http has no limit of its own.
+type boundedReader struct {
+	socket net.Conn
+	// left is the number of bytes that may still be read, or negative if there
+	// is no limit.
+	left int
+}
+
+// Read implements io.Reader. It does not wrap errors of the socket, since
+// readers compare them with io.EOF.
+func (r *boundedReader) Read(b []byte) (int, error) {
+	if r.left == 0 {
+		return 0, ErrHeadTooLong
+	}
+	if r.left > 0 {
+		b = b[:min(len(b), r.left)]
+	}
+	n, err := r.socket.Read(b)
+	if r.left > 0 {
+		r.left -= n
+	}
+	return n, err
+}
 
 // Conn is an open connection to a target. Only one goroutine may use it at a
 // time.
 type Conn struct {
 	socket  net.Conn
+	bounded *boundedReader
 	reader  *bufio.Reader
 	address string
 	reused  bool
@@ -23,7 +61,11 @@
 }
 
 func newConn(socket net.Conn, address string) *Conn {
-	return &Conn{socket: socket, reader: bufio.NewReaderSize(socket, bufferBytes), address: address, keepAlive: defaultKeepAlive}
+	bounded := &boundedReader{socket: socket, left: -1}
+	return &Conn{
+		socket: socket, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes), address: address,
+		keepAlive: defaultKeepAlive,
+	}
 }
 
 // IsReused reports whether the connection has carried an earlier request.
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -74,7 +74,9 @@
 
 func (x *Exchange) read(r *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	for range maxStrayResponses {
+		x.conn.bounded.left = maxHeadBytes
 		response, err := http.ReadResponse(x.conn.reader, r)
+		x.conn.bounded.left = -1
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
@@ -129,6 +131,27 @@
 	x.pool.Put(x.conn)
 }
 
+// maxDiscardBytes and discardTime limit the rest of a body that is read so that
+// its connection can be reused. A new connection costs less than a longer wait.
+const (
+	maxDiscardBytes = 32 << 10
+	discardTime     = 20 * time.Millisecond
+)
+
+// Discard reads the rest of a short body that nobody needs and finishes the
+// exchange. It resets the connection if the rest is long or does not arrive at
+// once.
+func (x *Exchange) Discard() {
+	// An error means that the connection is closed, which the read notices.
+	_ = x.conn.socket.SetReadDeadline(x.pool.clock.Now().Add(discardTime))
+	_, err := io.CopyN(io.Discard, x.response.Body, maxDiscardBytes)
+	if !errors.Is(err, io.EOF) || x.conn.socket.SetReadDeadline(time.Time{}) != nil {
+		x.Abort()
+		return
+	}
+	x.Finish()
+}
+
 // Abort resets the connection.
 func (x *Exchange) Abort() {
 	if x.done {
--- a/link/pool.go
+++ b/link/pool.go
@@ -179,12 +179,14 @@
 	delete(t.idle, address)
 }
 
+// closeExpired closes the connections that have been idle for too long or on
+// which a target sends bytes, which would fill the socket's buffer.
 func (t *poolTask) closeExpired() {
 	now := t.clock.Now()
 	for address, list := range t.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if now.Sub(c.idleSince) < c.keepAlive {
+			if now.Sub(c.idleSince) < c.keepAlive && c.isReusable() {
 				kept = append(kept, c)
 			} else {
 				c.close()
--- a/relay/early_request.go
+++ b/relay/early_request.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -50,7 +51,7 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			e.aborted = true
-			if cause != http.ErrAbortHandler {
+			if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
 				log.Error("relay: handler of a pipelined request failed", "cause", cause, "stack", string(debug.Stack()))
 			}
 		}
--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -170,7 +170,7 @@
 		p.ahead = append(p.ahead, b[:n]...)
 		p.scan(b[:n])
 		isTimeout := errors.Is(err, os.ErrDeadlineExceeded)
-		if err != nil && !(isTimeout && deadlines != p.deadlines) {
+		if err != nil && (!isTimeout || deadlines == p.deadlines) {
 			p.failure = err
 		}
 		if err != nil && !isTimeout {
--- a/relay/pipeline_test.go
+++ b/relay/pipeline_test.go
@@ -204,10 +204,17 @@
 				ids = append(ids, fmt.Sprint(i))
 				texts = append(texts, get("/long/", ids[i]))
 			}
-			go c.send(texts...)
+			written := make(chan error, 1)
+			go func() {
+				_, err := io.WriteString(c.conn, strings.Join(texts, ""))
+				written <- err
+			}()
 			g.await(1 + maxEarlyRequests)
 			g.release(ids...)
 			c.expect(ids...)
+			if err := <-written; err != nil {
+				t.Error(err)
+			}
 			if g.most > 1+maxEarlyRequests {
 				t.Errorf("%d requests of one connection ran at the same time", g.most)
 			}
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -240,11 +239,7 @@
 
 // handleNotRun handles a response that proves that the request has not run.
 func (rh *requestHandler) handleNotRun(d admit.Decision, exchange *link.Exchange, response Response) (admit.Decision, bool) {
-	if _, err := io.CopyN(io.Discard, exchange.Response().Body, copyBufferBytes); errors.Is(err, io.EOF) {
-		exchange.Finish()
-	} else {
-		exchange.Abort()
-	}
+	exchange.Discard()
 	result := spread.Full
 	if response.foreign {
 		result = spread.Foreign
--- a/relay/request_handler_test.go
+++ b/relay/request_handler_test.go
@@ -377,3 +377,57 @@
 		})
 	}
 }
+
+// TestEndlessRefusal guards against a caller that waits for the body of a
+// response whose header proves that the request has not run. The route times
+// out after an hour.
+func TestEndlessRefusal(t *testing.T) {
+	cases := []struct {
+		name   string
+		length string
+	}{
+		{"until the connection ends", ""},
+		{"of a stated length", "Content-Length: 1000000\r\n"},
+		{"in chunks", "Transfer-Encoding: chunked\r\n"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l := listen(t)
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				for n := 0; ; n++ {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go answerSlowly(conn, n == 0, c.length)
+				}
+			}()
+			h := newTestHostAt(t, l.Addr().String())
+			r, body, err := h.call(t, newClient(t), http.MethodGet, "/long/", "key", nil)
+			if err != nil || r.StatusCode != http.StatusOK || body != "ok" {
+				t.Errorf("response %+v, body %q, error %v", r, body, err)
+			}
+		})
+	}
+}
+
+// answerSlowly answers requests, or refuses the first one with a body that
+// never ends and of which nothing arrives.
+func answerSlowly(conn net.Conn, refuses bool, length string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	r, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	text := targetResponse(r, 200, "ok")
+	if refuses {
+		text = "HTTP/1.1 503 x\r\nId: " + r.Header.Get("Id") + "\r\nUnrun: 1\r\n" + length + "\r\n"
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		return
+	}
+	// The host closes the connection.
+	_, _ = reader.ReadByte()
+}
