Send changes of the ready hosts and loads by position in heartbeats

The whole list of ready hosts (12 KB) went to each host from each of five control hosts whenever one host changed, so that a lost contact made traffic that lost more contacts. A new leader sent its whole list of targets to all hosts at once, because tags were random.

Change: ready hosts are sent as changes since any list that the host has; loads name targets by their position in a list that both have; tags are hashes of the content; lists are compressed. Hosts of earlier releases get the former records.

--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -44,15 +44,14 @@
 
 // peer is an entry host's view of a control host.
 type peer struct {
-	address    string
-	client     *wire.Client
-	busy       bool
-	lastHeard  time.Time
-	lost       bool
-	hostCount  int
-	leads      bool
-	readyTag   uint64
-	readyHosts []EntryHost
+	address   string
+	client    *wire.Client
+	busy      bool
+	lastHeard time.Time
+	lost      bool
+	hostCount int
+	leads     bool
+	ready     readyList
 }
 
 // controlClientTask owns what the entry host has learned.
@@ -139,7 +138,7 @@
 		if contact && now.Sub(p.lastHeard) >= hostTimeout {
 			continue
 		}
-		for _, e := range p.readyHosts {
+		for _, e := range p.ready.hosts {
 			listed[e.address] = e
 		}
 	}
@@ -189,6 +188,7 @@
 // flight.
 func (t *controlClientTask) sendHeartbeats() {
 	now := t.clock.Now()
+	known := t.readyTags()
 	for _, p := range t.peers {
 		if !p.lost && !p.lastHeard.IsZero() && now.Sub(p.lastHeard) > hostTimeout {
 			p.lost = true
@@ -199,7 +199,7 @@
 		}
 		p.busy = true
 		heartbeat := t.heartbeat
-		heartbeat.ReadyTag = p.readyTag
+		heartbeat.ReadyTag, heartbeat.ReadyTags, heartbeat.ListTag = p.ready.tag, known, t.listTag
 		go t.sendHeartbeat(p, heartbeat, p.leads, now)
 	}
 	t.checkReady(now)
@@ -246,11 +246,55 @@
 		nearLimit[i] = ident.Team(name)
 	}
 	t.listener.ApplyLeases(leases, nearLimit, m.sent.Add(quota.LeaseTime))
-	remote := make([]spread.TargetStats, len(m.record.Others))
-	for i, r := range m.record.Others {
-		remote[i] = spread.NewTargetStats(ident.Target(r.Target), r.Running, r.Failed, r.Served)
+	if stats, ok := t.remoteStats(m.record); ok {
+		t.listener.ApplyRemoteStats(stats)
+	}
+}
+
+// remoteStats returns the stats of the other hosts in a reply. It returns false
+// if they refer to a list of targets that this host no longer has.
+func (t *controlClientTask) remoteStats(r HeartbeatReplyRecord) ([]spread.TargetStats, bool) {
+	if r.LoadsTag != 0 {
+		if r.LoadsTag != t.listTag {
+			return nil, false
+		}
+		stats, err := decodeLoads(r.Loads, t.list)
+		if err != nil {
+			t.log.Error("mesh: loads of targets cannot be decoded", "error", err)
+		}
+		return stats, err == nil
+	}
+	stats := make([]spread.TargetStats, len(r.Others))
+	for i, o := range r.Others {
+		stats[i] = spread.NewTargetStats(ident.Target(o.Target), o.Running, o.Failed, o.Served)
+	}
+	return stats, true
+}
+
+// readyTags returns the tags of the lists of ready hosts that this host has.
+func (t *controlClientTask) readyTags() []uint64 {
+	var tags []uint64
+	for _, p := range t.peers {
+		if p.ready.tag != 0 && !slices.Contains(tags, p.ready.tag) {
+			tags = append(tags, p.ready.tag)
+		}
+	}
+	return tags
+}
+
+// updateReady applies the list of ready hosts of a reply. If its base has been
+// replaced meanwhile, the next heartbeat asks again.
+func (t *controlClientTask) updateReady(p *peer, r HeartbeatReplyRecord) {
+	if p.ready.tag == r.ReadyTag {
+		return
+	}
+	known := make([]readyList, 0, len(t.peers))
+	for _, other := range t.peers {
+		known = append(known, other.ready)
+	}
+	if next, ok := r.readyFrom(known); ok {
+		p.ready = next
 	}
-	t.listener.ApplyRemoteStats(remote)
 }
 
 func (t *controlClientTask) heartbeatDone(m heartbeatDone) {
@@ -264,13 +308,7 @@
 		t.log.Info("mesh: contact to control host restored", "peer", m.peer.address)
 	}
 	m.peer.lastHeard, m.peer.lost, m.peer.hostCount = now, false, m.record.Hosts
-	if m.peer.readyTag != m.record.ReadyTag {
-		m.peer.readyTag, m.peer.readyHosts = m.record.ReadyTag, nil
-		for _, r := range m.record.ReadyHosts {
-			m.peer.readyHosts = append(m.peer.readyHosts,
-				EntryHost{address: r.Address, zone: ident.Zone(r.Zone), region: ident.Region(r.Region)})
-		}
-	}
+	t.updateReady(m.peer, m.record)
 	m.peer.leads = m.record.Leads
 	if m.record.Leads {
 		t.applyLeaderReply(m)
@@ -287,7 +325,9 @@
 	switch {
 	case !m.record.HasList:
 	case m.record.ListTag == t.listTag:
-		t.listReadAt = read
+		if read.After(t.listReadAt) {
+			t.listReadAt = read
+		}
 	case !t.fetchingList && read.After(t.listReadAt.Add(minListAdvance)):
 		t.fetchingList = true
 		go t.fetchList(m.peer, t.listTag)
@@ -337,7 +377,10 @@
 	call, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
 	m := listFetched{peer: p}
-	m.err = p.client.Call(call, methodTargets, &ListRequestRecord{Tag: have}, &m.record)
+	m.err = p.client.Call(call, methodTargets, &ListRequestRecord{Tag: have, TakesPacked: true}, &m.record)
+	if m.err == nil {
+		m.record, m.err = m.record.unpack()
+	}
 	t.self.Tell(m)
 }
 
--- a/mesh/listing.go
+++ b/mesh/listing.go
@@ -3,9 +3,12 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rhubarbrack/ident"
 )
 
@@ -65,6 +68,33 @@
 	readAt  time.Time
 	tag     uint64
 	targets []ListedTarget
+	// index holds the position of each target once it was asked for.
+	index map[ident.Target]int
+}
+
+// tagOfTargets returns a hash of the list that identifies it. Equal lists that
+// two control hosts read have the same tag, so that a list need not be sent
+// again after a change of the leader. The end of a cold period counts in
+// seconds. The tag is never zero.
+func tagOfTargets(readAt time.Time, list []ListedTarget) uint64 {
+	d := xxhash.New()
+	for _, t := range list {
+		coldUntil := int64(0)
+		if t.coldRemaining > 0 {
+			coldUntil = readAt.Add(t.coldRemaining).Unix()
+		}
+		// Writing to a digest never fails.
+		_, _ = fmt.Fprintf(d, "%q %q %q %q %d %t %d\n", t.id, t.service, t.address, t.zone, t.slots, t.draining, coldUntil)
+	}
+	return d.Sum64() | 1
+}
+
+// positions returns the position of each target in the list.
+func (l *listing) positions() map[ident.Target]int {
+	if l.index == nil {
+		l.index = indexTargets(l.targets)
+	}
+	return l.index
 }
 
 // isSame reports whether a list read later is equivalent.
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -29,8 +29,12 @@
 		Zone    string
 		Region  string
 		Ready   bool
-		// ReadyTag identifies the list of ready hosts that the sender has.
-		ReadyTag uint64
+		// ReadyTag identifies the list of ready hosts that the sender has from
+		// the receiver, and ReadyTags those that it has from all control hosts.
+		ReadyTag  uint64
+		ReadyTags []uint64
+		// ListTag identifies the list of targets that the sender has.
+		ListTag uint64
 		// Needs and Counts are sent to the leader only.
 		Needs  []DemandRecord
 		Counts []TargetStatsRecord
@@ -87,17 +91,23 @@
 		ListTag  uint64
 		ListAge  time.Duration
 		// ReadyHosts is only set if ReadyTag differs from that of the
-		// heartbeat.
+		// heartbeat. If ReadyBase is set, it holds only the hosts that were
+		// added to the list with that tag, and ReadyGone the removed ones.
 		ReadyTag   uint64
+		ReadyBase  uint64
 		ReadyHosts []ReadyHostRecord
+		ReadyGone  []string
 		// Leads tells that this control host leads and grants leases.
 		Leads  bool
 		Shares []LeaseRecord
 		// Tight holds the teams near their limit.
 		Tight []string
 		// Others holds the stats of the other hosts at busy and at failing
-		// targets.
-		Others []TargetStatsRecord
+		// targets. If the sender has a list of targets that the receiver knows,
+		// Loads holds them instead, see encodeLoads, with the tag of that list.
+		Others   []TargetStatsRecord
+		Loads    []byte
+		LoadsTag uint64
 	}
 	// EmptyRecord is a request without parameters.
 	EmptyRecord struct{}
@@ -143,7 +153,12 @@
 		Cold     time.Duration
 	}
 	// ListRequestRecord requests the list and names the one that the host has.
-	ListRequestRecord struct{ Tag uint64 }
+	// TakesPacked tells that it decodes packed lists, which hosts of earlier
+	// releases do not.
+	ListRequestRecord struct {
+		Tag         uint64
+		TakesPacked bool
+	}
 	// ListRecord is the list of targets. If Base is set, it holds only the
 	// changes since the list with that tag, including the removed targets.
 	ListRecord struct {
@@ -153,6 +168,10 @@
 		Age     time.Duration
 		Targets []TargetRecord
 		Gone    []string
+		// Packed holds the Targets and Gone of a packed list, which has none
+		// itself, and Digest the digest of its content.
+		Packed []byte
+		Digest patch.Digest
 	}
 	// JoinRecord requests to become a member of the replicated log.
 	JoinRecord struct {
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -48,13 +47,15 @@
 	list         *listing
 	// earlier holds the previous lists, the oldest first.
 	earlier []*listing
-	// lastTag is the tag of the current list.
-	lastTag uint64
+	ready   readyHistory
+	packed  packedLists
 	clients map[string]*wire.Client
 	// confirmedAt is when this host's leadership was last confirmed.
 	confirmedAt time.Time
 	allocator   *quota.Allocator
 	reports     map[ident.Host]statsReport
+	// totals are the sums of the reports, or nil before the first one.
+	totals *statsTotals
 }
 
 // joiner is a control host that requests to become a member.
@@ -77,8 +78,9 @@
 	setRegion  struct{ region ident.Region }
 	getState   struct{ reply tasks.Reply[StateRecord] }
 	getTargets struct {
-		have  uint64
-		reply tasks.Reply[ListRecord]
+		have        uint64
+		takesPacked bool
+		reply       tasks.Reply[ListRecord]
 	}
 	requestJoin struct {
 		record JoinRecord
@@ -114,8 +116,6 @@
 		ctx: ctx, system: system, clock: c, log: log, ownAddress: ownAddress, hosts: map[ident.Host]EntryHost{},
 		controlHosts: map[string]bool{}, joiners: map[string]joiner{}, clients: map[string]*wire.Client{},
 		reports: map[ident.Host]statsReport{},
-		// Lists of two processes never have the same tag.
-		lastTag: rand.Uint64(),
 	}
 	for _, s := range seeds {
 		r.controlHosts[s] = true
@@ -142,7 +142,11 @@
 	case getState:
 		m.reply.Send(newStateRecord(r.revision, r.state))
 	case getTargets:
-		m.reply.Send(r.listRecord(m.have))
+		if m.takesPacked {
+			m.reply.Send(r.packedListRecord(m.have))
+		} else {
+			m.reply.Send(r.listRecord(m.have))
+		}
 	case requestJoin:
 		r.addJoiner(m.record)
 		m.reply.Send(r.controlHostList())
@@ -196,25 +200,47 @@
 	if r.list != nil {
 		reply.HasList, reply.ListTag, reply.ListAge = true, r.list.tag, now.Sub(r.list.readAt)
 	}
-	ready := r.readyHosts()
-	reply.ReadyTag = tagOf(ready)
-	if reply.ReadyTag != record.ReadyTag {
-		for _, e := range ready {
-			reply.ReadyHosts = append(reply.ReadyHosts,
-				ReadyHostRecord{Address: e.address, Zone: string(e.zone), Region: string(e.region)})
-		}
+	if old.ready != record.Ready || !r.ready.isFresh(now) {
+		r.ready.add(now, r.readyHosts())
 	}
+	reply = reply.addReady(&r.ready, record)
 	if now.Sub(r.confirmedAt) < leadershipValidity && r.allocator != nil {
 		reply.Leads, reply.Shares = true, r.allocate(now, host, record.Needs)
 		for _, team := range r.allocator.NearLimit(now) {
 			reply.Tight = append(reply.Tight, string(team))
 		}
 		r.reports[host] = statsReport{at: now, stats: record.Counts}
-		reply.Others = r.remoteStats(now, host)
+		reply = r.addLoads(reply, record, r.remoteStats(now, host))
 	}
 	return reply
 }
 
+// addLoads adds the stats of targets to a reply, in the short form if the list
+// of targets that the entry host has is known.
+func (r *registry) addLoads(
+	reply HeartbeatReplyRecord, record HeartbeatRecord, stats []TargetStatsRecord,
+) HeartbeatReplyRecord {
+	if l := r.listWith(record.ListTag); l != nil {
+		reply.Loads, reply.LoadsTag = encodeLoads(stats, l.positions()), l.tag
+		return reply
+	}
+	reply.Others = stats
+	return reply
+}
+
+// listWith returns the current or an earlier list with the given tag, or nil.
+func (r *registry) listWith(tag uint64) *listing {
+	if r.list != nil && r.list.tag == tag {
+		return r.list
+	}
+	for _, l := range r.earlier {
+		if l.tag == tag {
+			return l
+		}
+	}
+	return nil
+}
+
 // takeToken takes a token of a team's reserve, if this host leads.
 func (r *registry) takeToken(record TokenRequestRecord) bool {
 	now := r.clock.Now()
@@ -309,13 +335,13 @@
 		}
 		return
 	}
-	r.lastTag++
-	r.log.Info("mesh: list of targets changed", "targets", len(list), "tag", r.lastTag)
+	tag := tagOfTargets(now, list)
+	r.log.Info("mesh: list of targets changed", "targets", len(list), "tag", tag)
 	if r.list != nil {
 		r.earlier = append(r.earlier, r.list)
 		r.earlier = r.earlier[max(0, len(r.earlier)-maxEarlierLists):]
 	}
-	r.list = &listing{readAt: now, tag: r.lastTag, targets: list}
+	r.list = &listing{readAt: now, tag: tag, targets: list}
 }
 
 // listRecord returns the changes since the list with the given tag, or the
@@ -328,11 +354,9 @@
 	}
 	record := ListRecord{HasList: true, Tag: r.list.tag, Age: r.clock.Now().Sub(r.list.readAt)}
 	changed, removed := r.list.targets, []ident.Target(nil)
-	for _, e := range r.earlier {
-		if e.tag == have {
-			record.Base = have
-			changed, removed = r.list.changesSince(e)
-		}
+	if base := r.listWith(have); base != nil {
+		record.Base = have
+		changed, removed = r.list.changesSince(base)
 	}
 	for _, l := range changed {
 		record.Targets = append(record.Targets, TargetRecord{
@@ -346,6 +370,26 @@
 	return record
 }
 
+// packedListRecord returns a packed listRecord. Many hosts ask for the same
+// one, so each is packed once for each read of the list.
+func (r *registry) packedListRecord(have uint64) ListRecord {
+	if r.list == nil {
+		return ListRecord{}
+	}
+	record, ok := r.packed.get(r.list.readAt, have)
+	if !ok {
+		var err error
+		record, err = r.listRecord(have).pack()
+		if err != nil {
+			r.log.Error("mesh: list of targets cannot be packed", "error", err)
+			return r.listRecord(have)
+		}
+		r.packed.put(r.list.readAt, have, record)
+	}
+	record.Age = r.clock.Now().Sub(r.list.readAt)
+	return record
+}
+
 func (r *registry) readyHosts() []EntryHost {
 	now := r.clock.Now()
 	var list []EntryHost
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -33,7 +33,9 @@
 
 // Targets returns the list of targets, or its changes.
 func (s *service) Targets(args *ListRequestRecord, reply *ListRecord) error {
-	return askRegistry(s, reply, func(r tasks.Reply[ListRecord]) any { return getTargets{have: args.Tag, reply: r} })
+	return askRegistry(s, reply, func(r tasks.Reply[ListRecord]) any {
+		return getTargets{have: args.Tag, takesPacked: args.TakesPacked, reply: r}
+	})
 }
 
 // Join receives the join request of a control host.
