--- a/mesh/config_fetcher.go
+++ b/mesh/config_fetcher.go
@@ -63,6 +63,7 @@
 	system   *tasks.System
 	clock    clock.Clock
 	log      *slog.Logger
+	meter    Meter
 	listener Listener
 	// owner receives a configInForce message for each new configuration.
 	owner    *tasks.Ref
@@ -78,8 +79,8 @@
 // startConfigFetcher starts the fetcher of a control client.
 func startConfigFetcher(owner *controlClientTask, o clientOptions) (*tasks.Ref, error) {
 	t := &configFetcher{
-		ctx: owner.ctx, system: owner.system, clock: owner.clock, log: owner.log, listener: owner.listener,
-		owner: owner.self, clients: map[string]*wire.Client{},
+		ctx: owner.ctx, system: owner.system, clock: owner.clock, log: owner.log, meter: o.meter,
+		listener: owner.listener, owner: owner.self, clients: map[string]*wire.Client{},
 		receiver: fetch.NewReceiver(owner.heartbeat.Host, fetch.WithPieceBytes(pieceBytes(o.linkRate))),
 	}
 	ref, err := tasks.Spawn(t.ctx, t.system, "mesh-fetcher", t)
@@ -155,9 +156,11 @@
 func (t *configFetcher) pieceDone(m pieceDone) {
 	now := t.clock.Now()
 	if m.err == nil {
+		t.meter.Count("config-piece", "", "", 1)
 		t.receiver.Received(now, m.order, m.piece)
 		return
 	}
+	t.meter.Count("config-piece-failed", "", "", 1)
 	t.log.Warn("mesh: piece of a configuration not fetched", "peer", m.order.Peer(), "version", m.order.Request().Version(),
 		"offset", m.order.Request().Offset(), "bytes", m.order.Request().Size(), "error", m.err)
 	t.receiver.Failed(now, m.order)
@@ -186,6 +189,7 @@
 			"peer", progress.Peer(), "error", m.err)
 		return
 	}
+	t.meter.Observe("config-transfer", "", "", now.Sub(progress.Started()))
 	t.source = m.source
 	t.owner.Tell(configInForce{version: m.version, source: m.source})
 	t.log.Info("mesh: configuration in force", "version", m.version, "base", progress.Base(), "peer", progress.Peer(),
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -77,12 +77,19 @@
 // ClientOption sets an optional property of a ControlClient.
 type ClientOption func(*clientOptions)
 
-type clientOptions struct{ linkRate float64 }
+type clientOptions struct {
+	linkRate float64
+	meter    Meter
+}
 
 // WithLinkRate sets the capacity of the host's link in bytes per second, to
 // which the pieces of configurations are adapted.
 func WithLinkRate(rate float64) ClientOption { return func(o *clientOptions) { o.linkRate = rate } }
 
+// WithClientMeter sets the meter for pieces of configurations and the times of
+// transfers.
+func WithClientMeter(m Meter) ClientOption { return func(o *clientOptions) { o.meter = m } }
+
 // NewControlClient returns a client that sends heartbeats from Start on. The
 // seeds are the addresses of some control hosts. Team rates are enforced over
 // the given window.
@@ -91,7 +98,7 @@
 	zone ident.Zone, region ident.Region, seeds []string, window time.Duration, listener Listener,
 	options ...ClientOption,
 ) (*ControlClient, error) {
-	var o clientOptions
+	o := clientOptions{meter: noMeter{}}
 	for _, apply := range options {
 		apply(&o)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -393,7 +393,8 @@
 	var ready atomic.Bool
 	listener := &entryListener{host: c, decode: decode, admission: admission, ready: &ready}
 	client, err := mesh.NewControlClient(taskCtx, system, c.clock, c.log, c.host, callers, c.zone, c.region, c.seeds,
-		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate))
+		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate),
+		mesh.WithClientMeter(hostMeter))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
