Open connections to the other voters before an election

Cause: after a restart of all control hosts, a pre-vote needs a connection each way, each opened on demand.

Change: a replica without a leader opens the connections to all members. Role changes are logged as information.

--- a/ctrl/peer_set.go
+++ b/ctrl/peer_set.go
@@ -59,6 +59,23 @@
 	s.push(outgoingMessage{message: m, ownAddress: self.Address()})
 }
 
+// connect opens connections to the other members. An election needs two
+// messages each way; if each way had to be opened first, several hosts would
+// begin an election before the first one ends, and none would win.
+func (p *peerSet) connect(members agree.Members) {
+	for _, m := range members.List() {
+		if m.Host() == p.host || m.Address() == "" {
+			continue
+		}
+		s, err := p.senderTo(m.Host(), m.Address())
+		if err != nil {
+			p.options.logger.Error("ctrl: cannot start a sender", "peer", m.Host(), "error", err)
+			continue
+		}
+		s.client.Connect()
+	}
+}
+
 func (p *peerSet) senderTo(host ident.Host, address string) (*sender, error) {
 	s, ok := p.senders[host]
 	if ok && s.address == address {
--- a/ctrl/replica_task.go
+++ b/ctrl/replica_task.go
@@ -125,6 +125,9 @@
 	case tick:
 		t.step(agree.Tick{})
 		t.peers.prune(t.node.Members())
+		if t.node.Leader() == "" {
+			t.peers.connect(t.node.Members())
+		}
 	case synced:
 		t.step(agree.NewSynced(m.write))
 	case diskFailed:
@@ -314,7 +317,7 @@
 }
 
 func (t *replicaTask) onRoleChange(c agree.RoleChange) {
-	t.options.logger.Debug("ctrl: role changed",
+	t.options.logger.Info("ctrl: role changed",
 		"host", t.node.Host(), "role", c.Role().String(), "term", c.Term(), "leader", c.Leader())
 	if c.Role() == agree.Leader {
 		return
--- a/wire/client.go
+++ b/wire/client.go
@@ -59,6 +59,10 @@
 // Address returns the address of the peer.
 func (c *Client) Address() string { return c.address }
 
+// Connect opens the connection, unless it is open, so that the next call need
+// not wait for it.
+func (c *Client) Connect() { c.ref.Tell(connect{}) }
+
 // Close stops the client and closes its connection.
 func (c *Client) Close() { c.ref.Stop() }
 
@@ -107,6 +111,8 @@
 		args, reply any
 		result      chan<- error
 	}
+	// connect requests a connection.
+	connect struct{}
 	// callExpired reports that a caller has stopped waiting.
 	callExpired struct{}
 	// dialDone carries the result of a dial.
@@ -150,6 +156,10 @@
 	switch m := message.(type) {
 	case invoke:
 		c.invoke(m)
+	case connect:
+		if c.client == nil && !c.clock().Now().Before(c.nextDial) {
+			c.startDial()
+		}
 	case dialDone:
 		c.dialDone(m)
 	case responseReceived:
@@ -183,6 +193,11 @@
 		return
 	}
 	c.waiting = append(c.waiting, m)
+	c.startDial()
+}
+
+// startDial dials unless a dial is under way.
+func (c *connection) startDial() {
 	if !c.dialling {
 		c.dialling = true
 		go c.dial(c.nextDialTimeout)
