Defer the own election after granting a pre-vote

Cause: with two of five disks lost, all three remaining voters must agree.

Change: a host that grants a pre-vote begins its own election anew later. Of two that wait for pre-votes, the one with the newer log goes on, or else the one with the smaller name. It defers to each host once in a term, because that host may not receive the responses.

Ruled out: longer election timeouts, since every loss of a leader would cost more.

--- a/agree/election.go
+++ b/agree/election.go
@@ -98,6 +98,35 @@
 	}
 	response.term = m.term
 	n.send(response)
+	n.deferElection(m)
+}
+
+// deferElection delays the own election after the node has granted a pre-vote,
+// so that two elections at the same time do not prevent each other. Of two
+// hosts that wait for pre-votes, the one with the newer log goes on, or else
+// the one with the smaller name. The node defers to a host once in a term,
+// since that host may be unable to receive the responses.
+func (n *Node) deferElection(m Message) {
+	if n.deferrals.hosts == nil || n.deferrals.term != n.term {
+		n.deferrals = deferrals{term: n.term, hosts: map[ident.Host]bool{}}
+	}
+	if n.deferrals.hosts[m.from] || n.role == Candidate {
+		return
+	}
+	isNewer := m.logTerm > n.log.lastTerm() || m.revision > n.log.last()
+	if n.role == PreCandidate && !isNewer && n.host < m.from {
+		return
+	}
+	n.deferrals.hosts[m.from] = true
+	n.role = Follower
+	n.resetElectionTimer()
+}
+
+// deferrals are the hosts for which the node has delayed its own election in a
+// term.
+type deferrals struct {
+	term  Term
+	hosts map[ident.Host]bool
 }
 
 func (n *Node) onPreVoteResponse(m Message) {
--- a/agree/node.go
+++ b/agree/node.go
@@ -25,6 +25,7 @@
 	commit            ident.Revision
 	delivered         ident.Revision
 	lastLeaderContact time.Time
+	deferrals         deferrals
 	electionDeadline  time.Time
 	votes             map[ident.Host]bool
 	leaderState       leaderState
