Read a caller's connection from one place, and limit early requests of a host

Cause, by reading: net/http starts to read just before it handles a request, and the pipeline could start to read at the same time. The bytes of a pipelining caller would reach the server out of order. And 16 early requests on each of 2,400 connections, each with a response that waits for its turn, would take more memory than a host has.

Change: the pipeline does not read while the server does. All connections of a host together have 512 early requests at most; others are handled in turn.

Measured: TestOneReader fails without the first change, TestHostEarlyLimit covers the second.

--- a/relay/front.go
+++ b/relay/front.go
@@ -43,7 +43,7 @@
 ) (*Front, error) {
 	t := &frontTask{
 		ctx: ctx, listener: listener, maxConns: int64(maxConns), handler: handler, draining: new(atomic.Bool),
-		conns: map[*callerConn]bool{}, clock: c, log: log,
+		conns: map[*callerConn]bool{}, earlySlots: make(chan struct{}, maxHostEarlyRequests), clock: c, log: log,
 	}
 	ref, err := tasks.Spawn(ctx, system, "front", t)
 	if err != nil {
@@ -104,6 +104,8 @@
 	pending  []*callerConn
 	draining *atomic.Bool
 	conns    map[*callerConn]bool
+	// earlySlots limits the early requests of all connections together.
+	earlySlots chan struct{}
 	// openConns is the number of conns, for the goroutines of requests.
 	openConns atomic.Int64
 	maxConns  int64
@@ -190,7 +192,7 @@
 		_ = socket.Close()
 		return
 	}
-	c := newCallerConn(socket, t.clock, newPipeline(t.ctx, socket, t.handler, t.log))
+	c := newCallerConn(socket, t.clock, newPipeline(t.ctx, socket, t.handler, t.earlySlots, t.log))
 	if t.queue == nil {
 		t.pending = append(t.pending, c)
 		return
--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -14,6 +14,9 @@
 	// maxEarlyRequests is the number of requests of one connection that are
 	// handled while one before them is unanswered. Further ones wait unread.
 	maxEarlyRequests = 16
+	// maxHostEarlyRequests is the same limit for all connections of the host
+	// together. It bounds the memory of responses that wait for their turn.
+	maxHostEarlyRequests = 512
 	// maxAheadBytes is the number of bytes that are read ahead.
 	maxAheadBytes = 16 << 10
 	// aheadChunkBytes is the size of one read ahead.
@@ -32,6 +35,9 @@
 	socket  net.Conn
 	handler FrontHandler
 	log     *slog.Logger
+	// slots limits the early requests of the host. Each occupies one until its
+	// response is delivered or the connection ends.
+	slots chan struct{}
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -47,8 +53,11 @@
 	// error behind them.
 	ahead   []byte
 	failure error
-	// isReading is set while a goroutine reads ahead.
-	isReading bool
+	// isReading is set while a goroutine reads ahead, and isServerReading while
+	// the server reads the socket. Never do both, since the bytes would arrive
+	// out of order.
+	isReading       bool
+	isServerReading bool
 	// deadlines counts the deadlines that were set, to ignore the expiry of one
 	// that has been replaced.
 	deadlines uint64
@@ -65,8 +74,10 @@
 	head   []byte
 }
 
-func newPipeline(ctx context.Context, socket net.Conn, handler FrontHandler, log *slog.Logger) *pipeline {
-	p := &pipeline{socket: socket, handler: handler, log: log}
+func newPipeline(
+	ctx context.Context, socket net.Conn, handler FrontHandler, slots chan struct{}, log *slog.Logger,
+) *pipeline {
+	p := &pipeline{socket: socket, handler: handler, slots: slots, log: log}
 	p.ctx, p.end = context.WithCancel(ctx)
 	p.changed = sync.NewCond(&p.mu)
 	return p
@@ -78,16 +89,18 @@
 		return n, err
 	}
 	n, err := p.socket.Read(b)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.isServerReading = false
 	if n > 0 {
-		p.mu.Lock()
 		p.scan(b[:n])
-		p.mu.Unlock()
 	}
 	return n, err
 }
 
 // takeAhead returns what was read ahead. It waits while a goroutine reads
-// ahead, and returns false if none does and nothing is there.
+// ahead. If none does and nothing is there, it returns false, and the server
+// reads the socket itself.
 func (p *pipeline) takeAhead(b []byte) (int, error, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -106,6 +119,7 @@
 		}
 		return 0, err, true
 	}
+	p.isServerReading = true
 	return 0, nil, false
 }
 
@@ -125,20 +139,37 @@
 func (p *pipeline) startEarly() {
 	for p.isHandling && !p.isSealed && len(p.waiting) > 0 && len(p.early) < maxEarlyRequests {
 		w := p.waiting[0]
-		p.waiting = p.waiting[1:]
 		if w.number <= p.begun {
+			p.waiting = p.waiting[1:]
 			continue
 		}
-		e, err := newEarlyRequest(p.ctx, w.number, w.head)
-		if err != nil {
-			// The server rejects the request when it reads it.
-			p.scanner.giveUp()
-			p.waiting = nil
+		select {
+		case p.slots <- struct{}{}:
+		default:
+			// The server handles the request when it is its turn.
 			return
 		}
-		p.early = append(p.early, e)
-		go e.serve(p.handler, p.log)
+		p.waiting = p.waiting[1:]
+		p.start(w)
+	}
+}
+
+// start begins to handle a request, for which a slot is taken.
+func (p *pipeline) start(w waitingHead) {
+	e, err := newEarlyRequest(p.ctx, w.number, w.head)
+	if err != nil {
+		// The server rejects the request when it reads it.
+		<-p.slots
+		p.scanner.giveUp()
+		p.waiting = nil
+		return
 	}
+	p.early = append(p.early, e)
+	go func() {
+		e.serve(p.handler, p.log)
+		<-e.request.Context().Done()
+		<-p.slots
+	}()
 }
 
 // readAhead starts to read ahead if the server handles a request, the caller
@@ -152,8 +183,8 @@
 }
 
 func (p *pipeline) canReadAhead() bool {
-	return p.isHandling && !p.isSealed && !p.scanner.gaveUp && p.failure == nil && len(p.ahead) < maxAheadBytes &&
-		len(p.early) < maxEarlyRequests
+	return p.isHandling && !p.isServerReading && !p.isSealed && !p.scanner.gaveUp && p.failure == nil &&
+		len(p.ahead) < maxAheadBytes && len(p.early) < maxEarlyRequests
 }
 
 // readLoop reads ahead until there is no room, no request is being handled, or
--- a/relay/pipeline_test.go
+++ b/relay/pipeline_test.go
@@ -6,10 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -276,3 +278,140 @@
 		t.Errorf("shutdown: %v", err)
 	}
 }
+
+// scriptedConn returns one text for each read once the test provides it.
+type scriptedConn struct {
+	net.Conn
+	texts   chan string
+	begun   chan struct{}
+	readers atomic.Int32
+	most    atomic.Int32
+}
+
+// Read implements net.Conn.
+func (c *scriptedConn) Read(b []byte) (int, error) {
+	c.most.Store(max(c.most.Load(), c.readers.Add(1)))
+	defer c.readers.Add(-1)
+	c.begun <- struct{}{}
+	text, ok := <-c.texts
+	if !ok {
+		return 0, io.EOF
+	}
+	return copy(b, text), nil
+}
+
+// idleHandler answers nothing.
+type idleHandler struct{}
+
+var _ FrontHandler = idleHandler{}
+
+func (idleHandler) IsRetryable(*http.Request) bool               { return true }
+func (idleHandler) ServeHTTP(http.ResponseWriter, *http.Request) {}
+
+// TestOneReader guards against a server and a pipeline that read the connection
+// at the same time, which would exchange the order of its bytes. The server
+// starts to read just before it handles a request.
+func TestOneReader(t *testing.T) {
+	c := &scriptedConn{texts: make(chan string), begun: make(chan struct{}, 10)}
+	p := newPipeline(context.Background(), c, idleHandler{}, make(chan struct{}, 10), slog.New(slog.DiscardHandler))
+	read := func(done chan<- string) {
+		b := make([]byte, 1000)
+		n, _ := p.read(b)
+		done <- string(b[:n])
+	}
+	done := make(chan string, 1)
+	go read(done)
+	first := get("/a", "1") + get("/b", "2")
+	c.texts <- first
+	if got := <-done; got != first {
+		t.Fatalf("the server read %q", got)
+	}
+	<-c.begun
+	go read(done)
+	<-c.begun
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(first)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.begin(r, false)
+	p.mu.Lock()
+	isReading := p.isReading
+	p.mu.Unlock()
+	if isReading {
+		t.Error("the pipeline reads while the server does")
+	}
+	third := get("/c", "3")
+	c.texts <- third
+	if got := <-done; got != third {
+		t.Errorf("the server read %q, want the next request", got)
+	}
+	close(c.texts)
+	<-p.ctx.Done()
+	if c.most.Load() > 1 {
+		t.Errorf("%d goroutines read at the same time", c.most.Load())
+	}
+}
+
+// countingHandler counts the requests that it is given, and lasts as long as
+// their contexts.
+type countingHandler struct{ begun chan struct{} }
+
+var _ FrontHandler = countingHandler{}
+
+func (countingHandler) IsRetryable(*http.Request) bool { return true }
+
+func (h countingHandler) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	h.begun <- struct{}{}
+	<-r.Context().Done()
+}
+
+// TestHostEarlyLimit guards against callers that occupy the memory of a host
+// with responses which wait for their turn, and against slots that are not
+// given back when a connection ends.
+func TestHostEarlyLimit(t *testing.T) {
+	const limit, connections = 3, 5
+	slots := make(chan struct{}, limit)
+	h := countingHandler{begun: make(chan struct{}, 100)}
+	text := get("/a", "1") + get("/b", "2") + get("/c", "3")
+	for range 3 {
+		var pipelines []*pipeline
+		var conns []*scriptedConn
+		for range connections {
+			c := &scriptedConn{texts: make(chan string, 1), begun: make(chan struct{}, 10)}
+			c.texts <- text
+			p := newPipeline(context.Background(), c, h, slots, slog.New(slog.DiscardHandler))
+			if _, err := p.read(make([]byte, len(text))); err != nil {
+				t.Fatal(err)
+			}
+			r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.begin(r, false)
+			pipelines, conns = append(pipelines, p), append(conns, c)
+		}
+		for range limit {
+			<-h.begun
+		}
+		early := 0
+		for _, p := range pipelines {
+			p.mu.Lock()
+			early += len(p.early)
+			p.mu.Unlock()
+			p.end()
+		}
+		if early != limit {
+			t.Errorf("%d early requests, want %d", early, limit)
+		}
+		for _, c := range conns {
+			close(c.texts)
+		}
+		// All slots come back.
+		for range limit {
+			slots <- struct{}{}
+		}
+		for range limit {
+			<-slots
+		}
+	}
+}
