Do not count a configuration that cannot be decoded as in force

Cause, by reading: the fetcher reported each decoded document as in force, also when the host could not put it in force. The host became ready and refused every request.

Change: such a version is kept as a base for differences only. It is not fetched again; the next version replaces it.

--- a/mesh/config_fetcher.go
+++ b/mesh/config_fetcher.go
@@ -47,10 +47,13 @@
 		piece patch.Piece
 		err   error
 	}
+	// configDecoded reports that a configuration was decoded, and whether it is
+	// in force.
 	configDecoded struct {
-		version uint64
-		source  []byte
-		err     error
+		version   uint64
+		source    []byte
+		isInForce bool
+		err       error
 	}
 )
 
@@ -172,8 +175,10 @@
 	m := configDecoded{version: encoded.Version()}
 	m.source, m.err = encoded.Decode(base)
 	if m.err == nil {
-		if err := t.listener.SetConfig(m.version, m.source); err != nil {
-			// Every host would fail alike, so another transfer would not help.
+		err := t.listener.SetConfig(m.version, m.source)
+		m.isInForce = err == nil
+		if err != nil {
+			// Another transfer would not help. The next version replaces it.
 			t.log.Error("mesh: configuration cannot be put in force", "version", m.version, "error", err)
 		}
 	}
@@ -191,6 +196,9 @@
 	}
 	t.meter.Observe("config-transfer", "", "", now.Sub(progress.Started()))
 	t.source = m.source
+	if !m.isInForce {
+		return
+	}
 	t.owner.Tell(configInForce{version: m.version, source: m.source})
 	t.log.Info("mesh: configuration in force", "version", m.version, "base", progress.Base(), "peer", progress.Peer(),
 		"sent-bytes", progress.Total(), "bytes", len(m.source), "took", now.Sub(progress.Started()).String())
--- a/mesh/config_fetcher_test.go
+++ b/mesh/config_fetcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/rpc"
@@ -84,7 +85,15 @@
 
 var _ Listener = testListener{}
 
-func (l testListener) SetConfig(_ uint64, source []byte) error                   { l.configs <- source; return nil }
+// SetConfig cannot decode configurations that begin with an exclamation mark.
+func (l testListener) SetConfig(_ uint64, source []byte) error {
+	l.configs <- source
+	if bytes.HasPrefix(source, []byte("!")) {
+		return errUndecodable
+	}
+	return nil
+}
+
 func (l testListener) SetEvacuated(zones []ident.Zone)                           { l.zones <- zones }
 func (l testListener) SetTargets(time.Time, []ListedTarget)                      { l.targets <- struct{}{} }
 func (l testListener) SetHostCount(int)                                          {}
@@ -94,6 +103,8 @@
 func (l testListener) ApplyRemoteStats([]spread.TargetStats)                     {}
 func (l testListener) BecomeReady()                                              { close(l.ready) }
 
+var errUndecodable = errors.New("undecodable")
+
 // startTestClient starts a control client of a stand-in.
 func startTestClient(t *testing.T, s *testControlHost) testListener {
 	t.Helper()
@@ -156,6 +167,30 @@
 
 var config = bytes.Repeat([]byte("route to a service\n"), 10_000)
 
+// TestUndecodableConfig guards against a host that counts as ready although its
+// configuration is not in force, and against one that fetches a configuration
+// over and over which it cannot decode.
+func TestUndecodableConfig(t *testing.T) {
+	s := &testControlHost{archive: patch.NewArchive(), release: make(chan struct{})}
+	close(s.release)
+	l := startTestClient(t, s)
+	s.put(1, []byte("!"))
+	<-l.configs
+	s.evacuate(2, "a")
+	<-l.zones
+	// Heartbeats have been answered since, so the host would be ready by now.
+	select {
+	case <-l.ready:
+		t.Error("ready without a configuration in force")
+	default:
+	}
+	s.put(2, config)
+	if got := <-l.configs; !bytes.Equal(got, config) {
+		t.Error("the undecodable configuration was fetched again")
+	}
+	<-l.ready
+}
+
 // TestConfigsInOrder guards against configurations that are put in force
 // damaged or twice.
 func TestConfigsInOrder(t *testing.T) {
