--- a/fetch/receiver.go
+++ b/fetch/receiver.go
@@ -40,7 +40,7 @@
 	sources  *sources
 	held     uint64
 	maxBytes int
-	// size is the size of the next pieces.
+	// size is the size of the next pieces in bytes, maxBytes at most.
 	size     int
 	transfer *transfer
 	// transfers is the number of transfers begun.
--- a/mesh/config_fetcher.go
+++ b/mesh/config_fetcher.go
@@ -113,7 +113,9 @@
 	t.advance()
 }
 
-// advance decodes a complete configuration and requests missing pieces.
+// advance decodes a complete configuration and requests missing pieces. It runs
+// after each message, so that peers that have failed are tried again with the
+// next heartbeat.
 func (t *configFetcher) advance() {
 	if encoded, ok := t.receiver.Complete(); ok {
 		go t.decode(encoded, t.source)
--- a/patch/archive.go
+++ b/patch/archive.go
@@ -118,7 +118,7 @@
 	}
 	data, err := Encode(base.document, v.document)
 	if err != nil {
-		return encoding{}, err
+		return encoding{}, fmt.Errorf("difference to version %d: %w", base.version, err)
 	}
 	e := encoding{data: data, id: xxhash.Sum64(data)}
 	v.encodings[base.version] = e
--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -28,7 +28,8 @@
 // server still reads all bytes and writes all responses, in order.
 //
 // The server reads while a request is handled only to notice the end of the
-// connection. If it gets a byte instead, the pipeline goes on reading.
+// connection. If it gets a byte instead, the pipeline goes on reading. Methods
+// without a lock of their own are called with mu held.
 type pipeline struct {
 	ctx     context.Context
 	end     context.CancelFunc
@@ -48,14 +49,16 @@
 	// server has begun.
 	scanned uint64
 	begun   uint64
-	early   []*earlyRequest
+	// early holds the requests that were started early and are not delivered,
+	// in order.
+	early []*earlyRequest
 	// ahead holds the bytes that the server has not read yet, and failure the
 	// error behind them.
 	ahead   []byte
 	failure error
 	// isReading is set while a goroutine reads ahead, and isServerReading while
-	// the server reads the socket. Never do both, since the bytes would arrive
-	// out of order.
+	// the server reads the socket. At most one of them is set, since two readers
+	// would exchange the order of the bytes.
 	isReading       bool
 	isServerReading bool
 	// deadlines counts the deadlines that were set, to ignore the expiry of one
