Keep rare log lines, and tell decoding from transfer

TestRareLines fails without the change; TestBudget counts the reserved lines too, with an exact number as before.

--- a/lines/lines.go
+++ b/lines/lines.go
@@ -1,7 +1,8 @@
 // Package lines writes structured log lines without ever blocking the code
 // that logs. Lines beyond a budget per second, or beyond what the output
 // accepts, are dropped and counted. Warnings and errors have a budget of their
-// own, so that ordinary lines cannot displace them.
+// own, and the first lines of each message are written beyond the budget, so
+// that frequent lines cannot displace rare ones.
 package lines
 
 import (
@@ -21,6 +22,9 @@
 	// reportInterval is the time without lines after which the number of
 	// dropped lines is reported.
 	reportInterval = time.Second
+	// reservedLines is the number of lines per second that each message may
+	// write beyond the budget.
+	reservedLines = 3
 )
 
 // Output is the log output of a process. It is safe for concurrent use.
@@ -31,19 +35,25 @@
 	budget int
 
 	mutex sync.Mutex
-	// second is the Unix time to which the counts ordinary and urgent apply.
+	// second is the Unix time to which the counts ordinary, urgent and messages
+	// apply.
 	second   int64
 	ordinary int
 	urgent   int
+	messages map[string]int
 	// unreported counts the dropped lines that have not been reported yet.
 	unreported int64
 	dropped    int64
 }
 
 // Start writes lines to the output until ctx ends. Each second, at most
-// budget ordinary lines are written and as many warnings and errors.
+// budget ordinary lines are written and as many warnings and errors, besides
+// the first lines of each message.
 func Start(ctx context.Context, out io.Writer, budget int, c clock.Clock) *Output {
-	o := &Output{clock: c, queue: make(chan []byte, maxQueuedLines), done: make(chan struct{}), budget: budget}
+	o := &Output{
+		clock: c, queue: make(chan []byte, maxQueuedLines), done: make(chan struct{}), budget: budget,
+		messages: map[string]int{},
+	}
 	go func() {
 		defer close(o.done)
 		o.run(ctx, out)
@@ -111,13 +121,19 @@
 	}
 }
 
-// takeBudget uses up one line of the budget and reports whether one was left.
-func (o *Output) takeBudget(urgent bool) bool {
+// takeBudget uses up one line of the budget, or of those reserved for the
+// message, and reports whether one was left.
+func (o *Output) takeBudget(urgent bool, message string) bool {
 	second := o.clock.Now().Unix()
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if second != o.second {
 		o.second, o.ordinary, o.urgent = second, 0, 0
+		clear(o.messages)
+	}
+	if o.messages[message] < reservedLines {
+		o.messages[message]++
+		return true
 	}
 	count := &o.ordinary
 	if urgent {
@@ -159,7 +175,7 @@
 
 // Handle implements slog.Handler.
 func (h *handler) Handle(ctx context.Context, r slog.Record) error {
-	if !h.output.takeBudget(r.Level >= slog.LevelWarn) {
+	if !h.output.takeBudget(r.Level >= slog.LevelWarn, r.Message) {
 		return nil
 	}
 	if err := h.Handler.Handle(ctx, r); err != nil {
--- a/mesh/config_fetcher.go
+++ b/mesh/config_fetcher.go
@@ -53,7 +53,9 @@
 		version   uint64
 		source    []byte
 		isInForce bool
-		err       error
+		// took is how long decoding and putting in force took.
+		took time.Duration
+		err  error
 	}
 )
 
@@ -174,7 +176,7 @@
 // decode decodes a configuration and puts it in force. It runs in a goroutine
 // of its own, because a large configuration takes a while.
 func (t *configFetcher) decode(encoded fetch.Encoded, base []byte) {
-	m := configDecoded{version: encoded.Version()}
+	m, started := configDecoded{version: encoded.Version()}, t.clock.Now()
 	m.source, m.err = encoded.Decode(base)
 	if m.err == nil {
 		err := t.listener.SetConfig(m.version, m.source)
@@ -184,6 +186,7 @@
 			t.log.Error("mesh: configuration cannot be put in force", "version", m.version, "error", err)
 		}
 	}
+	m.took = t.clock.Now().Sub(started)
 	t.self.Tell(m)
 }
 
@@ -196,14 +199,16 @@
 			"peer", progress.Peer(), "error", m.err)
 		return
 	}
-	t.meter.Observe("config-transfer", "", "", now.Sub(progress.Started()))
+	t.meter.Observe("config-transfer", "", "", now.Sub(progress.Started())-m.took)
+	t.meter.Observe("config-decoding", "", "", m.took)
 	t.source = m.source
 	if !m.isInForce {
 		return
 	}
 	t.owner.Tell(configInForce{version: m.version, source: m.source})
 	t.log.Info("mesh: configuration in force", "version", m.version, "base", progress.Base(), "peer", progress.Peer(),
-		"sent-bytes", progress.Total(), "bytes", len(m.source), "took", now.Sub(progress.Started()).String())
+		"sent-bytes", progress.Total(), "bytes", len(m.source), "took", now.Sub(progress.Started()).String(),
+		"decoding", m.took.String())
 }
 
 // logProgress reports a transfer that takes long.
