Send a small change of the configuration along with its announcement

Cause: the host learned of version 10 in time, but then opened a connection for the transfer. On a link of 4.4 Mbit/s that carried the callers of the hosts that were down, the opening packet waited longer than the limit of 250 ms, at one control host after the other: 'piece of a configuration not fetched' with 'dial ... i/o timeout' at 12.956 and 13.208 s.

Change: a heartbeat names the version that the host has, and the reply carries the difference if it has at most 1 KiB. The archive encodes it in advance for hosts that are one version behind, and on request for others. Larger differences are fetched in pieces as before.

--- a/fetch/receiver.go
+++ b/fetch/receiver.go
@@ -74,6 +74,32 @@
 	r.sources.announce(peer, version, isNear)
 }
 
+// Offer takes a difference that a peer sent along with its announcement of a
+// version. It is ignored unless it is complete and applies to the version that
+// the host has. It replaces a transfer of the same version.
+func (r *Receiver) Offer(now time.Time, peer string, p patch.Piece) {
+	if !r.isOfferUsable(p) {
+		return
+	}
+	started := now
+	if r.transfer != nil && r.transfer.version == p.Version() {
+		started = r.transfer.started
+	}
+	r.transfers++
+	r.transfer = newCompleteTransfer(r.transfers, peer, p, started)
+}
+
+// isOfferUsable reports whether a piece is a whole difference to the version
+// that the host has, and whether no transfer that is under way is better.
+func (r *Receiver) isOfferUsable(p patch.Piece) bool {
+	isWhole := p.IsIntact() && p.Offset() == 0 && len(p.Data()) == p.Total()
+	if !isWhole || r.wholeOnly || p.Version() <= r.held || p.Base() != r.held {
+		return false
+	}
+	t := r.transfer
+	return t == nil || !t.handedOver && t.version <= p.Version()
+}
+
 // Forget removes a peer.
 func (r *Receiver) Forget(peer string) { r.sources.forget(peer) }
 
--- a/fetch/transfer.go
+++ b/fetch/transfer.go
@@ -35,6 +35,15 @@
 	return &transfer{number: number, version: version, base: base, started: now}
 }
 
+// newCompleteTransfer returns the transfer of a document whose encoding is the
+// given piece.
+func newCompleteTransfer(number uint64, peer string, p patch.Piece, started time.Time) *transfer {
+	return &transfer{
+		number: number, version: p.Version(), base: p.Base(), digest: p.Digest(), encoding: p.Encoding(), data: p.Data(),
+		received: p.Total(), peer: peer, started: started,
+	}
+}
+
 // window returns how many pieces may be in flight. The size of the encoding is
 // unknown before the first piece.
 func (t *transfer) window() int {
--- a/mesh/archive.go
+++ b/mesh/archive.go
@@ -13,6 +13,9 @@
 type archiveTask struct {
 	log     *slog.Logger
 	archive *patch.Archive
+	// registry receives a changeEncoded message for each difference that is
+	// small enough to be announced.
+	registry *tasks.Ref
 }
 
 // The messages of the archive.
@@ -25,6 +28,9 @@
 		request patch.Request
 		reply   tasks.Reply[PieceRecord]
 	}
+	// encodeChange requests the difference between two versions for the
+	// registry.
+	encodeChange struct{ version, base uint64 }
 )
 
 var _ tasks.Task = (*archiveTask)(nil)
@@ -33,7 +39,9 @@
 func (t *archiveTask) Handle(message any) {
 	switch m := message.(type) {
 	case archiveConfig:
-		t.archive.Add(m.version, m.source)
+		t.add(m.version, m.source)
+	case encodeChange:
+		t.encodeChange(m.version, m.base)
 	case getPiece:
 		p, err := t.archive.Piece(m.request)
 		if err != nil {
@@ -43,3 +51,29 @@
 		m.reply.Send(newPieceRecord(p))
 	}
 }
+
+// add archives a configuration and encodes its difference to the one before,
+// which most entry hosts have.
+func (t *archiveTask) add(version uint64, source []byte) {
+	base := t.archive.Latest()
+	if version <= base {
+		return
+	}
+	t.archive.Add(version, source)
+	if base > 0 {
+		t.encodeChange(version, base)
+	}
+}
+
+// encodeChange sends the difference between two versions to the registry if it
+// is small.
+func (t *archiveTask) encodeChange(version, base uint64) {
+	p, err := t.archive.Piece(patch.NewRequest(version, base, 0, maxAnnouncedBytes))
+	if err != nil {
+		t.log.Error("mesh: difference of a configuration cannot be encoded", "version", version, "base", base, "error", err)
+		return
+	}
+	if p.Version() == version && p.Base() == base && p.Total() <= maxAnnouncedBytes {
+		t.registry.Tell(changeEncoded{piece: p})
+	}
+}
--- a/mesh/config_fetcher.go
+++ b/mesh/config_fetcher.go
@@ -8,6 +8,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/fetch"
+	"rhubarbrack/ident"
 	"rhubarbrack/patch"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -34,11 +35,13 @@
 
 // The messages of the config fetcher.
 type (
-	// announceConfig reports the version that a control host has.
+	// announceConfig reports the version that a control host has, and the
+	// difference to the version of this host if it is small.
 	announceConfig struct {
 		address string
 		version uint64
 		isNear  bool
+		change  ident.Option[patch.Piece]
 	}
 	// forgetPeer reports that a control host is no longer asked.
 	forgetPeer struct{ address string }
@@ -101,6 +104,9 @@
 	switch m := message.(type) {
 	case announceConfig:
 		t.receiver.Announce(m.address, m.version, m.isNear)
+		if change, ok := m.change.Get(); ok {
+			t.receiver.Offer(t.clock.Now(), m.address, change)
+		}
 	case forgetPeer:
 		t.receiver.Forget(m.address)
 		if c, ok := t.clients[m.address]; ok {
@@ -120,6 +126,7 @@
 // next heartbeat.
 func (t *configFetcher) advance() {
 	if encoded, ok := t.receiver.Complete(); ok {
+		t.owner.Tell(configReceived{version: encoded.Version()})
 		go t.decode(encoded, t.source)
 		return
 	}
--- a/mesh/config_fetcher_test.go
+++ b/mesh/config_fetcher_test.go
@@ -29,16 +29,35 @@
 	mu      sync.Mutex
 	reply   HeartbeatReplyRecord
 	damage  int
+	// greeted receives each heartbeat, unless it is nil or full.
+	greeted chan HeartbeatRecord
 }
 
 // Greet receives a heartbeat.
-func (s *testControlHost) Greet(_ *HeartbeatRecord, reply *HeartbeatReplyRecord) error {
+func (s *testControlHost) Greet(record *HeartbeatRecord, reply *HeartbeatReplyRecord) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	*reply = s.reply
+	select {
+	case s.greeted <- *record:
+	default:
+	}
 	return nil
 }
 
+// announce announces a version with its difference to a base.
+func (s *testControlHost) announce(t *testing.T, version, base uint64) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, err := s.archive.Piece(patch.NewRequest(version, base, 0, maxAnnouncedBytes))
+	if err != nil || len(p.Data()) != p.Total() {
+		t.Fatalf("difference of %d bytes, error %v", p.Total(), err)
+	}
+	record := newPieceRecord(p)
+	s.reply.Version, s.reply.Change = version, &record
+}
+
 // Targets returns an empty list.
 func (s *testControlHost) Targets(_ *ListRequestRecord, reply *ListRecord) error {
 	*reply = ListRecord{HasList: true, Tag: 1}
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -68,10 +68,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("start mesh: %w", err)
 	}
-	archive, err := tasks.Spawn(ctx, system, "mesh-archive", &archiveTask{log: log, archive: patch.NewArchive()})
+	archive, err := tasks.Spawn(ctx, system, "mesh-archive",
+		&archiveTask{log: log, archive: patch.NewArchive(), registry: ref})
 	if err != nil {
 		return nil, fmt.Errorf("start mesh: %w", err)
 	}
+	ref.Tell(setArchive{ref: archive})
 	control := &Control{
 		ref: ref, archive: archive, clock: c, log: log, host: host, ownAddress: ownAddress, rotation: newRotation(),
 		meter: noMeter{},
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -30,6 +30,9 @@
 		record HeartbeatReplyRecord
 		err    error
 	}
+	// configReceived reports a configuration that has arrived and is not in
+	// force yet.
+	configReceived struct{ version uint64 }
 	// configInForce reports a configuration that the fetcher put in force.
 	configInForce struct {
 		version uint64
@@ -101,6 +104,8 @@
 		t.updateControlHosts(m.addresses)
 	case heartbeatDone:
 		t.heartbeatDone(m)
+	case configReceived:
+		t.heartbeat.Version = max(t.heartbeat.Version, m.version)
 	case configInForce:
 		t.state = scheme.NewDesiredState(m.version, m.source, t.state.Evacuated())
 		t.checkReady(t.clock.Now())
@@ -370,7 +375,9 @@
 		t.revision, t.state = revision, scheme.NewDesiredState(t.state.Version(), t.state.Source(), zones)
 	}
 	t.announced = max(t.announced, r.Version)
-	t.fetcher.Tell(announceConfig{address: p.address, version: r.Version, isNear: r.Region == t.heartbeat.Region})
+	t.fetcher.Tell(announceConfig{
+		address: p.address, version: r.Version, isNear: r.Region == t.heartbeat.Region, change: r.change(),
+	})
 }
 
 func (t *controlClientTask) fetchList(p *peer, have uint64) {
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -35,6 +35,9 @@
 		ReadyTags []uint64
 		// ListTag identifies the list of targets that the sender has.
 		ListTag uint64
+		// Version is that of the newest configuration that the sender has
+		// received, or 0.
+		Version uint64
 		// Needs and Counts are sent to the leader only.
 		Needs  []DemandRecord
 		Counts []TargetStatsRecord
@@ -85,11 +88,14 @@
 		Revision uint64
 		HasState bool
 		Version  uint64
-		Zones    []string
-		Hosts    int
-		HasList  bool
-		ListTag  uint64
-		ListAge  time.Duration
+		// Change is the difference of that configuration to the one of the
+		// heartbeat, if it is small.
+		Change  *PieceRecord
+		Zones   []string
+		Hosts   int
+		HasList bool
+		ListTag uint64
+		ListAge time.Duration
 		// ReadyHosts is only set if ReadyTag differs from that of the
 		// heartbeat. If ReadyBase is set, it holds only the hosts that were
 		// added to the list with that tag, and ReadyGone the removed ones.
@@ -205,6 +211,14 @@
 	return patch.NewPiece(r.Version, r.Base, r.Digest, r.Encoding, r.Total, r.Offset, r.Data).WithChecksum(r.Checksum)
 }
 
+// change returns the difference that was sent along, if there is one.
+func (r HeartbeatReplyRecord) change() ident.Option[patch.Piece] {
+	if r.Change == nil {
+		return ident.None[patch.Piece]()
+	}
+	return ident.Some(r.Change.piece())
+}
+
 // zoneNames returns the zones as strings.
 func zoneNames(zones []ident.Zone) []string {
 	var names []string
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -9,6 +9,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
+	"rhubarbrack/patch"
 	"rhubarbrack/quota"
 	"rhubarbrack/scheme"
 	"rhubarbrack/tasks"
@@ -49,6 +50,9 @@
 	earlier []*listing
 	ready   readyHistory
 	packed  packedLists
+	// archive encodes the changes.
+	archive *tasks.Ref
+	changes announcedChanges
 	clients map[string]*wire.Client
 	// confirmedAt is when this host's leadership was last confirmed.
 	confirmedAt time.Time
@@ -76,8 +80,11 @@
 		reply  tasks.Reply[HeartbeatReplyRecord]
 	}
 	setRegion  struct{ region ident.Region }
-	getState   struct{ reply tasks.Reply[StateRecord] }
-	getTargets struct {
+	setArchive struct{ ref *tasks.Ref }
+	// changeEncoded carries a difference between two configurations.
+	changeEncoded struct{ piece patch.Piece }
+	getState      struct{ reply tasks.Reply[StateRecord] }
+	getTargets    struct {
 		have        uint64
 		takesPacked bool
 		reply       tasks.Reply[ListRecord]
@@ -137,6 +144,10 @@
 		r.revision, r.state = m.revision, m.state
 	case setRegion:
 		r.region = m.region
+	case setArchive:
+		r.archive = m.ref
+	case changeEncoded:
+		r.changes.add(m.piece)
 	case heartbeat:
 		m.reply.Send(r.heartbeat(m.record))
 	case getState:
@@ -197,6 +208,7 @@
 		Controls: r.controlHostList(), Region: string(r.region), Revision: uint64(r.revision), HasState: true,
 		Version: r.state.Version(), Zones: zoneNames(r.state.Evacuated()), Hosts: len(r.hosts),
 	}
+	reply.Change = r.change(record.Version)
 	if r.list != nil {
 		reply.HasList, reply.ListTag, reply.ListAge = true, r.list.tag, now.Sub(r.list.readAt)
 	}
@@ -215,6 +227,19 @@
 	return reply
 }
 
+// change returns the difference of the configuration to an earlier version, or
+// nil. If it is not encoded yet, a later heartbeat gets it.
+func (r *registry) change(base uint64) *PieceRecord {
+	version := r.state.Version()
+	if base == 0 || base >= version {
+		return nil
+	}
+	if r.archive != nil && r.changes.request(version, base) {
+		r.archive.Tell(encodeChange{version: version, base: base})
+	}
+	return r.changes.get(version, base)
+}
+
 // addLoads adds the stats of targets to a reply, in the short form if the list
 // of targets that the entry host has is known.
 func (r *registry) addLoads(
