Keep the connection for transfers of configurations open

Cause: the connection for a transfer was opened when a version was announced, and its opening packet queued on a full link.

Change: the connection to the control host that the next transfer would begin with is opened ahead, with the heartbeats. Each entry host keeps one more connection, spread over the control hosts by the hash that chooses the peer.

TestTransferConnectionIsOpen fails without the change (1 connection instead of 2).

--- a/fetch/receiver.go
+++ b/fetch/receiver.go
@@ -100,6 +100,10 @@
 	return t == nil || !t.handedOver && t.version <= p.Version()
 }
 
+// Preferred returns the peer that the next transfer would begin with. It
+// returns false if none is known or all have failed recently.
+func (r *Receiver) Preferred(now time.Time) (string, bool) { return r.sources.choose(now, "", r.held) }
+
 // Forget removes a peer.
 func (r *Receiver) Forget(peer string) { r.sources.forget(peer) }
 
--- a/mesh/changes_test.go
+++ b/mesh/changes_test.go
@@ -41,6 +41,20 @@
 	}
 }
 
+// TestTransferConnectionIsOpen guards against a large change that waits until a
+// connection for its transfer is open, which takes seconds on a full link.
+func TestTransferConnectionIsOpen(t *testing.T) {
+	s := &testControlHost{archive: patch.NewArchive(), release: make(chan struct{}), greeted: make(chan HeartbeatRecord, 1000)}
+	startTestClient(t, s)
+	for range 20 {
+		<-s.greeted
+		if s.accepted.Load() == 2 {
+			return
+		}
+	}
+	t.Errorf("%d connections after 20 heartbeats, want one for heartbeats and one for transfers", s.accepted.Load())
+}
+
 // TestAnnouncedChange guards against a control host that announces a version
 // without the difference that an entry host needs, and against one that repeats
 // it to hosts that have it.
--- a/mesh/config_fetcher.go
+++ b/mesh/config_fetcher.go
@@ -134,9 +134,22 @@
 	for _, order := range t.receiver.Next(now) {
 		go t.fetchPiece(order, t.client(order.Peer()))
 	}
+	t.connectAhead(now)
 	t.logProgress(now)
 }
 
+// connectAhead keeps the connection for the next transfer open. On a full link
+// the opening packet can take longer than the transfer itself.
+func (t *configFetcher) connectAhead(now time.Time) {
+	address, ok := t.receiver.Preferred(now)
+	if !ok {
+		return
+	}
+	if c := t.client(address); c != nil {
+		c.Connect()
+	}
+}
+
 // client returns the client for transfers from a control host, or nil if it
 // cannot start.
 func (t *configFetcher) client(address string) *wire.Client {
--- a/mesh/config_fetcher_test.go
+++ b/mesh/config_fetcher_test.go
@@ -9,6 +9,7 @@
 	"net/rpc"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,6 +32,23 @@
 	damage  int
 	// greeted receives each heartbeat, unless it is nil or full.
 	greeted chan HeartbeatRecord
+	// accepted counts the connections.
+	accepted atomic.Int64
+}
+
+// countingListener counts the connections that it accepts.
+type countingListener struct {
+	net.Listener
+	accepted *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return c, err
 }
 
 // Greet receives a heartbeat.
@@ -136,7 +154,7 @@
 		t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	served := wire.Serve(ctx, socket, server)
+	served := wire.Serve(ctx, countingListener{Listener: socket, accepted: &s.accepted}, server)
 	log := slog.New(slog.DiscardHandler)
 	system := tasks.NewSystem(log)
 	l := testListener{
