Let cold times pass in the list that an entry host keeps

Targets that had started long ago got hardly any requests for three seconds after each change of the list of targets.

Cause: a list that only differs in cold times keeps its tag and is not sent again. The next one is sent as changes to it, without the targets that have become warm meanwhile. The entry host applied the changes to its copy, in which these targets still had the cold time of long ago.

Change: the copy is aged by the time between the two reads.

--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -73,10 +73,12 @@
 	revision ident.Revision
 	state    scheme.DesiredState
 	// announced is the newest version that a control host has reported.
-	announced    uint64
-	listTag      uint64
-	listReadAt   time.Time
-	list         []ListedTarget
+	announced  uint64
+	listTag    uint64
+	listReadAt time.Time
+	list       []ListedTarget
+	// coldAsOf is when the cold times of the list were read.
+	coldAsOf     time.Time
 	fetchingList bool
 	hostCount    int
 	// hostCountSeen is when a control host last reported hostCount or more
@@ -410,9 +412,9 @@
 			t.log.Info("mesh: changes are based on another list", "base", m.record.Base, "tag", t.listTag)
 			return
 		}
-		list = applyChanges(t.list, changed, removedOf(m.record))
+		list = applyChanges(aged(t.list, read.Sub(t.coldAsOf)), changed, removedOf(m.record))
 	}
-	t.listTag, t.listReadAt, t.list = m.record.Tag, read, list
+	t.listTag, t.listReadAt, t.list, t.coldAsOf = m.record.Tag, read, list, read
 	t.listener.SetTargets(read, list)
 	t.log.Info("mesh: list of targets in force", "targets", len(list), "changed", len(changed), "tag", m.record.Tag,
 		"age", m.record.Age.String(), "peer", m.peer.address)
--- a/mesh/listing.go
+++ b/mesh/listing.go
@@ -145,6 +145,15 @@
 	return changed, removed
 }
 
+// aged returns the list after the given time: cold targets stay cold for less.
+func aged(list []ListedTarget, elapsed time.Duration) []ListedTarget {
+	later := slices.Clone(list)
+	for i := range later {
+		later[i].coldRemaining = max(0, later[i].coldRemaining-elapsed)
+	}
+	return later
+}
+
 // applyChanges returns the list with the given changes, in ascending order of
 // IDs.
 func applyChanges(list []ListedTarget, changed []ListedTarget, removed []ident.Target) []ListedTarget {
