Keep what is known of cold targets when an older list is applied

Cause, found by reading: an entry host marks the targets of a zone as cold when the evacuation of the zone ends, and a target when it says so itself. The next list that was applied replaced the mark, also one that had been read before the target became cold. All hosts apply the same list at the same time.

Change: the mark, the return of the zone and the list count separately, and a target is cold while one of them says so. Ended evacuations are kept by zone, so that targets that are listed later count too.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -89,7 +89,7 @@
 		c.balancers[r] = s
 		for _, p := range r.Services() {
 			service, _ := config.Service(p.Service())
-			c.table.SetColdRate(service.Name(), service.ColdRate())
+			c.table.SetColdTerms(service.Name(), service.ColdRate(), service.ColdFor())
 		}
 	}
 	known := map[ident.Team]bool{}
@@ -133,13 +133,7 @@
 
 // SetEvacuated sets the evacuated zones, whose targets get no requests.
 func (c *Controller) SetEvacuated(now time.Time, zones []ident.Zone) {
-	c.table.SetEvacuated(now, zones, func(service ident.Service) time.Duration {
-		if c.config == nil {
-			return 0
-		}
-		s, _ := c.config.Service(service)
-		return s.ColdFor()
-	})
+	c.table.SetEvacuated(now, zones)
 }
 
 // IsRetryable reports whether a request may run more than once and has a short
--- a/spread/table.go
+++ b/spread/table.go
@@ -11,20 +11,7 @@
 	"rhubarbrack/quota"
 )
 
-// ColdBounds bound what all entry hosts together send to a cold target.
-type ColdBounds struct {
-	factor float64
-	slack  float64
-}
-
-// NewColdBounds returns bounds: a cold target gets at most its tolerated rate
-// times factor, plus slack, in one second.
-func NewColdBounds(factor, slack float64) ColdBounds { return ColdBounds{factor: factor, slack: slack} }
-
 const (
-	// coldWindow is slightly longer than the second for which the bound on
-	// cold targets applies, because requests arrive with different delays.
-	coldWindow = 1200 * time.Millisecond
 	// minSilence is the least time without a response after which a target
 	// with in-flight requests gets only probes.
 	minSilence = 400 * time.Millisecond
@@ -64,14 +51,16 @@
 // Table holds the targets that one entry host knows, and selects among them.
 // It is not safe for concurrent use.
 type Table struct {
-	zone           ident.Zone
-	region         ident.Region
-	coldBounds     ColdBounds
-	hostShare      float64
-	targets        map[ident.Target]*targetState
-	services       map[ident.Service][]*targetState
-	evacuated      map[ident.Zone]bool
-	coldRate       map[ident.Service]float64
+	zone       ident.Zone
+	region     ident.Region
+	coldBounds ColdBounds
+	hostShare  float64
+	targets    map[ident.Target]*targetState
+	services   map[ident.Service][]*targetState
+	evacuated  map[ident.Zone]bool
+	// returnedAt is when the last evacuation of a zone ended.
+	returnedAt     map[ident.Zone]time.Time
+	coldTerms      map[ident.Service]coldTerms
 	typicalLatency map[ident.Service]float64
 	// rtts holds the shortest observed round-trip time per region.
 	rtts map[ident.Region]time.Duration
@@ -82,7 +71,8 @@
 	return &Table{
 		zone: zone, region: region, coldBounds: coldBounds, hostShare: 1,
 		targets: map[ident.Target]*targetState{}, services: map[ident.Service][]*targetState{},
-		evacuated: map[ident.Zone]bool{}, coldRate: map[ident.Service]float64{},
+		evacuated: map[ident.Zone]bool{}, returnedAt: map[ident.Zone]time.Time{},
+		coldTerms:      map[ident.Service]coldTerms{},
 		typicalLatency: map[ident.Service]float64{}, rtts: map[ident.Region]time.Duration{},
 	}
 }
@@ -92,30 +82,20 @@
 func (t *Table) SetShare(share float64) { t.hostShare = share }
 
 // SetEvacuated sets the evacuated zones, whose targets get no requests. When
-// the evacuation of a zone ends, its targets count as cold for coldFor, or
-// until the target list says otherwise.
-func (t *Table) SetEvacuated(now time.Time, zones []ident.Zone, coldFor func(ident.Service) time.Duration) {
+// the evacuation of a zone ends, its targets may have become cold.
+func (t *Table) SetEvacuated(now time.Time, zones []ident.Zone) {
 	evacuated := map[ident.Zone]bool{}
 	for _, z := range zones {
 		evacuated[z] = true
 	}
 	for z := range t.evacuated {
-		if evacuated[z] {
-			continue
-		}
-		for _, s := range t.targets {
-			if s.zone == z {
-				s.coldUntil = laterOf(s.coldUntil, now.Add(coldFor(s.service)))
-			}
+		if !evacuated[z] {
+			t.returnedAt[z] = now
 		}
 	}
 	t.evacuated = evacuated
 }
 
-// SetColdRate sets the requests per second that a cold target of a service
-// tolerates.
-func (t *Table) SetColdRate(service ident.Service, rate float64) { t.coldRate[service] = rate }
-
 // Update replaces the list of targets. The state of targets that remain is
 // kept. Update returns the addresses of removed targets.
 func (t *Table) Update(list []Target) []string {
@@ -157,13 +137,6 @@
 // Len returns the number of targets.
 func (t *Table) Len() int { return len(t.targets) }
 
-// MarkCold marks a target as cold for the given time from now.
-func (t *Table) MarkCold(now time.Time, id ident.Target, coldFor time.Duration) {
-	if s, ok := t.targets[id]; ok {
-		s.coldUntil = now.Add(coldFor)
-	}
-}
-
 // Query describes the request for which a target is selected.
 type Query struct {
 	service          ident.Service
@@ -340,11 +313,8 @@
 	if now.Before(s.fullUntil) {
 		return false
 	}
-	if now.Before(s.coldUntil) {
-		bound := math.Floor((t.coldRate[s.service]*t.coldBounds.factor + t.coldBounds.slack) * t.hostShare)
-		if s.coldRequests.Sum(now)+1 > bound {
-			return false
-		}
+	if t.isCold(now, s) && !t.admitsCold(now, s) {
+		return false
 	}
 	if t.isSilent(now, s) {
 		if now.Before(s.nextProbe) {
@@ -409,7 +379,7 @@
 func (t *Table) assign(now time.Time, s *targetState, reason Reason) Choice {
 	c := Choice{target: s.Target, reason: reason, load: s.load(now), loadAge: now.Sub(s.loadAt), chosenAt: now, found: true}
 	s.startAttempt(now)
-	if now.Before(s.coldUntil) {
+	if t.isCold(now, s) {
 		s.coldRequests.Add(now, 1)
 	}
 	return c
--- a/spread/target.go
+++ b/spread/target.go
@@ -109,6 +109,8 @@
 	// remoteLoad is the load of other hosts as of loadAt.
 	remoteLoad float64
 	loadAt     time.Time
+	// markedUntil is until when the target counts as cold by its own statement.
+	markedUntil time.Time
 	// coldRequests counts the requests sent while the target was cold.
 	coldRequests *quota.Window
 	// failureAvg is the moving average of failures as of failureAvgAt.
