Tell entry hosts of evacuations that ended before they were in contact

Cause, found by reading: the targets of a zone become cold around the end of its evacuation. Only entry hosts that knew of the evacuation counted them as cold; hosts that started, or came back into contact, after its end sent at their full rate until a list read later said otherwise.

Change: for 10 s the replies to heartbeats name the zones that have returned, with the revision and the age. A host whose revision is older applies them.

--- a/mesh/changes_test.go
+++ b/mesh/changes_test.go
@@ -62,12 +62,7 @@
 	r, _ := newTestRegistry(t)
 	archive := &archiveTask{log: slog.New(slog.DiscardHandler), archive: patch.NewArchive(), registry: nil}
 	encoded := make(chan changeEncoded, 10)
-	system := tasks.NewSystem(archive.log)
-	t.Cleanup(system.Shutdown)
-	ref, err := tasks.Spawn(t.Context(), system, "registry", receiver(func(m any) { encoded <- m.(changeEncoded) }))
-	if err != nil {
-		t.Fatal(err)
-	}
+	ref := spawn(t, receiver(func(m any) { encoded <- m.(changeEncoded) }))
 	archive.registry = ref
 	documents := [][]byte{config, append(slices.Clone(config), '!'), append(slices.Clone(config), '?')}
 	for i, document := range documents {
@@ -113,6 +108,18 @@
 	}
 }
 
+// spawn starts a task for the duration of the test.
+func spawn(t *testing.T, task tasks.Task) *tasks.Ref {
+	t.Helper()
+	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
+	t.Cleanup(system.Shutdown)
+	ref, err := tasks.Spawn(t.Context(), system, "test", task)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ref
+}
+
 // receiver is a task that passes on each message.
 type receiver func(message any)
 
--- a/mesh/config_fetcher_test.go
+++ b/mesh/config_fetcher_test.go
@@ -132,6 +132,7 @@
 }
 
 func (l testListener) SetEvacuated(zones []ident.Zone)                           { l.zones <- zones }
+func (l testListener) ZoneReturned(ident.Zone, time.Time)                        {}
 func (l testListener) SetTargets(time.Time, []ListedTarget)                      { l.targets <- struct{}{} }
 func (l testListener) SetHostCount(int)                                          {}
 func (l testListener) Demand(context.Context) ([]quota.Demand, error)            { return nil, nil }
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -43,6 +43,9 @@
 	SetConfig(version uint64, source []byte) error
 	// SetEvacuated sets the evacuated zones.
 	SetEvacuated(zones []ident.Zone)
+	// ZoneReturned reports the end of an evacuation that SetEvacuated may never
+	// have reported. The targets of the zone may have become cold.
+	ZoneReturned(zone ident.Zone, at time.Time)
 	// SetTargets replaces the list of targets, which was read at the given
 	// time.
 	SetTargets(readAt time.Time, list []ListedTarget)
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -325,6 +325,7 @@
 	}
 	t.updateControlHosts(m.record.Controls)
 	t.updateHostCount(now)
+	t.applyReturned(m)
 	t.applyState(m.peer, m.record)
 	// The age was measured after the heartbeat was sent, so the list was read
 	// no earlier than this.
@@ -362,6 +363,18 @@
 	}
 }
 
+// applyReturned reports evacuations that have ended since the revision that this
+// host knows: it may have started, or been out of contact, meanwhile.
+func (t *controlClientTask) applyReturned(m heartbeatDone) {
+	for _, r := range m.record.Returned {
+		if ident.Revision(r.Revision) <= t.revision {
+			continue
+		}
+		t.log.Info("mesh: zone has returned", "zone", r.Zone, "revision", r.Revision, "age", r.Age.String())
+		t.listener.ZoneReturned(ident.Zone(r.Zone), m.sent.Add(-r.Age))
+	}
+}
+
 // applyState puts the evacuated zones in force and reports the version of the
 // configuration to the fetcher.
 func (t *controlClientTask) applyState(p *peer, r HeartbeatReplyRecord) {
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -65,6 +65,13 @@
 		Zone    string
 		Region  string
 	}
+	// ReturnedZoneRecord is a zone whose evacuation ended at the revision, Age
+	// ago.
+	ReturnedZoneRecord struct {
+		Zone     string
+		Revision uint64
+		Age      time.Duration
+	}
 	// DemandRecord is the demand of a team, see quota.Demand.
 	DemandRecord struct {
 		Team  string
@@ -90,12 +97,14 @@
 		Version  uint64
 		// Change is the difference of that configuration to the one of the
 		// heartbeat, if it is small.
-		Change  *PieceRecord
-		Zones   []string
-		Hosts   int
-		HasList bool
-		ListTag uint64
-		ListAge time.Duration
+		Change *PieceRecord
+		Zones  []string
+		// Returned holds the zones whose evacuation ended a short time ago.
+		Returned []ReturnedZoneRecord
+		Hosts    int
+		HasList  bool
+		ListTag  uint64
+		ListAge  time.Duration
 		// ReadyHosts is only set if ReadyTag differs from that of the
 		// heartbeat. If ReadyBase is set, it holds only the hosts that were
 		// added to the list with that tag, and ReadyGone the removed ones.
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -42,6 +42,7 @@
 	region       ident.Region
 	revision     ident.Revision
 	state        scheme.DesiredState
+	returned     returnedZones
 	hosts        map[ident.Host]EntryHost
 	controlHosts map[string]bool
 	joiners      map[string]joiner
@@ -140,6 +141,7 @@
 		}
 		if !slices.Equal(m.state.Evacuated(), r.state.Evacuated()) {
 			r.log.Info("mesh: evacuated zones changed", "zones", m.state.Evacuated(), "revision", m.revision)
+			r.returned = r.returned.update(r.clock.Now(), m.revision, r.state.Evacuated(), m.state.Evacuated())
 		}
 		r.revision, r.state = m.revision, m.state
 	case setRegion:
@@ -207,6 +209,7 @@
 	reply := HeartbeatReplyRecord{
 		Controls: r.controlHostList(), Region: string(r.region), Revision: uint64(r.revision), HasState: true,
 		Version: r.state.Version(), Zones: zoneNames(r.state.Evacuated()), Hosts: len(r.hosts),
+		Returned: r.returned.records(now),
 	}
 	reply.Change = r.change(record.Version)
 	if r.list != nil {
--- /dev/null
+++ b/mesh/returned.go
@@ -0,0 +1,46 @@
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// returnedLifetime is how long the end of an evacuation is reported to entry
+// hosts. It exceeds the time for which targets stay cold.
+const returnedLifetime = 10 * time.Second
+
+// returnedZone is a zone whose evacuation has ended.
+type returnedZone struct {
+	zone     ident.Zone
+	revision ident.Revision
+	at       time.Time
+}
+
+// returnedZones holds the zones whose evacuation ended a short time ago, at most
+// once each.
+type returnedZones []returnedZone
+
+// update records the zones that are no longer evacuated at a revision.
+func (l returnedZones) update(now time.Time, revision ident.Revision, before, after []ident.Zone) returnedZones {
+	for _, z := range before {
+		if slices.Contains(after, z) {
+			continue
+		}
+		l = slices.DeleteFunc(l, func(r returnedZone) bool { return r.zone == z })
+		l = append(l, returnedZone{zone: z, revision: revision, at: now})
+	}
+	return l
+}
+
+// records returns the zones to report to entry hosts.
+func (l returnedZones) records(now time.Time) []ReturnedZoneRecord {
+	var records []ReturnedZoneRecord
+	for _, r := range l {
+		if age := now.Sub(r.at); age < returnedLifetime {
+			records = append(records, ReturnedZoneRecord{Zone: string(r.zone), Revision: uint64(r.revision), Age: age})
+		}
+	}
+	return records
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -302,6 +302,11 @@
 // SetEvacuated implements mesh.Listener.
 func (e *entryListener) SetEvacuated(zones []ident.Zone) { e.admission.SetEvacuated(zones) }
 
+// ZoneReturned implements mesh.Listener.
+func (e *entryListener) ZoneReturned(zone ident.Zone, at time.Time) {
+	e.admission.ZoneReturned(zone, at)
+}
+
 // SetTargets implements mesh.Listener.
 func (e *entryListener) SetTargets(readAt time.Time, list []mesh.ListedTarget) {
 	out := make([]spread.Target, 0, len(list))
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -43,6 +43,11 @@
 // SetEvacuated sets the evacuated zones, whose targets get no requests.
 func (a *Admission) SetEvacuated(zones []ident.Zone) { a.ref.Tell(setEvacuated{zones: zones}) }
 
+// ZoneReturned records that the evacuation of a zone ended at the given time.
+func (a *Admission) ZoneReturned(zone ident.Zone, at time.Time) {
+	a.ref.Tell(zoneReturned{zone: zone, at: at})
+}
+
 // SetHostCount sets the number of entry hosts that share the bounds.
 func (a *Admission) SetHostCount(n int) { a.ref.Tell(setHostCount{hosts: n}) }
 
@@ -102,6 +107,10 @@
 	configure    struct{ config *scheme.Config }
 	setTargets   struct{ targets []spread.Target }
 	setEvacuated struct{ zones []ident.Zone }
+	zoneReturned struct {
+		zone ident.Zone
+		at   time.Time
+	}
 	setHostCount struct{ hosts int }
 	observeRTT   struct {
 		region ident.Region
@@ -164,6 +173,8 @@
 		}
 	case setEvacuated:
 		t.controller.SetEvacuated(now, m.zones)
+	case zoneReturned:
+		t.controller.Table().ZoneReturned(m.zone, m.at)
 	case setHostCount:
 		t.controller.SetHostCount(m.hosts)
 	case admitWithToken:
--- a/spread/cold.go
+++ b/spread/cold.go
@@ -41,6 +41,12 @@
 	}
 }
 
+// ZoneReturned records that the evacuation of a zone ended at the given time. Its
+// targets may have become cold.
+func (t *Table) ZoneReturned(zone ident.Zone, at time.Time) {
+	t.returnedAt[zone] = laterOf(t.returnedAt[zone], at)
+}
+
 // isCold reports whether a target may be cold: by the list, by its own
 // statement, or because its zone has just been taken back. The list may have
 // been read before the target became cold, so it does not overrule the others.
--- a/spread/table.go
+++ b/spread/table.go
@@ -90,7 +90,7 @@
 	}
 	for z := range t.evacuated {
 		if !evacuated[z] {
-			t.returnedAt[z] = now
+			t.ZoneReturned(z, now)
 		}
 	}
 	t.evacuated = evacuated
