Tell a target's process from an earlier one with the same ID

Cause, found by reading: a target may start again under its ID and address. The start of the process in the list was not read, so the new process inherited what was known of the old one: warm, its failures, its load. A result of a request to the old process also counted for the new one, and made its number of requests in flight negative.

Change: the start of the process is part of its identity in the list and in the table; of two entries with one ID the latest process counts. A list that shows only another start is a change.

Remaining: until the list shows the new process, one to two seconds, hosts cannot tell it from the old one.

--- a/mesh/listing.go
+++ b/mesh/listing.go
@@ -21,16 +21,30 @@
 	slots         int
 	draining      bool
 	coldRemaining time.Duration
+	startedAt     int64
+}
+
+// ListedTargetOption sets an optional property of a ListedTarget.
+type ListedTargetOption func(*ListedTarget)
+
+// WithStart sets when the target's process started, in Unix milliseconds. It
+// tells a process from an earlier one with the same ID.
+func WithStart(milliseconds int64) ListedTargetOption {
+	return func(l *ListedTarget) { l.startedAt = milliseconds }
 }
 
 // NewListedTarget returns a listed target that stays cold for coldRemaining.
 func NewListedTarget(
 	id ident.Target, service ident.Service, address string, zone ident.Zone, slots int, draining bool,
-	coldRemaining time.Duration,
+	coldRemaining time.Duration, options ...ListedTargetOption,
 ) ListedTarget {
-	return ListedTarget{
+	l := ListedTarget{
 		id: id, service: service, address: address, zone: zone, slots: slots, draining: draining, coldRemaining: coldRemaining,
 	}
+	for _, apply := range options {
+		apply(&l)
+	}
+	return l
 }
 
 // ID returns the ID of the target process.
@@ -54,6 +68,10 @@
 // ColdRemaining returns how much longer the target stays cold.
 func (l ListedTarget) ColdRemaining() time.Duration { return l.coldRemaining }
 
+// StartedAt returns when the target's process started, in Unix milliseconds, or
+// 0 if that is unknown.
+func (l ListedTarget) StartedAt() int64 { return l.startedAt }
+
 // Lister reads the platform's list of targets.
 type Lister interface {
 	List(ctx context.Context) ([]ListedTarget, error)
@@ -84,11 +102,22 @@
 			coldUntil = readAt.Add(t.coldRemaining).Unix()
 		}
 		// Writing to a digest never fails.
-		_, _ = fmt.Fprintf(d, "%q %q %q %q %d %t %d\n", t.id, t.service, t.address, t.zone, t.slots, t.draining, coldUntil)
+		_, _ = fmt.Fprintf(d, "%q %q %q %q %d %t %d %d\n",
+			t.id, t.service, t.address, t.zone, t.slots, t.draining, coldUntil, t.startedAt)
 	}
 	return d.Sum64() | 1
 }
 
+// latestProcesses returns the list in ascending order of IDs. Of several entries
+// with one ID, that of the latest process is kept: a target may start again
+// under its ID before its earlier entry is removed.
+func latestProcesses(list []ListedTarget) []ListedTarget {
+	slices.SortStableFunc(list, func(a, b ListedTarget) int {
+		return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(b.startedAt, a.startedAt))
+	})
+	return slices.CompactFunc(list, func(a, b ListedTarget) bool { return a.id == b.id })
+}
+
 // positions returns the position of each target in the list.
 func (l *listing) positions() map[ident.Target]int {
 	if l.index == nil {
--- a/mesh/listing_test.go
+++ b/mesh/listing_test.go
@@ -50,3 +50,15 @@
 		c.Advance(time.Second)
 	}
 }
+
+// TestLatestProcess guards against using the entry of a process that has ended
+// while its successor is listed under the same ID.
+func TestLatestProcess(t *testing.T) {
+	entry := func(id string, startedAt int64) ListedTarget {
+		return NewListedTarget(ident.Target(id), "s", "h:1", "z", 4, false, 0, WithStart(startedAt))
+	}
+	got := latestProcesses([]ListedTarget{entry("b", 5), entry("a", 1), entry("b", 9), entry("b", 7)})
+	if len(got) != 2 || got[0].ID() != "a" || got[1].StartedAt() != 9 {
+		t.Errorf("got %+v", got)
+	}
+}
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -157,7 +157,8 @@
 		Zones    []string
 	}
 	// TargetRecord is a target of the list. Cold is how much longer it stays
-	// cold, as of the time the list was read.
+	// cold, as of the time the list was read. Started is when its process
+	// started, in Unix milliseconds.
 	TargetRecord struct {
 		ID       string
 		Service  string
@@ -166,6 +167,7 @@
 		Slots    int
 		Draining bool
 		Cold     time.Duration
+		Started  int64
 	}
 	// ListRequestRecord requests the list and names the one that the host has.
 	// TakesPacked tells that it decodes packed lists, which hosts of earlier
@@ -261,7 +263,7 @@
 	list := make([]ListedTarget, len(r.Targets))
 	for i, t := range r.Targets {
 		list[i] = NewListedTarget(ident.Target(t.ID), ident.Service(t.Service), t.Address, ident.Zone(t.Zone), t.Slots,
-			t.Draining, t.Cold)
+			t.Draining, t.Cold, WithStart(t.Started))
 	}
 	return list
 }
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -355,7 +355,7 @@
 // updateList applies a newly read list of targets.
 func (r *registry) updateList(list []ListedTarget) {
 	now := r.clock.Now()
-	slices.SortFunc(list, func(a, b ListedTarget) int { return cmp.Compare(a.id, b.id) })
+	list = latestProcesses(list)
 	if r.list != nil && r.list.isSame(now, list) {
 		r.list.readAt = now
 		for i := range list {
@@ -389,7 +389,7 @@
 	for _, l := range changed {
 		record.Targets = append(record.Targets, TargetRecord{
 			ID: string(l.id), Service: string(l.service), Address: l.address, Zone: string(l.zone), Slots: l.slots,
-			Draining: l.draining, Cold: l.coldRemaining,
+			Draining: l.draining, Cold: l.coldRemaining, Started: l.startedAt,
 		})
 	}
 	for _, id := range removed {
--- a/mesh/registry_test.go
+++ b/mesh/registry_test.go
@@ -147,6 +147,7 @@
 		{"same", target(false, 0), time.Second, false},
 		{"draining", target(true, 0), time.Second, true},
 		{"cold again", target(false, 3*time.Second), time.Second, true},
+		{"another process with the same ID", []ListedTarget{NewListedTarget("i", "s", "h:1", "z", 4, false, 0, WithStart(7))}, time.Second, true},
 		{"removed", nil, time.Second, true},
 	}
 	for _, c := range cases {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -316,7 +316,7 @@
 			coldUntil = readAt.Add(l.ColdRemaining())
 		}
 		out = append(out, spread.NewTarget(l.ID(), l.Service(), l.Address(), l.Zone(), e.host.regions[l.Zone()],
-			l.Slots(), l.IsDraining(), coldUntil))
+			l.Slots(), l.IsDraining(), coldUntil, spread.WithStart(l.StartedAt())))
 	}
 	e.admission.SetTargets(out)
 }
--- a/spread/result.go
+++ b/spread/result.go
@@ -52,7 +52,8 @@
 // it, the load of the target.
 func (t *Table) RecordResult(now time.Time, c Choice, result Result, load ident.Option[Load]) {
 	s, ok := t.targets[c.target.id]
-	if !ok {
+	if !ok || s != c.state {
+		// The process that the request was sent to has ended.
 		return
 	}
 	s.endAttempt(c.chosenAt)
--- a/spread/table.go
+++ b/spread/table.go
@@ -96,8 +96,8 @@
 	t.evacuated = evacuated
 }
 
-// Update replaces the list of targets. The state of targets that remain is
-// kept. Update returns the addresses of removed targets.
+// Update replaces the list of targets. The state of processes that remain is
+// kept. Update returns the addresses of processes that have ended.
 func (t *Table) Update(list []Target) []string {
 	var removed []string
 	listed := map[ident.Target]bool{}
@@ -108,7 +108,10 @@
 		}
 		listed[n.id] = true
 		s, ok := t.targets[n.id]
-		if !ok || s.address != n.address || s.service != n.service {
+		if !ok || !s.isSameProcess(n) {
+			if ok {
+				removed = append(removed, s.address)
+			}
 			s = &targetState{
 				hash: xxhash.Sum64String(string(n.id)), coldRequests: quota.NewWindow(coldWindow),
 				failed: quota.NewWindow(resultWindow), served: quota.NewWindow(resultWindow),
@@ -187,7 +190,9 @@
 
 // Choice is the target selected for one attempt.
 type Choice struct {
-	target     Target
+	target Target
+	// state is that of the target's process.
+	state      *targetState
 	reason     Reason
 	load       float64
 	loadAge    time.Duration
@@ -377,7 +382,7 @@
 
 // assign counts a request as in flight at the target and returns the choice.
 func (t *Table) assign(now time.Time, s *targetState, reason Reason) Choice {
-	c := Choice{target: s.Target, reason: reason, load: s.load(now), loadAge: now.Sub(s.loadAt), chosenAt: now, found: true}
+	c := Choice{target: s.Target, state: s, reason: reason, load: s.load(now), loadAge: now.Sub(s.loadAt), chosenAt: now, found: true}
 	s.startAttempt(now)
 	if t.isCold(now, s) {
 		s.coldRequests.Add(now, 1)
--- a/spread/target.go
+++ b/spread/target.go
@@ -18,18 +18,37 @@
 	slots     int
 	draining  bool
 	coldUntil time.Time
+	startedAt int64
+}
+
+// TargetOption sets an optional property of a Target.
+type TargetOption func(*Target)
+
+// WithStart sets when the target's process started, in Unix milliseconds. What
+// is known of an earlier process with the same ID does not apply to it.
+func WithStart(milliseconds int64) TargetOption {
+	return func(t *Target) { t.startedAt = milliseconds }
 }
 
 // NewTarget returns a target at an address of the form host:port. It is cold
 // until coldUntil.
 func NewTarget(
 	id ident.Target, service ident.Service, address string, zone ident.Zone, region ident.Region, slots int,
-	draining bool, coldUntil time.Time,
+	draining bool, coldUntil time.Time, options ...TargetOption,
 ) Target {
-	return Target{
+	t := Target{
 		id: id, service: service, address: address, zone: zone, region: region, slots: max(slots, 1),
 		draining: draining, coldUntil: coldUntil,
 	}
+	for _, apply := range options {
+		apply(&t)
+	}
+	return t
+}
+
+// isSameProcess reports whether both are one process at one address.
+func (t Target) isSameProcess(other Target) bool {
+	return t.id == other.id && t.service == other.service && t.address == other.address && t.startedAt == other.startedAt
 }
 
 // ID returns the ID of the target process.
