Ask other entry hosts for the state while no control host replies

Cause: entry hosts that are cut off from the control hosts go on serving with what they know. 43 of 71 hosts were cut off when a zone was evacuated and taken back. They went on sending to its targets, which had become cold meanwhile. The bound on cold targets holds for all hosts, in contact or not.

Change: an entry host to which no control host has replied for 1.5 s asks two other entry hosts with each heartbeat for the evacuated zones, the zones that have returned and the list of targets, and replaces those that are out of contact themselves. Nothing is sent while a control host replies.

Remaining: hosts that reach no other host at all.

--- a/mesh/config_fetcher_test.go
+++ b/mesh/config_fetcher_test.go
@@ -117,11 +117,19 @@
 	configs chan []byte
 	zones   chan []ident.Zone
 	targets chan struct{}
+	hosts   chan int
 	ready   chan struct{}
 }
 
 var _ Listener = testListener{}
 
+func newTestListener() testListener {
+	return testListener{
+		configs: make(chan []byte, 10), zones: make(chan []ident.Zone, 10), targets: make(chan struct{}, 10),
+		hosts: make(chan int, 100), ready: make(chan struct{}),
+	}
+}
+
 // SetConfig cannot decode configurations that begin with an exclamation mark.
 func (l testListener) SetConfig(_ uint64, source []byte) error {
 	l.configs <- source
@@ -134,7 +142,7 @@
 func (l testListener) SetEvacuated(zones []ident.Zone)                           { l.zones <- zones }
 func (l testListener) ZoneReturned(ident.Zone, time.Time)                        {}
 func (l testListener) SetTargets(time.Time, []ListedTarget)                      { l.targets <- struct{}{} }
-func (l testListener) SetHostCount(int)                                          {}
+func (l testListener) SetHostCount(n int)                                        { l.hosts <- n }
 func (l testListener) Demand(context.Context) ([]quota.Demand, error)            { return nil, nil }
 func (l testListener) ApplyLeases([]quota.Lease, []ident.Team, time.Time)        {}
 func (l testListener) TargetStats(context.Context) ([]spread.TargetStats, error) { return nil, nil }
@@ -158,10 +166,7 @@
 	served := wire.Serve(ctx, countingListener{Listener: socket, accepted: &s.accepted}, server)
 	log := slog.New(slog.DiscardHandler)
 	system := tasks.NewSystem(log)
-	l := testListener{
-		configs: make(chan []byte, 10), zones: make(chan []ident.Zone, 10), targets: make(chan struct{}, 10),
-		ready: make(chan struct{}),
-	}
+	l := newTestListener()
 	address := socket.Addr().String()
 	s.reply = HeartbeatReplyRecord{Controls: []string{address}, HasState: true, Revision: 1, Hosts: 1, HasList: true, ListTag: 1}
 	c, err := NewControlClient(ctx, system, clock.Wall(), log, "host", "own:1", "z", "r", []string{address}, time.Second, l)
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -85,6 +85,7 @@
 type clientOptions struct {
 	linkRate float64
 	meter    Meter
+	peerPort int
 }
 
 // WithLinkRate sets the capacity of the host's link in bytes per second, to
@@ -95,6 +96,11 @@
 // transfers.
 func WithClientMeter(m Meter) ClientOption { return func(o *clientOptions) { o.meter = m } }
 
+// WithNeighbours makes the host ask other entry hosts for the evacuated zones and
+// the list of targets while no control host replies. All entry hosts listen for
+// each other at the given port, see ControlClient.Register.
+func WithNeighbours(port int) ClientOption { return func(o *clientOptions) { o.peerPort = port } }
+
 // NewControlClient returns a client that sends heartbeats from Start on. The
 // seeds are the addresses of some control hosts. Team rates are enforced over
 // the given window.
@@ -109,6 +115,7 @@
 	}
 	t := &controlClientTask{
 		ctx: ctx, system: system, clock: c, log: log, listener: listener, peers: map[string]*peer{},
+		peerPort:  o.peerPort,
 		heartbeat: HeartbeatRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
 	}
 	startup, endStartup := context.WithCancel(ctx)
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -88,6 +88,17 @@
 	endStartup    func()
 	// ready is set once BecomeReady was called, or if it never will be.
 	ready bool
+	// returned holds the zones whose evacuation has ended, for neighbours.
+	returned returnedZones
+	// peerPort is the port at which entry hosts listen for each other, or 0.
+	peerPort int
+	// neighbours are the entry hosts that are asked while no control host
+	// replies. The position of the next one is nextNeighbour.
+	neighbours    []*peer
+	nextNeighbour uint64
+	// packed is the list for neighbours, with the cold times of packedAsOf.
+	packed     ListRecord
+	packedAsOf time.Time
 }
 
 var _ tasks.Task = (*controlClientTask)(nil)
@@ -111,6 +122,12 @@
 	case configInForce:
 		t.state = scheme.NewDesiredState(m.version, m.source, t.state.Evacuated())
 		t.checkReady(t.clock.Now())
+	case neighbourDone:
+		t.neighbourDone(m)
+	case getNeighbourState:
+		m.reply.Send(t.neighbourState(t.clock.Now()))
+	case getNeighbourTargets:
+		m.reply.Send(t.neighbourTargets(t.clock.Now(), m.have))
 	case listFetched:
 		t.listFetched(m)
 	case getEntryHosts:
@@ -209,6 +226,7 @@
 		heartbeat.ReadyTag, heartbeat.ReadyTags, heartbeat.ListTag = p.ready.tag, known, t.listTag
 		go t.sendHeartbeat(p, heartbeat, p.leads, now)
 	}
+	t.askNeighbours(now)
 	t.checkReady(now)
 }
 
@@ -325,22 +343,28 @@
 	}
 	t.updateControlHosts(m.record.Controls)
 	t.updateHostCount(now)
-	t.applyReturned(m)
+	t.applyReturned(m.sent, m.record)
 	t.applyState(m.peer, m.record)
-	// The age was measured after the heartbeat was sent, so the list was read
-	// no earlier than this.
-	read := m.sent.Add(-m.record.ListAge)
+	t.considerList(m.peer, methodTargets, m.sent, m.record)
+	t.checkReady(now)
+}
+
+// considerList fetches the list of targets of another host if it is newer. The
+// request for its state was sent at the given time.
+func (t *controlClientTask) considerList(p *peer, method string, sent time.Time, r HeartbeatReplyRecord) {
+	// The age was measured after the request was sent, so the list was read no
+	// earlier than this.
+	read := sent.Add(-r.ListAge)
 	switch {
-	case !m.record.HasList:
-	case m.record.ListTag == t.listTag:
+	case !r.HasList:
+	case r.ListTag == t.listTag:
 		if read.After(t.listReadAt) {
 			t.listReadAt = read
 		}
 	case !t.fetchingList && read.After(t.listReadAt.Add(minListAdvance)):
 		t.fetchingList = true
-		go t.fetchList(m.peer, t.listTag)
+		go t.fetchList(p, method, t.listTag)
 	}
-	t.checkReady(now)
 }
 
 // updateHostCount sets the number of entry hosts to the largest one that a
@@ -365,13 +389,15 @@
 
 // applyReturned reports evacuations that have ended since the revision that this
 // host knows: it may have started, or been out of contact, meanwhile.
-func (t *controlClientTask) applyReturned(m heartbeatDone) {
-	for _, r := range m.record.Returned {
+func (t *controlClientTask) applyReturned(sent time.Time, record HeartbeatReplyRecord) {
+	for _, r := range record.Returned {
 		if ident.Revision(r.Revision) <= t.revision {
 			continue
 		}
 		t.log.Info("mesh: zone has returned", "zone", r.Zone, "revision", r.Revision, "age", r.Age.String())
-		t.listener.ZoneReturned(ident.Zone(r.Zone), m.sent.Add(-r.Age))
+		at := sent.Add(-r.Age)
+		t.returned = t.returned.add(returnedZone{zone: ident.Zone(r.Zone), revision: ident.Revision(r.Revision), at: at})
+		t.listener.ZoneReturned(ident.Zone(r.Zone), at)
 	}
 }
 
@@ -381,25 +407,33 @@
 	if !r.HasState {
 		return
 	}
-	if revision := ident.Revision(r.Revision); revision > t.revision {
-		zones := zonesOf(r.Zones)
-		if !slices.Equal(zones, t.state.Evacuated()) {
-			t.log.Info("mesh: evacuated zones in force", "revision", revision, "zones", zones, "peer", p.address)
-			t.listener.SetEvacuated(zones)
-		}
-		t.revision, t.state = revision, scheme.NewDesiredState(t.state.Version(), t.state.Source(), zones)
-	}
+	t.applyZones(p, r)
 	t.announced = max(t.announced, r.Version)
 	t.fetcher.Tell(announceConfig{
 		address: p.address, version: r.Version, isNear: r.Region == t.heartbeat.Region, change: r.change(),
 	})
 }
 
-func (t *controlClientTask) fetchList(p *peer, have uint64) {
+// applyZones puts the evacuated zones in force if their revision is newer.
+func (t *controlClientTask) applyZones(p *peer, r HeartbeatReplyRecord) {
+	revision := ident.Revision(r.Revision)
+	if revision <= t.revision {
+		return
+	}
+	before, zones := t.state.Evacuated(), zonesOf(r.Zones)
+	if !slices.Equal(zones, before) {
+		t.log.Info("mesh: evacuated zones in force", "revision", revision, "zones", zones, "peer", p.address)
+		t.returned = t.returned.update(t.clock.Now(), revision, before, zones)
+		t.listener.SetEvacuated(zones)
+	}
+	t.revision, t.state = revision, scheme.NewDesiredState(t.state.Version(), t.state.Source(), zones)
+}
+
+func (t *controlClientTask) fetchList(p *peer, method string, have uint64) {
 	call, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
 	m := listFetched{peer: p}
-	m.err = p.client.Call(call, methodTargets, &ListRequestRecord{Tag: have, TakesPacked: true}, &m.record)
+	m.err = p.client.Call(call, method, &ListRequestRecord{Tag: have, TakesPacked: true}, &m.record)
 	if m.err == nil {
 		m.record, m.err = m.record.unpack()
 	}
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -258,6 +258,17 @@
 	return scheme.NewDesiredState(r.Version, r.Source, zonesOf(r.Zones))
 }
 
+func newTargetRecords(list []ListedTarget) []TargetRecord {
+	var records []TargetRecord
+	for _, l := range list {
+		records = append(records, TargetRecord{
+			ID: string(l.id), Service: string(l.service), Address: l.address, Zone: string(l.zone), Slots: l.slots,
+			Draining: l.draining, Cold: l.coldRemaining, Started: l.startedAt,
+		})
+	}
+	return records
+}
+
 // targetsOf returns the targets of a list, or the changed ones.
 func targetsOf(r ListRecord) []ListedTarget {
 	list := make([]ListedTarget, len(r.Targets))
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -386,12 +386,7 @@
 		record.Base = have
 		changed, removed = r.list.changesSince(base)
 	}
-	for _, l := range changed {
-		record.Targets = append(record.Targets, TargetRecord{
-			ID: string(l.id), Service: string(l.service), Address: l.address, Zone: string(l.zone), Slots: l.slots,
-			Draining: l.draining, Cold: l.coldRemaining, Started: l.startedAt,
-		})
-	}
+	record.Targets = newTargetRecords(changed)
 	for _, id := range removed {
 		record.Gone = append(record.Gone, string(id))
 	}
--- a/mesh/returned.go
+++ b/mesh/returned.go
@@ -28,12 +28,17 @@
 		if slices.Contains(after, z) {
 			continue
 		}
-		l = slices.DeleteFunc(l, func(r returnedZone) bool { return r.zone == z })
-		l = append(l, returnedZone{zone: z, revision: revision, at: now})
+		l = l.add(returnedZone{zone: z, revision: revision, at: now})
 	}
 	return l
 }
 
+// add adds a zone in place of an earlier entry of it.
+func (l returnedZones) add(added returnedZone) returnedZones {
+	l = slices.DeleteFunc(l, func(r returnedZone) bool { return r.zone == added.zone })
+	return append(l, added)
+}
+
 // records returns the zones to report to entry hosts.
 func (l returnedZones) records(now time.Time) []ReturnedZoneRecord {
 	var records []ReturnedZoneRecord
--- a/mesh/returned_test.go
+++ b/mesh/returned_test.go
@@ -52,7 +52,7 @@
 				revision: c.revision, fetcher: spawn(t, discard),
 			}
 			reply := r.heartbeat(testHeartbeat("a", true))
-			client.applyReturned(heartbeatDone{peer: &peer{}, sent: manual.Now(), record: reply})
+			client.applyReturned(manual.Now(), reply)
 			at, got := l.at["z"]
 			if got != c.want || got && !at.Equal(ended) {
 				t.Errorf("returned %v at %v, want %v at %v", got, at, c.want, ended)
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -399,7 +399,11 @@
 	listener := &entryListener{host: c, decode: decode, admission: admission, ready: &ready}
 	client, err := mesh.NewControlClient(taskCtx, system, c.clock, c.log, c.host, callers, c.zone, c.region, c.seeds,
 		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate),
-		mesh.WithClientMeter(hostMeter))
+		mesh.WithClientMeter(hostMeter), mesh.WithNeighbours(c.peerPort))
+	if err != nil {
+		return fmt.Errorf("entry host: %w", err)
+	}
+	peersDone, err := c.serveNeighbours(taskCtx, client)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
@@ -433,10 +437,26 @@
 		c.log.Warn("node: requests were aborted at the end of the grace period", "error", err)
 	}
 	c.closeServers(servers)
+	stop()
+	<-peersDone
 	c.log.Info("node: entry host stopped", "host", c.host)
 	return nil
 }
 
+// serveNeighbours serves other entry hosts that are out of contact with the
+// control hosts. The returned channel is closed after ctx has ended.
+func (c HostConfig) serveNeighbours(ctx context.Context, client *mesh.ControlClient) (<-chan struct{}, error) {
+	server := rpc.NewServer()
+	if err := client.Register(ctx, server); err != nil {
+		return nil, fmt.Errorf("serve neighbours: %w", err)
+	}
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.peerAddress())
+	if err != nil {
+		return nil, fmt.Errorf("listen for neighbours: %w", err)
+	}
+	return wire.Serve(ctx, listener, server), nil
+}
+
 // pacingThreshold is the link rate in bytes per second from which responses are
 // not paced: a long response then delays others by a few milliseconds at most.
 const pacingThreshold = 10e6
