Keep to the rate limits that targets state in their answers

Cause: nothing read the limit.

Change: an answer's limit is part of what is known of a target's process, until an answer states another one or none. Further requests go to the next target in the object's order; when none is left, the refusal tells when the first of them takes a request again.

TestRateLimitOfTarget fails without the check, e.g. 145 requests in 4 s where 62 are allowed.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -60,10 +60,11 @@
 }
 
 // NewController returns a controller without a configuration. It refuses all
-// requests until Configure is called.
-func NewController(zone ident.Zone, region ident.Region, b Bounds) *Controller {
+// requests until Configure is called. The options are those of its table of
+// targets.
+func NewController(zone ident.Zone, region ident.Region, b Bounds, options ...spread.Option) *Controller {
 	return &Controller{
-		table:        spread.NewTable(zone, region, spread.NewColdBounds(b.coldFactor, b.coldSlack)),
+		table:        spread.NewTable(zone, region, spread.NewColdBounds(b.coldFactor, b.coldSlack), options...),
 		limiter:      quota.NewLimiter(b.rateWindow),
 		bounds:       b,
 		retryBudgets: map[ident.Service]*quota.RetryBudget{},
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -386,7 +386,7 @@
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
-	admission, err := relay.StartAdmission(taskCtx, system, c.clock, admit.NewController(c.zone, c.region, c.bounds), pool)
+	admission, err := relay.StartAdmission(taskCtx, system, c.clock, c.log, admit.NewController(c.zone, c.region, c.bounds), pool)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"time"
 
 	"rhubarbrack/admit"
@@ -21,8 +22,10 @@
 }
 
 // StartAdmission starts the task. It ends with ctx.
-func StartAdmission(ctx context.Context, system *tasks.System, c clock.Clock, controller *admit.Controller, pool IdleCloser) (*Admission, error) {
-	ref, err := tasks.Spawn(ctx, system, "desk", &admissionTask{clock: c, controller: controller, pool: pool})
+func StartAdmission(
+	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, controller *admit.Controller, pool IdleCloser,
+) (*Admission, error) {
+	ref, err := tasks.Spawn(ctx, system, "desk", &admissionTask{clock: c, log: log, controller: controller, pool: pool})
 	if err != nil {
 		return nil, fmt.Errorf("start admission task: %w", err)
 	}
@@ -134,12 +137,14 @@
 		result  spread.Result
 		load    ident.Option[spread.Load]
 		coldFor ident.Option[time.Duration]
+		limit   ident.Option[spread.RateLimit]
 	}
 )
 
 // admissionTask owns the admission controller.
 type admissionTask struct {
 	clock      clock.Clock
+	log        *slog.Logger
 	controller *admit.Controller
 	pool       IdleCloser
 }
@@ -165,6 +170,9 @@
 		if coldFor, ok := m.coldFor.Get(); ok {
 			t.controller.Table().MarkCold(now, m.choice.Target().ID(), coldFor)
 		}
+		if limit, ok := m.limit.Get(); ok {
+			t.observeLimit(now, m.choice, limit)
+		}
 	case configure:
 		t.controller.Configure(m.config)
 	case setTargets:
@@ -193,3 +201,13 @@
 		t.controller.Table().ObserveRTT(m.region, m.rtt)
 	}
 }
+
+// observeLimit applies what a target stated about its rate limit, and logs the
+// beginning and the end of a limit.
+func (t *admissionTask) observeLimit(now time.Time, choice spread.Choice, limit spread.RateLimit) {
+	if !t.controller.Table().ObserveLimit(now, choice, limit) {
+		return
+	}
+	rate, isSet := limit.Rate()
+	t.log.Info("relay: rate limit of a target changed", "target", choice.Target().ID(), "limited", isSet, "rate", rate)
+}
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -35,8 +35,15 @@
 	foreign bool
 	load    ident.Option[spread.Load]
 	coldFor ident.Option[time.Duration]
+	limit   spread.RateLimit
 }
 
+// ResponseOption sets an optional property of a Response.
+type ResponseOption func(*Response)
+
+// WithRateLimit sets the rate limit that the target states.
+func WithRateLimit(l spread.RateLimit) ResponseOption { return func(r *Response) { r.limit = l } }
+
 // NewResponse returns the properties of a response: the request that it
 // belongs to, whether it carries the mark that a target processed the request,
 // whether it states that the request has not run, and whether a process other
@@ -44,9 +51,23 @@
 // cold, are optional.
 func NewResponse(
 	request ident.RequestID, genuine, notRun, foreign bool, load ident.Option[spread.Load],
-	coldFor ident.Option[time.Duration],
+	coldFor ident.Option[time.Duration], options ...ResponseOption,
 ) Response {
-	return Response{request: request, genuine: genuine, notRun: notRun, foreign: foreign, load: load, coldFor: coldFor}
+	r := Response{request: request, genuine: genuine, notRun: notRun, foreign: foreign, load: load, coldFor: coldFor}
+	for _, apply := range options {
+		apply(&r)
+	}
+	return r
+}
+
+// statedLimit returns what the target stated about its rate limit: nothing if
+// it did not answer, or if another process answered at its address.
+func (r Response) statedLimit(result spread.Result) ident.Option[spread.RateLimit] {
+	switch result {
+	case spread.Served, spread.Failed, spread.Full:
+		return ident.Some(r.limit)
+	}
+	return ident.None[spread.RateLimit]()
 }
 
 // Outcome tells whether a request that this host refuses may have run.
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -160,7 +160,7 @@
 		t.Fatal(err)
 	}
 	bounds := admit.NewBounds(5*time.Second, 10*time.Second, 0.2, 1000, 1.5, 5)
-	admission, err := StartAdmission(ctx, system, clock.Wall(), admit.NewController("z", "r", bounds), pool)
+	admission, err := StartAdmission(ctx, system, clock.Wall(), slog.New(slog.DiscardHandler), admit.NewController("z", "r", bounds), pool)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/spread/limit_test.go
@@ -0,0 +1,160 @@
+package spread
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// limitedFleet simulates the hosts of a fleet that send to one target with a
+// rate limit. The target answers 50 ms after a request.
+type limitedFleet struct {
+	hosts []*Table
+	// sent holds the times of the requests that the target got.
+	sent    []time.Time
+	pending []pendingAnswer
+}
+
+type pendingAnswer struct {
+	at     time.Time
+	host   *Table
+	choice Choice
+}
+
+func newLimitedFleet(hosts int) *limitedFleet {
+	f := &limitedFleet{}
+	for i := range hosts {
+		t := NewTable("z", "r", NewColdBounds(1.5, 5), WithHost(ident.Host(fmt.Sprint(i))))
+		t.SetShare(1 / float64(hosts))
+		t.Update([]Target{NewTarget("i", "s", "i:80", "z", "r", 1000, false, time.Time{})})
+		f.hosts = append(f.hosts, t)
+	}
+	return f
+}
+
+// request sends a request from a host if the host admits it, and reports
+// whether it did.
+func (f *limitedFleet) request(now time.Time, host int) bool {
+	t := f.hosts[host]
+	c := t.Choose(now, query("x"))
+	if c.IsFound() {
+		f.sent = append(f.sent, now)
+		f.pending = append(f.pending, pendingAnswer{at: now.Add(50 * time.Millisecond), host: t, choice: c})
+	}
+	return c.IsFound()
+}
+
+// answer delivers the answers that are due, with the limit that the target
+// states.
+func (f *limitedFleet) answer(now time.Time, limit RateLimit) {
+	for len(f.pending) > 0 && !f.pending[0].at.After(now) {
+		p := f.pending[0]
+		f.pending = f.pending[1:]
+		p.host.RecordResult(now, p.choice, Served, ident.None[Load]())
+		p.host.ObserveLimit(now, p.choice, limit)
+	}
+}
+
+// most returns the largest number of requests in a window of the given span
+// that begins after the given time.
+func (f *limitedFleet) most(after time.Time, span time.Duration) int {
+	most := 0
+	for i, first := range f.sent {
+		if first.Before(after) {
+			continue
+		}
+		n := 0
+		for _, at := range f.sent[i:] {
+			if at.Sub(first) < span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestRateLimitOfTarget guards against a target that gets far more requests than
+// the limit that it names, summed over all hosts, and against one that gets none
+// or never gets more again.
+func TestRateLimitOfTarget(t *testing.T) {
+	cases := []struct {
+		name  string
+		hosts int
+		limit float64
+		// demand is in requests per second of all hosts.
+		demand float64
+	}{
+		{"few hosts", 8, 9.5, 30},
+		{"one host", 1, 9.5, 100},
+		{"many hosts", 71, 2.5, 6},
+		{"many hosts, high demand", 71, 9.5, 200},
+		{"nothing at all", 8, 0, 30},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, 2))
+			f := newLimitedFleet(c.hosts)
+			limit := NewRateLimit(c.limit)
+			now := start
+			run := func(d time.Duration, limit RateLimit) {
+				const step = 10 * time.Millisecond
+				for end := now.Add(d); now.Before(end); now = now.Add(step) {
+					f.answer(now, limit)
+					for n := c.demand * step.Seconds(); n > 0; n-- {
+						if random.Float64() < n {
+							f.request(now, random.IntN(c.hosts))
+						}
+					}
+				}
+			}
+			run(20*time.Second, limit)
+			// The limit binds three seconds after it was first named.
+			bound := int(1.5*4*c.limit + 5)
+			if got := f.most(start.Add(3*time.Second), 4*time.Second); got > bound || got == 0 {
+				t.Errorf("%d requests in 4 s, want 1 to %d", got, bound)
+			}
+			before := len(f.sent)
+			run(60*time.Second, RateLimit{})
+			if got := float64(len(f.sent)-before) / 60; got < c.demand/2 {
+				t.Errorf("%.1f requests per second after the end of the limit, want most of %.0f", got, c.demand)
+			}
+		})
+	}
+}
+
+// TestRetryAfterRateLimit guards against refusals that tell callers to come back
+// before the target takes their request.
+func TestRetryAfterRateLimit(t *testing.T) {
+	f := newLimitedFleet(1)
+	f.request(start, 0)
+	f.answer(start.Add(time.Second), NewRateLimit(0.5))
+	now := start.Add(time.Second)
+	c := f.hosts[0].Choose(now, query("x"))
+	if c.IsFound() || c.RetryAfter() <= fullPause {
+		t.Fatalf("found %v, retry after %v", c.IsFound(), c.RetryAfter())
+	}
+	if early := now.Add(c.RetryAfter() - 20*time.Millisecond); f.request(early, 0) {
+		t.Error("the target took a request before the time to retry")
+	}
+	if !f.request(now.Add(c.RetryAfter()+time.Millisecond), 0) {
+		t.Error("the target took no request at the time to retry")
+	}
+}
+
+// TestRateLimitOfEarlierProcess guards against a limit that outlives the process
+// that named it.
+func TestRateLimitOfEarlierProcess(t *testing.T) {
+	f := newLimitedFleet(1)
+	f.request(start, 0)
+	f.answer(start.Add(time.Second), NewRateLimit(0.5))
+	f.hosts[0].Update([]Target{NewTarget("i", "s", "i:80", "z", "r", 1000, false, time.Time{}, WithStart(1))})
+	for range 3 {
+		if !f.request(start.Add(time.Second), 0) {
+			t.Fatal("the next process got no request")
+		}
+	}
+}
--- a/spread/table.go
+++ b/spread/table.go
@@ -51,6 +51,8 @@
 // Table holds the targets that one entry host knows, and selects among them.
 // It is not safe for concurrent use.
 type Table struct {
+	// hostHash differs between hosts.
+	hostHash   uint64
 	zone       ident.Zone
 	region     ident.Region
 	coldBounds ColdBounds
@@ -66,15 +68,28 @@
 	rtts map[ident.Region]time.Duration
 }
 
+// Option sets an optional property of a Table.
+type Option func(*Table)
+
+// WithHost sets the name of the host, by which hosts spread what they would
+// otherwise all do at the same time.
+func WithHost(host ident.Host) Option {
+	return func(t *Table) { t.hostHash = xxhash.Sum64String(string(host)) }
+}
+
 // NewTable returns an empty table for a host in the given zone and region.
-func NewTable(zone ident.Zone, region ident.Region, coldBounds ColdBounds) *Table {
-	return &Table{
+func NewTable(zone ident.Zone, region ident.Region, coldBounds ColdBounds, options ...Option) *Table {
+	t := &Table{
 		zone: zone, region: region, coldBounds: coldBounds, hostShare: 1,
 		targets: map[ident.Target]*targetState{}, services: map[ident.Service][]*targetState{},
 		evacuated: map[ident.Zone]bool{}, returnedAt: map[ident.Zone]time.Time{},
 		coldTerms:      map[ident.Service]coldTerms{},
 		typicalLatency: map[ident.Service]float64{}, rtts: map[ident.Region]time.Duration{},
 	}
+	for _, apply := range options {
+		apply(t)
+	}
+	return t
 }
 
 // SetShare sets the share of the fleet-wide bounds that this host enforces, in
@@ -271,7 +286,7 @@
 		rank++
 	}
 	if best == nil {
-		return Choice{reason: NoRoom, retryAfter: t.queueTime(list)}
+		return Choice{reason: NoRoom, retryAfter: t.retryAfter(now, list, t.queueTime(list))}
 	}
 	return t.assign(now, best, reason)
 }
@@ -282,6 +297,20 @@
 	return max(fullPause, time.Duration(t.typicalLatency[list[0].state.service]*float64(time.Second)))
 }
 
+// retryAfter returns the time until the first of the targets may take another
+// request: their rate limits, and the time that a queue needs, must allow it.
+func (t *Table) retryAfter(now time.Time, list []candidate, queueTime time.Duration) time.Duration {
+	least := time.Duration(math.MaxInt64)
+	for _, c := range list {
+		wait := queueTime
+		if c.state.limiter != nil {
+			wait = max(wait, c.state.limiter.wait(now, t.hostShare))
+		}
+		least = min(least, wait)
+	}
+	return least
+}
+
 // candidates returns the eligible targets, the best first.
 func (t *Table) candidates(now time.Time, q Query) []candidate {
 	allRegions := !q.bulk && t.maxRTT().Seconds() <= maxRTTShare*q.latencyObjective.Seconds()
@@ -312,13 +341,13 @@
 }
 
 // admits reports whether a target may get a request now. A cold target gets
-// only this host's share of its bound, and a silent one only one request per
-// probeInterval.
+// only this host's share of its bound, one with a rate limit this host's share
+// of that, and a silent one only one request per probeInterval.
 func (t *Table) admits(now time.Time, s *targetState) bool {
 	if now.Before(s.fullUntil) {
 		return false
 	}
-	if t.isCold(now, s) && !t.admitsCold(now, s) {
+	if t.isCold(now, s) && !t.admitsCold(now, s) || !t.admitsLimited(now, s) {
 		return false
 	}
 	if t.isSilent(now, s) {
@@ -375,7 +404,7 @@
 		}
 	}
 	if best == nil {
-		return Choice{reason: NoRoom, retryAfter: fullPause}
+		return Choice{reason: NoRoom, retryAfter: t.retryAfter(now, list, fullPause)}
 	}
 	return t.assign(now, best, Queued)
 }
@@ -384,6 +413,9 @@
 func (t *Table) assign(now time.Time, s *targetState, reason Reason) Choice {
 	c := Choice{target: s.Target, state: s, reason: reason, load: s.load(now), loadAge: now.Sub(s.loadAt), chosenAt: now, found: true}
 	s.startAttempt(now)
+	if s.limiter != nil {
+		s.limiter.take()
+	}
 	if t.isCold(now, s) {
 		s.coldRequests.Add(now, 1)
 	}
@@ -411,10 +443,12 @@
 // with twice the weight ranks first for twice as many objects.
 func score(object, target uint64, weight float64) float64 {
 	h := fmix64(object ^ fmix64(target))
-	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return -weight / math.Log(u)
+	return -weight / math.Log(unitInterval(h))
 }
 
+// unitInterval maps a hash to a number between 0 and 1, both exclusive.
+func unitInterval(h uint64) float64 { return (float64(h>>11) + 0.5) / (1 << 53) }
+
 // fmix64 is the 64-bit finalizer of MurmurHash3 (Appleby, 2011).
 func fmix64(h uint64) uint64 {
 	h ^= h >> 33
--- a/spread/target.go
+++ b/spread/target.go
@@ -128,6 +128,8 @@
 	// remoteLoad is the load of other hosts as of loadAt.
 	remoteLoad float64
 	loadAt     time.Time
+	// limiter is nil for targets that have never stated a rate limit.
+	limiter *rateLimiter
 	// markedUntil is until when the target counts as cold by its own statement.
 	markedUntil time.Time
 	// coldRequests counts the requests sent while the target was cold.
