Divide a target's rate limit among the hosts by what they would send

Hosts with few requests for a target left their shares unused.

Change: heartbeats report the limits that targets have stated, how long ago, and how many requests a host would have sent there over 2 s. The leader replies with the latest statement on each target, also that a limit has ended, and the host's share: a tenth of the limit in equal parts and the rest by demand. A share is valid for 2 s; without contact all hosts have equal shares. Four varints for each target with a limit, and nothing without limits.

TestLimitShares, TestShareOfLimit and TestLimitOfOtherHosts fail without the change.

--- a/mesh/config_fetcher_test.go
+++ b/mesh/config_fetcher_test.go
@@ -147,6 +147,7 @@
 func (l testListener) ApplyLeases([]quota.Lease, []ident.Team, time.Time)        {}
 func (l testListener) TargetStats(context.Context) ([]spread.TargetStats, error) { return nil, nil }
 func (l testListener) ApplyRemoteStats([]spread.TargetStats)                     {}
+func (l testListener) ApplyLimits([]spread.LimitShare)                           {}
 func (l testListener) BecomeReady()                                              { close(l.ready) }
 
 var errUndecodable = errors.New("undecodable")
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -63,6 +63,9 @@
 	// ApplyRemoteStats applies the in-flight requests and results that other
 	// hosts report for targets.
 	ApplyRemoteStats(stats []spread.TargetStats)
+	// ApplyLimits applies the rate limits that targets stated to any host, and
+	// this host's shares.
+	ApplyLimits(shares []spread.LimitShare)
 	// BecomeReady is called once the host knows enough to serve.
 	BecomeReady()
 }
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -248,9 +248,7 @@
 			t.log.Warn("mesh: heartbeat without target stats", "error", err)
 		}
 		for _, s := range stats {
-			heartbeat.Counts = append(heartbeat.Counts, TargetStatsRecord{
-				Target: string(s.Target()), Running: s.InFlight(), Failed: s.Failed(), Served: s.Served(),
-			})
+			heartbeat.Counts = append(heartbeat.Counts, newTargetStatsRecord(s))
 		}
 	}
 	m := heartbeatDone{peer: p, sent: sent}
@@ -274,6 +272,20 @@
 	if stats, ok := t.remoteStats(m.record); ok {
 		t.listener.ApplyRemoteStats(stats)
 	}
+	t.applyLimits(m.record)
+}
+
+// applyLimits applies the rate limits of targets in a reply of the leader.
+func (t *controlClientTask) applyLimits(r HeartbeatReplyRecord) {
+	if len(r.Limits) == 0 || r.LoadsTag != t.listTag {
+		return
+	}
+	shares, err := decodeLimits(r.Limits, t.list)
+	if err != nil {
+		t.log.Error("mesh: rate limits of targets cannot be decoded", "error", err)
+		return
+	}
+	t.listener.ApplyLimits(shares)
 }
 
 // remoteStats returns the stats of the other hosts in a reply. It returns false
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -6,6 +6,7 @@
 	"rhubarbrack/ident"
 	"rhubarbrack/patch"
 	"rhubarbrack/scheme"
+	"rhubarbrack/spread"
 )
 
 // The names of the net/rpc service and its methods.
@@ -49,6 +50,16 @@
 		Running int
 		Failed  int
 		Served  int
+		// Limit is set if the target has a rate limit, or had one a short time
+		// ago.
+		Limit *LimitRecord
+	}
+	// LimitRecord is what an entry host knows of a target's rate limit, see
+	// spread.LimitReport. A rate of 0 stands for no limit.
+	LimitRecord struct {
+		Rate   float64
+		Age    time.Duration
+		Wanted float64
 	}
 	// TokenRequestRecord requests a token of a team's rate.
 	TokenRequestRecord struct {
@@ -123,6 +134,9 @@
 		Others   []TargetStatsRecord
 		Loads    []byte
 		LoadsTag uint64
+		// Limits holds the rate limits of targets and the shares of the receiver,
+		// see encodeLimits. It refers to the list with the tag LoadsTag.
+		Limits []byte
 	}
 	// EmptyRecord is a request without parameters.
 	EmptyRecord struct{}
@@ -230,6 +244,25 @@
 	return ident.Some(r.Change.piece())
 }
 
+func newTargetStatsRecord(s spread.TargetStats) TargetStatsRecord {
+	record := TargetStatsRecord{
+		Target: string(s.Target()), Running: s.InFlight(), Failed: s.Failed(), Served: s.Served(),
+	}
+	if l, ok := s.Limit().Get(); ok {
+		rate, _ := l.Limit().Rate()
+		record.Limit = &LimitRecord{Rate: rate, Age: l.Age(), Wanted: l.Wanted()}
+	}
+	return record
+}
+
+// rateLimit returns the limit of the record.
+func (r LimitRecord) rateLimit() spread.RateLimit {
+	if r.Rate == 0 {
+		return spread.RateLimit{}
+	}
+	return spread.NewRateLimit(r.Rate)
+}
+
 // zoneNames returns the zones as strings.
 func zoneNames(zones []ident.Zone) []string {
 	var names []string
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -225,7 +225,7 @@
 			reply.Tight = append(reply.Tight, string(team))
 		}
 		r.reports[host] = statsReport{at: now, stats: record.Counts}
-		reply = r.addLoads(reply, record, r.remoteStats(now, host))
+		reply = r.addLoads(now, reply, record, r.remoteStats(now, host))
 	}
 	return reply
 }
@@ -244,12 +244,13 @@
 }
 
 // addLoads adds the stats of targets to a reply, in the short form if the list
-// of targets that the entry host has is known.
+// of targets that the entry host has is known. Only then it adds rate limits.
 func (r *registry) addLoads(
-	reply HeartbeatReplyRecord, record HeartbeatRecord, stats []TargetStatsRecord,
+	now time.Time, reply HeartbeatReplyRecord, record HeartbeatRecord, stats []TargetStatsRecord,
 ) HeartbeatReplyRecord {
 	if l := r.listWith(record.ListTag); l != nil {
 		reply.Loads, reply.LoadsTag = encodeLoads(stats, l.positions()), l.tag
+		reply.Limits = encodeLimits(r.limitShares(now, ident.Host(record.Host)), l.positions())
 		return reply
 	}
 	reply.Others = stats
--- a/mesh/target_stats.go
+++ b/mesh/target_stats.go
@@ -61,12 +61,13 @@
 	at      time.Time
 	tag     uint64
 	records []TargetStatsRecord
+	limits  []targetLimit
 	reports map[ident.Host]statsReport
 }
 
 // totalStats adds up the reports that are not outdated.
 func totalStats(now time.Time, list *listing, reports map[ident.Host]statsReport) *statsTotals {
-	s := &statsTotals{at: now, tag: list.tag, reports: maps.Clone(reports)}
+	s := &statsTotals{at: now, tag: list.tag, reports: maps.Clone(reports), limits: totalLimits(list, reports)}
 	totals := map[string]*targetTotals{}
 	for _, report := range reports {
 		for _, record := range report.stats {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -352,6 +352,9 @@
 	e.admission.ApplyRemoteStats(stats)
 }
 
+// ApplyLimits implements mesh.Listener.
+func (e *entryListener) ApplyLimits(shares []spread.LimitShare) { e.admission.ApplyLimits(shares) }
+
 // BecomeReady implements mesh.Listener.
 func (e *entryListener) BecomeReady() { e.ready.Store(true) }
 
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -90,12 +90,17 @@
 	a.ref.Tell(applyRemoteStats{stats: stats})
 }
 
+// ApplyLimits applies the rate limits that targets stated to any host, and this
+// host's shares.
+func (a *Admission) ApplyLimits(shares []spread.LimitShare) { a.ref.Tell(applyLimits{shares: shares}) }
+
 // The messages of the admission task.
 type (
 	getTargetStats struct {
 		reply tasks.Reply[[]spread.TargetStats]
 	}
 	applyRemoteStats struct{ stats []spread.TargetStats }
+	applyLimits      struct{ shares []spread.LimitShare }
 	admitWithToken   struct {
 		state *admit.RequestState
 		reply tasks.Reply[admit.Decision]
@@ -191,6 +196,8 @@
 		m.reply.Send(t.controller.TargetStats(now))
 	case applyRemoteStats:
 		t.controller.ApplyRemoteStats(now, m.stats)
+	case applyLimits:
+		t.controller.Table().ApplyLimits(now, m.shares)
 	case getDemand:
 		m.reply.Send(t.controller.Demand(now))
 	case applyLeases:
--- a/spread/limit_test.go
+++ b/spread/limit_test.go
@@ -158,3 +158,62 @@
 		}
 	}
 }
+
+// TestShareOfLimit guards against a limit that is mostly unused because the
+// hosts that send to the target have the same share as those that do not, and
+// against a share that outlives the contact to the leader.
+func TestShareOfLimit(t *testing.T) {
+	const limit, hosts = 10.0, 10
+	f := newLimitedFleet(hosts)
+	f.request(start, 0)
+	now := start.Add(time.Second)
+	f.answer(now, NewRateLimit(limit))
+	count := func(d time.Duration, share float64) int {
+		f.sent = nil
+		for end := now.Add(d); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			if share > 0 {
+				f.hosts[0].ApplyLimits(now, []LimitShare{NewLimitShare("i", NewRateLimit(limit), 0, share)})
+			}
+			f.answer(now, NewRateLimit(limit))
+			f.request(now, 0)
+		}
+		return len(f.sent)
+	}
+	const seconds = 20
+	cases := []struct {
+		name  string
+		share float64
+		want  float64
+	}{
+		{"equal share", 0, limit / hosts},
+		{"share of the leader", 0.9, 0.9 * limit},
+		{"leader lost", 0, limit / hosts},
+	}
+	for _, c := range cases {
+		got := float64(count(seconds*time.Second, c.share)) / seconds
+		count(2*shareLifetime, 0)
+		if want := c.want * limitMargin; got < 0.8*want || got > 1.2*want {
+			t.Errorf("%s: %.2f requests per second, want about %.2f", c.name, got, want)
+		}
+	}
+}
+
+// TestLimitOfOtherHosts guards against hosts that send at their full rate until
+// the target has told each of them its limit, and that keep a limit whose end
+// another host has heard of.
+func TestLimitOfOtherHosts(t *testing.T) {
+	f := newLimitedFleet(1)
+	h := f.hosts[0]
+	share := func(limit RateLimit) { h.ApplyLimits(start, []LimitShare{NewLimitShare("i", limit, 0, 0.01)}) }
+	share(NewRateLimit(1))
+	if f.request(start, 0) {
+		t.Error("a target with a limit that another host has heard of got a request")
+	}
+	if got, ok := h.Stats(start)[0].Limit().Get(); !ok || got.Wanted() != 1 {
+		t.Errorf("report %+v, %v, want one request that would have been sent", got, ok)
+	}
+	share(RateLimit{})
+	if !f.request(start, 0) {
+		t.Error("a target whose limit has ended got no request")
+	}
+}
--- a/spread/target_stats.go
+++ b/spread/target_stats.go
@@ -13,6 +13,7 @@
 	inFlight int
 	failed   int
 	served   int
+	limit    ident.Option[LimitReport]
 }
 
 // NewTargetStats returns the stats of a target.
@@ -20,6 +21,15 @@
 	return TargetStats{target: target, inFlight: inFlight, failed: failed, served: served}
 }
 
+// WithLimit returns the stats with a report on the target's rate limit.
+func (s TargetStats) WithLimit(r ident.Option[LimitReport]) TargetStats {
+	s.limit = r
+	return s
+}
+
+// Limit returns the report on the target's rate limit, if there is one.
+func (s TargetStats) Limit() ident.Option[LimitReport] { return s.limit }
+
 // Target returns the target.
 func (s TargetStats) Target() ident.Target { return s.target }
 
@@ -32,14 +42,16 @@
 // Served returns the number of successful attempts.
 func (s TargetStats) Served() int { return s.served }
 
-// Stats returns this host's in-flight requests, and its results at targets
-// that recently failed here or at other hosts.
+// Stats returns this host's in-flight requests, its results at targets that
+// recently failed here or at other hosts, and what it knows of rate limits.
 func (t *Table) Stats(now time.Time) []TargetStats {
 	var list []TargetStats
 	for id, s := range t.targets {
 		failed, served := int(s.failed.Sum(now)), int(s.served.Sum(now))
-		if s.inFlight > 0 || failed > 0 || served > 0 && now.Sub(s.remoteFailuresAt) < failureDecay {
-			list = append(list, NewTargetStats(id, s.inFlight, failed, served))
+		limit := s.limitReport(now)
+		_, hasLimit := limit.Get()
+		if hasLimit || s.inFlight > 0 || failed > 0 || served > 0 && now.Sub(s.remoteFailuresAt) < failureDecay {
+			list = append(list, NewTargetStats(id, s.inFlight, failed, served).WithLimit(limit))
 		}
 	}
 	return list
