Heed targets that leave or that ask for a pause

New rules of the operators: a target that leaves says so in all its answers, and from then on should get no request that was sent later than its drain time; one that turns a request away with 503 may add Retry-After and then wants nothing from that host for so long. Nothing read either header.

Change: what an answer says of its target, with the rate limit, is one typed statement about the target's process. A target that leaves gets no request as long as its service has another one; if all are leaving they are used until the drain time is over. The statement holds until the list shows another process, whatever later answers say.

TestLeavingTarget and TestPausingTarget fail without the checks.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -45,6 +45,7 @@
 	dataDirectory  string
 	firstStart     bool
 	gracePeriod    time.Duration
+	drainTime      time.Duration
 	descriptors    int
 	linkRate       float64
 	bounds         admit.Bounds
@@ -84,6 +85,13 @@
 	return c
 }
 
+// WithDrainTime sets for how long a target may get requests after it has said
+// that its process is about to end.
+func (c HostConfig) WithDrainTime(d time.Duration) HostConfig {
+	c.drainTime = d
+	return c
+}
+
 // WithDescriptors sets the maximum number of open file descriptors.
 func (c HostConfig) WithDescriptors(n int) HostConfig {
 	c.descriptors = n
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -138,11 +138,11 @@
 		reply       tasks.Reply[admit.Decision]
 	}
 	recordResult struct {
-		choice  spread.Choice
-		result  spread.Result
-		load    ident.Option[spread.Load]
-		coldFor ident.Option[time.Duration]
-		limit   ident.Option[spread.RateLimit]
+		choice    spread.Choice
+		result    spread.Result
+		load      ident.Option[spread.Load]
+		coldFor   ident.Option[time.Duration]
+		statement ident.Option[spread.Statement]
 	}
 )
 
@@ -175,8 +175,8 @@
 		if coldFor, ok := m.coldFor.Get(); ok {
 			t.controller.Table().MarkCold(now, m.choice.Target().ID(), coldFor)
 		}
-		if limit, ok := m.limit.Get(); ok {
-			t.observeLimit(now, m.choice, limit)
+		if statement, ok := m.statement.Get(); ok {
+			t.observe(now, m.choice, statement)
 		}
 	case configure:
 		t.controller.Configure(m.config)
@@ -209,12 +209,11 @@
 	}
 }
 
-// observeLimit applies what a target stated about its rate limit, and logs the
-// beginning and the end of a limit.
-func (t *admissionTask) observeLimit(now time.Time, choice spread.Choice, limit spread.RateLimit) {
-	if !t.controller.Table().ObserveLimit(now, choice, limit) {
-		return
+// observe applies what a target said of itself, and logs what has changed.
+func (t *admissionTask) observe(now time.Time, choice spread.Choice, statement spread.Statement) {
+	for _, change := range t.controller.Table().Observe(now, choice, statement) {
+		rate, _ := statement.Limit().Rate()
+		t.log.Info("relay: statement of a target", "target", choice.Target().ID(), "change", change, "rate", rate,
+			"pause-ms", statement.Pause().Milliseconds())
 	}
-	rate, isSet := limit.Rate()
-	t.log.Info("relay: rate limit of a target changed", "target", choice.Target().ID(), "limited", isSet, "rate", rate)
 }
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -35,14 +35,15 @@
 	foreign bool
 	load    ident.Option[spread.Load]
 	coldFor ident.Option[time.Duration]
-	limit   spread.RateLimit
+	// statement is what the target says of itself.
+	statement spread.Statement
 }
 
 // ResponseOption sets an optional property of a Response.
 type ResponseOption func(*Response)
 
-// WithRateLimit sets the rate limit that the target states.
-func WithRateLimit(l spread.RateLimit) ResponseOption { return func(r *Response) { r.limit = l } }
+// WithStatement sets what the target says of itself.
+func WithStatement(s spread.Statement) ResponseOption { return func(r *Response) { r.statement = s } }
 
 // NewResponse returns the properties of a response: the request that it
 // belongs to, whether it carries the mark that a target processed the request,
@@ -60,14 +61,14 @@
 	return r
 }
 
-// statedLimit returns what the target stated about its rate limit: nothing if
-// it did not answer, or if another process answered at its address.
-func (r Response) statedLimit(result spread.Result) ident.Option[spread.RateLimit] {
+// stated returns what the target said of itself: nothing if it did not answer, or
+// if another process answered at its address.
+func (r Response) stated(result spread.Result) ident.Option[spread.Statement] {
 	switch result {
 	case spread.Served, spread.Failed, spread.Full:
-		return ident.Some(r.limit)
+		return ident.Some(r.statement)
 	}
-	return ident.None[spread.RateLimit]()
+	return ident.None[spread.Statement]()
 }
 
 // Outcome tells whether a request that this host refuses may have run.
--- a/relay/report.go
+++ b/relay/report.go
@@ -14,9 +14,9 @@
 // recordResult reports the result of an attempt to the admission controller.
 func (h *Handler) recordResult(d admit.Decision, result spread.Result, response Response) {
 	h.admission.ref.Tell(recordResult{
-		choice: d.Choice(), result: result, load: response.load, coldFor: response.coldFor, limit: response.statedLimit(result),
+		choice: d.Choice(), result: result, load: response.load, coldFor: response.coldFor, statement: response.stated(result),
 	})
-	if _, ok := response.limit.Rate(); ok {
+	if _, ok := response.statement.Limit().Rate(); ok {
 		team, class := labels(d)
 		h.meter.Count("target-limited", team, class, 1)
 	}
--- a/spread/limit.go
+++ b/spread/limit.go
@@ -122,18 +122,6 @@
 	}
 }
 
-// ObserveLimit applies what a target stated about its rate limit in the answer
-// to an attempt. It reports whether a limit has begun or ended.
-func (t *Table) ObserveLimit(now time.Time, c Choice, limit RateLimit) bool {
-	s, ok := t.targets[c.target.id]
-	if !ok || s != c.state {
-		return false
-	}
-	wasSet := s.limiter != nil && s.limiter.limit.isSet
-	t.applyLimit(now, now, s, limit)
-	return wasSet != limit.isSet
-}
-
 // applyLimit applies a statement of a target of the given time.
 func (t *Table) applyLimit(now, statedAt time.Time, s *targetState, limit RateLimit) {
 	if s.limiter == nil {
--- a/spread/limit_test.go
+++ b/spread/limit_test.go
@@ -54,7 +54,7 @@
 		p := f.pending[0]
 		f.pending = f.pending[1:]
 		p.host.RecordResult(now, p.choice, Served, ident.None[Load]())
-		p.host.ObserveLimit(now, p.choice, limit)
+		p.host.Observe(now, p.choice, NewStatement(WithLimit(limit)))
 	}
 }
 
--- /dev/null
+++ b/spread/statement.go
@@ -0,0 +1,111 @@
+package spread
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// Statement is what a target says of itself in an answer.
+type Statement struct {
+	limit   RateLimit
+	leaving bool
+	pause   time.Duration
+}
+
+// StatementOption sets an optional part of a Statement.
+type StatementOption func(*Statement)
+
+// WithLimit states a rate limit.
+func WithLimit(l RateLimit) StatementOption { return func(s *Statement) { s.limit = l } }
+
+// WithLeaving states that the target's process is about to end.
+func WithLeaving() StatementOption { return func(s *Statement) { s.leaving = true } }
+
+// WithPause states that the target wants no requests of this host for the given
+// time.
+func WithPause(d time.Duration) StatementOption { return func(s *Statement) { s.pause = max(0, d) } }
+
+// NewStatement returns a statement. Without options it says that the target has
+// no rate limit, is not leaving, and wants no pause.
+func NewStatement(options ...StatementOption) Statement {
+	var s Statement
+	for _, apply := range options {
+		apply(&s)
+	}
+	return s
+}
+
+// Limit returns the rate limit.
+func (s Statement) Limit() RateLimit { return s.limit }
+
+// IsLeaving reports whether the target's process is about to end.
+func (s Statement) IsLeaving() bool { return s.leaving }
+
+// Pause returns how long the target wants no requests of this host.
+func (s Statement) Pause() time.Duration { return s.pause }
+
+// Change is a change in what a host knows of a target by its statements.
+type Change string
+
+// The changes.
+const (
+	LimitBegan     Change = "limit-began"
+	LimitEnded     Change = "limit-ended"
+	LeavingBegan   Change = "leaving"
+	PauseRequested Change = "pause"
+)
+
+// Observe applies what a target stated in the answer to an attempt, and returns
+// the changes.
+func (t *Table) Observe(now time.Time, c Choice, statement Statement) []Change {
+	s, ok := t.targets[c.target.id]
+	if !ok || s != c.state {
+		return nil
+	}
+	var changes []Change
+	if wasSet := s.limiter != nil && s.limiter.limit.isSet; wasSet != statement.limit.isSet {
+		changes = append(changes, LimitEnded)
+		if !wasSet {
+			changes[0] = LimitBegan
+		}
+	}
+	t.applyLimit(now, now, s, statement.limit)
+	if statement.leaving && s.leavingSince.IsZero() {
+		// A process that is leaving does not stay, whatever it says later.
+		s.leavingSince = now
+		changes = append(changes, LeavingBegan)
+	}
+	if statement.pause > 0 {
+		s.restUntil = laterOf(s.restUntil, now.Add(statement.pause))
+		changes = append(changes, PauseRequested)
+	}
+	return changes
+}
+
+// WithDrainTime sets for how long a target that is leaving may get requests after
+// it said so. It gets them only if its service has no other target.
+func WithDrainTime(d time.Duration) Option { return func(t *Table) { t.drainTime = d } }
+
+// isLeaving reports whether a target has said that its process is about to end.
+func (s *targetState) isLeaving() bool { return !s.leavingSince.IsZero() }
+
+// admitsLeaving reports whether a target that is leaving may still get requests.
+func (t *Table) admitsLeaving(now time.Time, s *targetState) bool {
+	return now.Before(s.leavingSince.Add(t.drainTime))
+}
+
+// restTime returns the time until the first target of a service that has asked
+// for a pause takes requests again, or 0 if none has.
+func (t *Table) restTime(now time.Time, service ident.Service) time.Duration {
+	least := time.Duration(0)
+	for _, s := range t.services[service] {
+		if s.draining || s.isLeaving() || t.evacuated[s.zone] {
+			continue
+		}
+		if wait := s.restUntil.Sub(now); wait > 0 && (least == 0 || wait < least) {
+			least = wait
+		}
+	}
+	return least
+}
--- /dev/null
+++ b/spread/statement_test.go
@@ -0,0 +1,119 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// statementTable returns a table with n targets of a service, of which the first
+// ones have made a statement.
+func statementTable(n, stating int, statement Statement) *Table {
+	t := NewTable("z", "r", NewColdBounds(1.5, 5), WithDrainTime(3*time.Second))
+	t.Update(statementList(n, 1))
+	for i := range stating {
+		t.answer(ident.Target(fmt.Sprint(i)), statement)
+	}
+	return t
+}
+
+// answer records an answer of a target with a statement.
+func (t *Table) answer(id ident.Target, statement Statement) {
+	c := t.assign(start, t.targets[id], Preferred)
+	t.RecordResult(start, c, Served, ident.None[Load]())
+	t.Observe(start, c, statement)
+}
+
+func statementList(n int, startedAt int64) []Target {
+	var list []Target
+	for i := range n {
+		list = append(list, NewTarget(ident.Target(fmt.Sprint(i)), "s", "h:1", "z", "r", 100, false, time.Time{}, WithStart(startedAt)))
+	}
+	return list
+}
+
+// TestLeavingTarget guards against requests to a target that has said that it
+// leaves, and against refusing all requests of a service as long as its only
+// targets may still be used.
+func TestLeavingTarget(t *testing.T) {
+	cases := []struct {
+		name    string
+		leaving int
+		after   time.Duration
+		// found and left tell whether a target is chosen, and whether it may be
+		// one that is leaving.
+		found, left bool
+	}{
+		{"others stay", 2, 0, true, false},
+		{"all are leaving", 3, 2 * time.Second, true, true},
+		{"all have been leaving for long", 3, 3 * time.Second, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := statementTable(3, c.leaving, NewStatement(WithLeaving()))
+			for i := range 50 {
+				choice := table.Choose(start.Add(c.after), query(fmt.Sprint(i)))
+				if choice.IsFound() != c.found {
+					t.Fatalf("found %v, want %v", choice.IsFound(), c.found)
+				}
+				if choice.IsFound() && choice.state.isLeaving() != c.left {
+					t.Fatalf("sent to a target that is leaving: %v, want %v", !c.left, c.left)
+				}
+			}
+			// Another list, also with the same processes, changes nothing.
+			table.Update(statementList(3, 1))
+			if choice := table.Choose(start.Add(c.after), query("x")); choice.IsFound() != c.found {
+				t.Errorf("after another list: found %v, want %v", choice.IsFound(), c.found)
+			}
+			table.Update(statementList(3, 2))
+			if !table.Choose(start.Add(c.after), query("x")).IsFound() {
+				t.Error("the next processes get no requests")
+			}
+		})
+	}
+}
+
+// TestPausingTarget guards against requests to a target that has asked for a
+// pause, and against refusals that tell callers to come back too early.
+func TestPausingTarget(t *testing.T) {
+	const pause = 2 * time.Second
+	cases := []struct {
+		name       string
+		pausing    int
+		after      time.Duration
+		found      bool
+		retryAfter time.Duration
+	}{
+		{"others take requests", 2, 0, true, 0},
+		{"all pause", 3, 500 * time.Millisecond, false, 1500 * time.Millisecond},
+		{"the pauses are over", 3, pause, true, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := statementTable(3, c.pausing, NewStatement(WithPause(pause)))
+			for i := range 50 {
+				choice := table.Choose(start.Add(c.after), query(fmt.Sprint(i)))
+				if choice.IsFound() != c.found || choice.RetryAfter() != c.retryAfter {
+					t.Fatalf("found %v, retry after %v, want %v, %v", choice.IsFound(), choice.RetryAfter(), c.found, c.retryAfter)
+				}
+				if c.found && choice.state.restUntil.After(start.Add(c.after)) {
+					t.Fatal("sent to a target that pauses")
+				}
+			}
+		})
+	}
+}
+
+// TestShorterPause guards against a later answer that ends a pause early: answers
+// to requests on their way may come in any order.
+func TestShorterPause(t *testing.T) {
+	table := statementTable(1, 1, NewStatement(WithPause(2*time.Second)))
+	for _, next := range []Statement{NewStatement(WithPause(time.Millisecond)), NewStatement()} {
+		table.answer("0", next)
+	}
+	if table.Choose(start.Add(time.Second), query("x")).IsFound() {
+		t.Error("the pause has ended early")
+	}
+}
--- a/spread/table.go
+++ b/spread/table.go
@@ -57,6 +57,7 @@
 	region     ident.Region
 	coldBounds ColdBounds
 	hostShare  float64
+	drainTime  time.Duration
 	targets    map[ident.Target]*targetState
 	services   map[ident.Service][]*targetState
 	evacuated  map[ident.Zone]bool
@@ -250,9 +251,12 @@
 // Choose selects a target and counts the request as in flight there. The
 // caller must pass the choice to RecordResult when the attempt ends.
 func (t *Table) Choose(now time.Time, q Query) Choice {
-	list := t.candidates(now, q)
+	list := t.candidates(now, q, false)
 	if len(list) == 0 {
-		return Choice{reason: NoTarget, retryAfter: minPause}
+		list = t.candidates(now, q, true)
+	}
+	if len(list) == 0 {
+		return Choice{reason: NoTarget, retryAfter: max(minPause, t.restTime(now, q.service))}
 	}
 	if q.object == "" {
 		return t.leastLoaded(now, list)
@@ -311,13 +315,17 @@
 	return least
 }
 
-// candidates returns the eligible targets, the best first.
-func (t *Table) candidates(now time.Time, q Query) []candidate {
+// candidates returns the eligible targets, the best first: either those that are
+// leaving and may still be used, or the others.
+func (t *Table) candidates(now time.Time, q Query, leaving bool) []candidate {
 	allRegions := !q.bulk && t.maxRTT().Seconds() <= maxRTTShare*q.latencyObjective.Seconds()
 	objectHash := xxhash.Sum64String(q.object)
 	list := make([]candidate, 0, len(t.services[q.service]))
 	for _, s := range t.services[q.service] {
-		if s.draining || t.evacuated[s.zone] || !q.allows(s) || now.Before(s.pausedUntil) {
+		if s.draining || t.evacuated[s.zone] || !q.allows(s) || now.Before(s.pausedUntil) || now.Before(s.restUntil) {
+			continue
+		}
+		if s.isLeaving() != leaving || leaving && !t.admitsLeaving(now, s) {
 			continue
 		}
 		weight := float64(s.slots)
--- a/spread/target.go
+++ b/spread/target.go
@@ -128,6 +128,10 @@
 	// remoteLoad is the load of other hosts as of loadAt.
 	remoteLoad float64
 	loadAt     time.Time
+	// leavingSince is when the target said that its process is about to end, and
+	// restUntil is until when it wants no requests.
+	leavingSince time.Time
+	restUntil    time.Time
 	// limiter is nil for targets that have never stated a rate limit.
 	limiter *rateLimiter
 	// markedUntil is until when the target counts as cold by its own statement.
