--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -361,24 +361,6 @@
 	t.checkReady(now)
 }
 
-// considerList fetches the list of targets of another host if it is newer. The
-// request for its state was sent at the given time.
-func (t *controlClientTask) considerList(p *peer, method string, sent time.Time, r HeartbeatReplyRecord) {
-	// The age was measured after the request was sent, so the list was read no
-	// earlier than this.
-	read := sent.Add(-r.ListAge)
-	switch {
-	case !r.HasList:
-	case r.ListTag == t.listTag:
-		if read.After(t.listReadAt) {
-			t.listReadAt = read
-		}
-	case !t.fetchingList && read.After(t.listReadAt.Add(minListAdvance)):
-		t.fetchingList = true
-		go t.fetchList(p, method, t.listTag)
-	}
-}
-
 // updateHostCount sets the number of entry hosts to the largest one that a
 // control host reports. A smaller number takes effect only after
 // hostRetention, since a host without contact keeps serving with its share.
@@ -441,45 +423,6 @@
 	t.revision, t.state = revision, scheme.NewDesiredState(t.state.Version(), t.state.Source(), zones)
 }
 
-func (t *controlClientTask) fetchList(p *peer, method string, have uint64) {
-	call, cancel := context.WithTimeout(t.ctx, callTimeout)
-	defer cancel()
-	m := listFetched{peer: p}
-	m.err = p.client.Call(call, method, &ListRequestRecord{Tag: have, TakesPacked: true}, &m.record)
-	if m.err == nil {
-		m.record, m.err = m.record.unpack()
-	}
-	t.self.Tell(m)
-}
-
-func (t *controlClientTask) listFetched(m listFetched) {
-	t.fetchingList = false
-	if m.err != nil || !m.record.HasList {
-		t.log.Warn("mesh: list of targets not fetched", "peer", m.peer.address, "error", m.err)
-		return
-	}
-	read := t.clock.Now().Add(-m.record.Age)
-	if !read.After(t.listReadAt) {
-		return
-	}
-	changed := targetsOf(m.record)
-	list := changed
-	if m.record.Base != 0 {
-		if m.record.Base != t.listTag {
-			// The list of another control host was applied in the meantime.
-			// The next heartbeat triggers a new fetch.
-			t.log.Info("mesh: changes are based on another list", "base", m.record.Base, "tag", t.listTag)
-			return
-		}
-		list = applyChanges(aged(t.list, read.Sub(t.coldAsOf)), changed, removedOf(m.record))
-	}
-	t.listTag, t.listReadAt, t.list, t.coldAsOf = m.record.Tag, read, list, read
-	t.listener.SetTargets(read, list)
-	t.log.Info("mesh: list of targets in force", "targets", len(list), "changed", len(changed), "tag", m.record.Tag,
-		"age", m.record.Age.String(), "peer", m.peer.address)
-	t.checkReady(t.clock.Now())
-}
-
 // checkReady makes the host ready once it has the newest configuration that it
 // knows of and the targets,
 // and a majority of the control hosts has replied or startupWait is over.
