Use up the probe of a silent target only when a request is sent to it

A target that had been silent could stay out of use although it answered again: each request that considered it used up its one probe for 400 ms, also when the request went to another target.

TestProbeOfSilentTarget fails without the change.

--- a/spread/table.go
+++ b/spread/table.go
@@ -275,13 +275,7 @@
 	if t.isCold(now, s) && !t.admitsCold(now, s) || !t.admitsLimited(now, s) {
 		return false
 	}
-	if t.isSilent(now, s) {
-		if now.Before(s.nextProbe) {
-			return false
-		}
-		s.nextProbe = now.Add(probeInterval)
-	}
-	return true
+	return !t.isSilent(now, s) || !now.Before(s.nextProbe)
 }
 
 func (t *Table) isSilent(now time.Time, s *targetState) bool {
@@ -337,6 +331,9 @@
 // assign counts a request as in flight at the target and returns the choice.
 func (t *Table) assign(now time.Time, s *targetState, reason Reason) Choice {
 	c := Choice{target: s.Target, state: s, reason: reason, load: s.load(now), loadAge: now.Sub(s.loadAt), chosenAt: now, found: true}
+	if t.isSilent(now, s) {
+		s.nextProbe = now.Add(probeInterval)
+	}
 	s.startAttempt(now)
 	if s.limiter != nil {
 		s.limiter.take()
--- a/spread/table_test.go
+++ b/spread/table_test.go
@@ -235,3 +235,21 @@
 		t.Errorf("%v reported after the window", got)
 	}
 }
+
+// TestProbeOfSilentTarget guards against a silent target that is never probed
+// because each request that considers it and goes elsewhere uses up its probe.
+func TestProbeOfSilentTarget(t *testing.T) {
+	table := newTestTable(1, 10)
+	first := table.Choose(start, query("x"))
+	later := start.Add(time.Minute)
+	if !table.isSilent(later, first.state) {
+		t.Fatal("the target is not silent")
+	}
+	if !table.admits(later, first.state) || !table.admits(later, first.state) {
+		t.Error("a request that was not sent used up the probe")
+	}
+	table.assign(later, first.state, Preferred)
+	if table.admits(later, first.state) {
+		t.Error("a second request is admitted at the time of a probe")
+	}
+}
