Report dropped log lines also while lines keep coming

The number of dropped lines was reported only after a second without any line, so never on a host that logs requests all the time.

TestDroppedLinesUnderLoad fails without the change.

--- a/lines/lines.go
+++ b/lines/lines.go
@@ -19,8 +19,8 @@
 const (
 	// maxQueuedLines is the number of lines that may wait for the output.
 	maxQueuedLines = 1024
-	// reportInterval is the time without lines after which the number of
-	// dropped lines is reported.
+	// reportInterval is the time between two reports of the number of dropped
+	// lines.
 	reportInterval = time.Second
 	// reservedLines is the number of lines per second that each message may
 	// write beyond the budget.
@@ -76,17 +76,18 @@
 	return &handler{Handler: slog.NewJSONHandler(writer{output: o}, &slog.HandlerOptions{Level: level}), output: o}
 }
 
-// run writes queued lines and reports dropped ones.
+// run writes queued lines and reports dropped ones, also while lines keep
+// coming.
 func (o *Output) run(ctx context.Context, out io.Writer) {
+	t := o.clock.NewTimer(reportInterval)
 	for {
-		t := o.clock.NewTimer(reportInterval)
 		select {
 		case line := <-o.queue:
-			t.Stop()
 			// Write errors are ignored: there is nowhere else to report them.
 			_, _ = out.Write(line)
 		case <-t.C():
 			o.writeDropped(out)
+			t = o.clock.NewTimer(reportInterval)
 		case <-ctx.Done():
 			t.Stop()
 			o.drain(out)
--- a/lines/lines_test.go
+++ b/lines/lines_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -110,3 +111,27 @@
 		t.Error("the rare line was dropped")
 	}
 }
+
+// TestDroppedLinesUnderLoad guards against dropped lines that are not reported as
+// long as lines keep coming.
+func TestDroppedLinesUnderLoad(t *testing.T) {
+	c := clock.NewManual(time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC))
+	out := &stalled{release: make(chan struct{})}
+	close(out.release)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := Start(ctx, out, 1, c)
+	log := slog.New(s.Handler(slog.LevelInfo))
+	// The output runs in a goroutine of its own.
+	for range 1_000_000 {
+		if strings.Contains(out.String(), "lines left out") {
+			return
+		}
+		for range 20 {
+			log.Info("line")
+		}
+		c.Advance(reportInterval / 2)
+		runtime.Gosched()
+	}
+	t.Error("dropped lines were not reported")
+}
