Do not count a deadline that ends while connecting as a failure of the target

A request whose deadline came while the connection was being opened marked its target as unreachable for 250 ms and more, at a time of load. A request with a long body was also refused when its first target could not be reached, although nothing of it had been sent.

--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -121,10 +121,11 @@
 
 // testHost is an entry host with two targets at one address.
 type testHost struct {
-	address string
-	target  *testTarget
-	front   *Front
-	handler *Handler
+	address       string
+	targetAddress string
+	target        *testTarget
+	front         *Front
+	handler       *Handler
 }
 
 func newTestHost(t testing.TB, script func(n int, r *http.Request) string) *testHost {
@@ -182,7 +183,7 @@
 		<-front.ref.Done()
 		system.Shutdown()
 	})
-	return &testHost{address: address, front: front, handler: handler}
+	return &testHost{address: address, targetAddress: targets, front: front, handler: handler}
 }
 
 func listen(t testing.TB) net.Listener {
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -122,7 +122,9 @@
 	conn, err := h.pool.Get(rh.ctx, d.Choice().Target().Address())
 	if err != nil {
 		result := spread.Unreachable
-		if rh.incoming.Context().Err() != nil {
+		if rh.ctx.Err() != nil {
+			// The caller has gone, or its deadline came before the connection
+			// was open: that says nothing about the target.
 			result = spread.Abandoned
 		}
 		h.recordResult(d, result, Response{})
@@ -252,7 +254,8 @@
 // retry asks the admission controller for another target. The flag
 // unreachable tells that the last attempt failed to connect and sent nothing.
 func (rh *requestHandler) retry(d admit.Decision, unreachable bool) admit.Decision {
-	if rh.longBody || rh.incoming.Context().Err() != nil {
+	// The rest of a long body is read while it is sent, so it can be sent once.
+	if rh.longBody && !unreachable || rh.incoming.Context().Err() != nil {
 		return d.WithRefusal(admit.NoAttempts)
 	}
 	// The admission task replies at once, even if the request's context has
