--- a/spread/table_test.go
+++ b/spread/table_test.go
@@ -245,8 +245,10 @@
 	if !table.isSilent(later, first.state) {
 		t.Fatal("the target is not silent")
 	}
-	if !table.admits(later, first.state) || !table.admits(later, first.state) {
-		t.Error("a request that was not sent used up the probe")
+	for range 2 {
+		if !table.admits(later, first.state) {
+			t.Error("a request that was not sent used up the probe")
+		}
 	}
 	table.assign(later, first.state, Preferred)
 	if table.admits(later, first.state) {
