Pass the name and the drain time of a host to its choice of targets

All hosts began their buckets for targets with rate limits at the same level, so that equal shares came due together, and a service whose targets were all leaving was refused at once instead of after the drain time.

TestControllerOfHost fails without the options.

--- a/node/fleet.go
+++ b/node/fleet.go
@@ -397,7 +397,7 @@
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
-	admission, err := relay.StartAdmission(taskCtx, system, c.clock, c.log, admit.NewController(c.zone, c.region, c.bounds), pool)
+	admission, err := relay.StartAdmission(taskCtx, system, c.clock, c.log, c.newController(), pool)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
@@ -454,6 +454,11 @@
 	return nil
 }
 
+// newController returns the admission controller of an entry host.
+func (c HostConfig) newController() *admit.Controller {
+	return admit.NewController(c.zone, c.region, c.bounds, spread.WithHost(c.host), spread.WithDrainTime(c.drainTime))
+}
+
 // serveNeighbours serves other entry hosts that are out of contact with the
 // control hosts. The returned channel is closed after ctx has ended.
 func (c HostConfig) serveNeighbours(ctx context.Context, client *mesh.ControlClient) (<-chan struct{}, error) {
