--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/juju/errors"
 
 	"rhubarbrack/clock"
@@ -118,8 +119,10 @@
 	}
 	t := &controlClientTask{
 		ctx: ctx, system: system, clock: c, log: log, listener: listener, peers: map[string]*peer{},
-		peerPort:  o.peerPort,
-		heartbeat: HeartbeatRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
+		peerPort: o.peerPort,
+		// Each host begins to look for neighbours at another position.
+		nextNeighbour: xxhash.Sum64String(string(host)),
+		heartbeat:     HeartbeatRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
 	}
 	startup, endStartup := context.WithCancel(ctx)
 	t.endStartup = endStartup
--- a/mesh/neighbour.go
+++ b/mesh/neighbour.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
 )
@@ -58,27 +56,16 @@
 
 // State returns the state that this host knows.
 func (s *neighbourService) State(_ *EmptyRecord, reply *NeighbourStateRecord) error {
-	return askNeighbourTask(s, reply, func(r tasks.Reply[NeighbourStateRecord]) any { return getNeighbourState{reply: r} })
+	return askTask(s.ctx, s.ref, reply, func(r tasks.Reply[NeighbourStateRecord]) any { return getNeighbourState{reply: r} })
 }
 
 // Targets returns the list of targets, unless the sender has it.
 func (s *neighbourService) Targets(args *ListRequestRecord, reply *ListRecord) error {
-	return askNeighbourTask(s, reply, func(r tasks.Reply[ListRecord]) any {
+	return askTask(s.ctx, s.ref, reply, func(r tasks.Reply[ListRecord]) any {
 		return getNeighbourTargets{have: args.Tag, reply: r}
 	})
 }
 
-func askNeighbourTask[T any](s *neighbourService, reply *T, build func(tasks.Reply[T]) any) error {
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
-	defer cancel()
-	r, err := tasks.Ask(ctx, s.ref, build)
-	if err != nil {
-		return fmt.Errorf("ask control client: %w", err)
-	}
-	*reply = r
-	return nil
-}
-
 // Register registers the calls that other entry hosts make while they are out
 // of contact with the control hosts.
 func (c *ControlClient) Register(ctx context.Context, server *rpc.Server) error {
@@ -154,9 +141,6 @@
 		if len(t.neighbours) >= neighbourCount {
 			return
 		}
-		if t.nextNeighbour == 0 {
-			t.nextNeighbour = xxhash.Sum64String(t.heartbeat.Host) >> 1
-		}
 		address := known[t.nextNeighbour%uint64(len(known))]
 		t.nextNeighbour++
 		if slices.ContainsFunc(t.neighbours, func(p *peer) bool { return p.address == address }) {
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -20,7 +20,7 @@
 
 // Piece returns a piece of a configuration.
 func (s *service) Piece(args *PieceRequestRecord, reply *PieceRecord) error {
-	return askTask(s, s.control.archive, reply, func(r tasks.Reply[PieceRecord]) any {
+	return askTask(s.ctx, s.control.archive, reply, func(r tasks.Reply[PieceRecord]) any {
 		return getPiece{request: args.request(), reply: r}
 	})
 }
@@ -83,12 +83,12 @@
 
 // askRegistry sends a message to the registry and waits for its reply.
 func askRegistry[T any](s *service, reply *T, build func(tasks.Reply[T]) any) error {
-	return askTask(s, s.control.ref, reply, build)
+	return askTask(s.ctx, s.control.ref, reply, build)
 }
 
 // askTask sends a message to a task and waits for its reply.
-func askTask[T any](s *service, ref *tasks.Ref, reply *T, build func(tasks.Reply[T]) any) error {
-	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+func askTask[T any](ctx context.Context, ref *tasks.Ref, reply *T, build func(tasks.Reply[T]) any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r, err := tasks.Ask(ctx, ref, build)
 	if err != nil {
--- a/spread/statement.go
+++ b/spread/statement.go
@@ -77,7 +77,7 @@
 		changes = append(changes, LeavingBegan)
 	}
 	if statement.pause > 0 {
-		s.restUntil = laterOf(s.restUntil, now.Add(statement.pause))
+		s.pauseAskedUntil = laterOf(s.pauseAskedUntil, now.Add(statement.pause))
 		changes = append(changes, PauseRequested)
 	}
 	return changes
@@ -95,15 +95,15 @@
 	return now.Before(s.leavingSince.Add(t.drainTime))
 }
 
-// restTime returns the time until the first target of a service that has asked
-// for a pause takes requests again, or 0 if none has.
-func (t *Table) restTime(now time.Time, service ident.Service) time.Duration {
+// askedPause returns the time until the first target of a service that has asked
+// for a pause takes requests again, or 0 if none has asked for one.
+func (t *Table) askedPause(now time.Time, service ident.Service) time.Duration {
 	least := time.Duration(0)
 	for _, s := range t.services[service] {
 		if s.draining || s.isLeaving() || t.evacuated[s.zone] {
 			continue
 		}
-		if wait := s.restUntil.Sub(now); wait > 0 && (least == 0 || wait < least) {
+		if wait := s.pauseAskedUntil.Sub(now); wait > 0 && (least == 0 || wait < least) {
 			least = wait
 		}
 	}
--- a/spread/statement_test.go
+++ b/spread/statement_test.go
@@ -98,7 +98,7 @@
 				if choice.IsFound() != c.found || choice.RetryAfter() != c.retryAfter {
 					t.Fatalf("found %v, retry after %v, want %v, %v", choice.IsFound(), choice.RetryAfter(), c.found, c.retryAfter)
 				}
-				if c.found && choice.state.restUntil.After(start.Add(c.after)) {
+				if c.found && choice.state.pauseAskedUntil.After(start.Add(c.after)) {
 					t.Fatal("sent to a target that pauses")
 				}
 			}
--- a/spread/table.go
+++ b/spread/table.go
@@ -173,7 +173,7 @@
 		list = t.candidates(now, q, true)
 	}
 	if len(list) == 0 {
-		return Choice{reason: NoTarget, retryAfter: max(minPause, t.restTime(now, q.service))}
+		return Choice{reason: NoTarget, retryAfter: max(minPause, t.askedPause(now, q.service))}
 	}
 	if q.object == "" {
 		return t.leastLoaded(now, list)
@@ -239,7 +239,7 @@
 	objectHash := xxhash.Sum64String(q.object)
 	list := make([]candidate, 0, len(t.services[q.service]))
 	for _, s := range t.services[q.service] {
-		if s.draining || t.evacuated[s.zone] || !q.allows(s) || now.Before(s.pausedUntil) || now.Before(s.restUntil) {
+		if s.draining || t.evacuated[s.zone] || !q.allows(s) || now.Before(s.pausedUntil) || now.Before(s.pauseAskedUntil) {
 			continue
 		}
 		if s.isLeaving() != leaving || leaving && !t.admitsLeaving(now, s) {
--- a/spread/target.go
+++ b/spread/target.go
@@ -129,9 +129,9 @@
 	remoteLoad float64
 	loadAt     time.Time
 	// leavingSince is when the target said that its process is about to end, and
-	// restUntil is until when it wants no requests.
-	leavingSince time.Time
-	restUntil    time.Time
+	// pauseAskedUntil is until when it wants no requests.
+	leavingSince    time.Time
+	pauseAskedUntil time.Time
 	// limiter is nil for targets that have never stated a rate limit.
 	limiter *rateLimiter
 	// markedUntil is until when the target counts as cold by its own statement.
