Do not take the replay of old evacuations for new ones

Control hosts that replay their log after a start reported the ends of old evacuations as new, and the entry hosts, which had all started too, counted the targets of two zones as cold for three seconds.

Change: ends of evacuations within a second of the first state of a control host are not reported. One that ended just before all control hosts were lost is known from the list only, as before.

TestReplayedEvacuation fails without the change.

--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -34,14 +34,16 @@
 
 // registry is the task that owns a control host's knowledge of the fleet.
 type registry struct {
-	ctx          context.Context
-	system       *tasks.System
-	clock        clock.Clock
-	log          *slog.Logger
-	ownAddress   string
-	region       ident.Region
-	revision     ident.Revision
-	state        scheme.DesiredState
+	ctx        context.Context
+	system     *tasks.System
+	clock      clock.Clock
+	log        *slog.Logger
+	ownAddress string
+	region     ident.Region
+	revision   ident.Revision
+	state      scheme.DesiredState
+	// publishedAt is when the first state was published.
+	publishedAt  time.Time
 	returned     returnedZones
 	hosts        map[ident.Host]EntryHost
 	controlHosts map[string]bool
@@ -136,12 +138,15 @@
 func (r *registry) Handle(message any) {
 	switch m := message.(type) {
 	case published:
+		if r.publishedAt.IsZero() {
+			r.publishedAt = r.clock.Now()
+		}
 		if m.state.Version() != r.state.Version() {
 			r.log.Info("mesh: configuration in force", "version", m.state.Version(), "revision", m.revision)
 		}
 		if !slices.Equal(m.state.Evacuated(), r.state.Evacuated()) {
 			r.log.Info("mesh: evacuated zones changed", "zones", m.state.Evacuated(), "revision", m.revision)
-			r.returned = r.returned.update(r.clock.Now(), m.revision, r.state.Evacuated(), m.state.Evacuated())
+			r.updateReturned(m)
 		}
 		r.revision, r.state = m.revision, m.state
 	case setRegion:
@@ -230,6 +235,15 @@
 	return reply
 }
 
+// updateReturned records the zones whose evacuation ends with a state, unless the
+// state may be a replayed one.
+func (r *registry) updateReturned(m published) {
+	now := r.clock.Now()
+	if now.Sub(r.publishedAt) >= replayTime {
+		r.returned = r.returned.update(now, m.revision, r.state.Evacuated(), m.state.Evacuated())
+	}
+}
+
 // change returns the difference of the configuration to an earlier version, or
 // nil. If it is not encoded yet, a later heartbeat gets it.
 func (r *registry) change(base uint64) *PieceRecord {
--- a/mesh/returned.go
+++ b/mesh/returned.go
@@ -11,6 +11,10 @@
 // hosts. It exceeds the time for which targets stay cold.
 const returnedLifetime = 10 * time.Second
 
+// replayTime is how long after its first state a control host may still be
+// replaying its log. The evacuations in it may have ended long ago.
+const replayTime = time.Second
+
 // returnedZone is a zone whose evacuation has ended.
 type returnedZone struct {
 	zone     ident.Zone
--- a/mesh/returned_test.go
+++ b/mesh/returned_test.go
@@ -41,6 +41,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			r, manual := newTestRegistry(t)
 			r.Handle(published{revision: 1, state: state()})
+			manual.Advance(replayTime)
 			r.Handle(published{revision: 2, state: state("z")})
 			r.Handle(published{revision: 3, state: state()})
 			ended := manual.Now()
@@ -77,3 +78,19 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// TestReplayedEvacuation guards against targets that count as cold after a loss of
+// all power, because control hosts that replay their log take the end of an old
+// evacuation for a new one.
+func TestReplayedEvacuation(t *testing.T) {
+	r, manual := newTestRegistry(t)
+	for revision := range ident.Revision(20) {
+		zones := [][]ident.Zone{nil, {"z"}}[revision%2]
+		r.Handle(published{revision: revision + 1, state: scheme.NewDesiredState(1, nil, zones)})
+		manual.Advance(10 * time.Millisecond)
+	}
+	r.Handle(published{revision: 21, state: scheme.NewDesiredState(1, nil, nil)})
+	if got := r.heartbeat(testHeartbeat("a", true)).Returned; len(got) != 0 {
+		t.Errorf("zones reported as returned: %v", got)
+	}
+}
