--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -44,7 +44,15 @@
 
 func (testDialect) DecodeResponse(r *http.Response) Response {
 	return NewResponse(ident.RequestID(r.Header.Get("Id")), r.Header.Get("Stamp") != "", r.Header.Get("Unrun") != "",
-		r.StatusCode == http.StatusMisdirectedRequest, ident.None[spread.Load](), ident.None[time.Duration]())
+		r.StatusCode == http.StatusMisdirectedRequest, ident.None[spread.Load](), ident.None[time.Duration](),
+		WithStatement(testStatement(r)))
+}
+
+func testStatement(r *http.Response) spread.Statement {
+	if r.Header.Get("Leaving") != "" {
+		return spread.NewStatement(spread.WithLeaving())
+	}
+	return spread.NewStatement()
 }
 
 func (testDialect) WriteRefusal(w http.ResponseWriter, r Refusal) {
