--- a/fetch/receiver.go
+++ b/fetch/receiver.go
@@ -76,7 +76,8 @@
 
 // Offer takes a difference that a peer sent along with its announcement of a
 // version. It is ignored unless it is complete and applies to the version that
-// the host has. It replaces a transfer of the same version.
+// the host has. It replaces a transfer of the same or an older version, unless
+// that one has arrived completely.
 func (r *Receiver) Offer(now time.Time, peer string, p patch.Piece) {
 	if !r.isOfferUsable(p) {
 		return
--- a/mesh/list_fetching.go
+++ b/mesh/list_fetching.go
@@ -23,6 +23,7 @@
 	}
 }
 
+// fetchList fetches the list, or its changes since the one that the host has.
 func (t *controlClientTask) fetchList(p *peer, method string, have uint64) {
 	call, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
@@ -34,6 +35,7 @@
 	t.self.Tell(m)
 }
 
+// listFetched applies a list, unless a newer one has been applied meanwhile.
 func (t *controlClientTask) listFetched(m listFetched) {
 	t.fetchingList = false
 	if m.err != nil || !m.record.HasList {
--- a/mesh/neighbour.go
+++ b/mesh/neighbour.go
@@ -202,6 +202,7 @@
 	t.considerList(m.peer, methodNeighbourTargets, m.sent, m.record.State)
 }
 
+// dropNeighbours ends the questions to neighbours.
 func (t *controlClientTask) dropNeighbours() {
 	for _, p := range t.neighbours {
 		p.client.Close()
--- a/spread/limit.go
+++ b/spread/limit.go
@@ -9,8 +9,8 @@
 
 const (
 	// minRateLimit is the least rate limit that is applied, in requests per
-	// second. A target that states less, or none, still gets the few requests
-	// by which the hosts learn that it takes more again.
+	// second. A target that states less, even 0, still gets the few requests by
+	// which the hosts learn that it takes more again.
 	minRateLimit = 0.25
 	// limitMargin keeps the requests of all hosts below a rate limit, since hosts
 	// with small shares do not send evenly.
