Open connections to targets from the host's own address

Cause: on a machine with several addresses the system chose the source address, so that neither a target's network nor a test could tell which host a connection belongs to. Change: the pool binds it to the host's address.

--- a/link/link_test.go
+++ b/link/link_test.go
@@ -255,3 +255,32 @@
 		}
 	}
 }
+
+// TestLocalIP guards against connections that leave from another address than
+// the host's own, by which a target or its network would take them for those of
+// another host.
+func TestLocalIP(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
+	p, err := StartPool(t.Context(), system, clock.Wall(), WithLocalIP(net.IPv4(127, 0, 0, 9)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := p.Get(t.Context(), l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = accepted.Close() }()
+	if ip, _, _ := net.SplitHostPort(accepted.RemoteAddr().String()); ip != "127.0.0.9" {
+		t.Errorf("connection from %s", ip)
+	}
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -48,8 +48,17 @@
 	dialer net.Dialer
 }
 
+// Option sets an optional property of a Pool.
+type Option func(*Pool)
+
+// WithLocalIP sets the address from which connections are opened. Without it the
+// operating system chooses one.
+func WithLocalIP(ip net.IP) Option {
+	return func(p *Pool) { p.dialer.LocalAddr = &net.TCPAddr{IP: ip} }
+}
+
 // StartPool starts an empty pool. It ends with ctx.
-func StartPool(ctx context.Context, system *tasks.System, c clock.Clock) (*Pool, error) {
+func StartPool(ctx context.Context, system *tasks.System, c clock.Clock, options ...Option) (*Pool, error) {
 	ref, err := tasks.Spawn(ctx, system, "link-pool", &poolTask{clock: c, idle: map[string][]*Conn{}})
 	if err != nil {
 		return nil, fmt.Errorf("start pool: %w", err)
@@ -76,6 +85,9 @@
 			return nil
 		},
 	}
+	for _, apply := range options {
+		apply(p)
+	}
 	return p, nil
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -393,7 +393,7 @@
 	defer system.Shutdown()
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	pool, err := link.StartPool(taskCtx, system, c.clock)
+	pool, err := link.StartPool(taskCtx, system, c.clock, link.WithLocalIP(net.ParseIP(c.ip)))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
