Log when the targets of a service get out of reach of an entry host

What operators saw: nothing in the logs of a host tells that it has lost its path to all targets; each failed request looks like the failure of one target. Change: package reach keeps the evidence (failures to connect, and responses) and says when a service, or all, get out of reach and back. No decision depends on it yet.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -5,6 +5,7 @@
 
 	"rhubarbrack/ident"
 	"rhubarbrack/quota"
+	"rhubarbrack/reach"
 	"rhubarbrack/scheme"
 	"rhubarbrack/spread"
 )
@@ -55,6 +56,7 @@
 	bounds       Bounds
 	retryBudgets map[ident.Service]*quota.RetryBudget
 	balancers    map[*scheme.Route]*roundRobin
+	tracker      *reach.Tracker
 	hostCount    int
 	hostShare    float64
 }
@@ -69,6 +71,7 @@
 		bounds:       b,
 		retryBudgets: map[ident.Service]*quota.RetryBudget{},
 		balancers:    map[*scheme.Route]*roundRobin{},
+		tracker:      reach.NewTracker(),
 		hostCount:    1,
 		hostShare:    1,
 	}
@@ -277,6 +280,26 @@
 	c.table.RecordResult(now, choice, result, load)
 }
 
+// RecordReach records what the result of an attempt, over a new connection or
+// an earlier one, says of the path to the targets. It returns the services that
+// got out of reach or within reach again.
+func (c *Controller) RecordReach(now time.Time, choice spread.Choice, result spread.Result, newConnection bool) []reach.Change {
+	service := choice.Target().Service()
+	switch result {
+	case spread.Served, spread.Failed, spread.Full, spread.Foreign:
+		return c.tracker.Contacted(now, service)
+	case spread.Unreachable, spread.Lost:
+		if newConnection {
+			return c.tracker.Failed(now, service, choice.Target().ID(), c.table.Targets(service))
+		}
+	case spread.Silent:
+	default:
+		return nil
+	}
+	c.tracker.ResponseMissing(service)
+	return nil
+}
+
 func (c *Controller) retryBudget(service ident.Service) *quota.RetryBudget {
 	b, ok := c.retryBudgets[service]
 	if !ok {
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -10,6 +10,7 @@
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 	"rhubarbrack/quota"
+	"rhubarbrack/reach"
 	"rhubarbrack/scheme"
 	"rhubarbrack/spread"
 	"rhubarbrack/tasks"
@@ -138,11 +139,13 @@
 		reply       tasks.Reply[admit.Decision]
 	}
 	recordResult struct {
-		choice    spread.Choice
-		result    spread.Result
-		load      ident.Option[spread.Load]
-		coldFor   ident.Option[time.Duration]
-		statement ident.Option[spread.Statement]
+		choice spread.Choice
+		result spread.Result
+		// newConnection is set if the attempt opened a connection.
+		newConnection bool
+		load          ident.Option[spread.Load]
+		coldFor       ident.Option[time.Duration]
+		statement     ident.Option[spread.Statement]
 	}
 )
 
@@ -172,6 +175,7 @@
 		}
 	case recordResult:
 		t.controller.RecordResult(now, m.choice, m.result, m.load)
+		t.logReach(t.controller.RecordReach(now, m.choice, m.result, m.newConnection))
 		if coldFor, ok := m.coldFor.Get(); ok {
 			t.controller.Table().MarkCold(now, m.choice.Target().ID(), coldFor)
 		}
@@ -209,6 +213,18 @@
 	}
 }
 
+// logReach logs services that got out of reach or within reach again. A line
+// without a service concerns all of them.
+func (t *admissionTask) logReach(changes []reach.Change) {
+	for _, c := range changes {
+		if c.IsCutOff() {
+			t.log.Warn("relay: targets are out of reach", "service", c.Service(), "failed", c.Failed())
+			continue
+		}
+		t.log.Info("relay: targets are within reach again", "service", c.Service(), "after-ms", millis(c.Lasted()))
+	}
+}
+
 // observe applies what a target said of itself, and logs what has changed.
 func (t *admissionTask) observe(now time.Time, choice spread.Choice, statement spread.Statement) {
 	for _, change := range t.controller.Table().Observe(now, choice, statement) {
--- a/relay/report.go
+++ b/relay/report.go
@@ -12,9 +12,11 @@
 )
 
 // recordResult reports the result of an attempt to the admission controller.
-func (h *Handler) recordResult(d admit.Decision, result spread.Result, response Response) {
+func (rh *requestHandler) recordResult(d admit.Decision, result spread.Result, response Response) {
+	h := rh.handler
 	h.admission.ref.Tell(recordResult{
-		choice: d.Choice(), result: result, load: response.load, coldFor: response.coldFor, statement: response.stated(result),
+		choice: d.Choice(), result: result, newConnection: rh.newConnection, load: response.load, coldFor: response.coldFor,
+		statement: response.stated(result),
 	})
 	if _, ok := response.statement.Limit().Rate(); ok {
 		team, class := labels(d)
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -28,6 +28,8 @@
 	// longBody is set if the request body exceeds the buffer. Such requests
 	// cannot be retried.
 	longBody bool
+	// newConnection is set if the last attempt opened a connection, or tried to.
+	newConnection bool
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	// response is the last complete response, if any.
@@ -51,7 +53,7 @@
 		return
 	}
 	if err := rh.readBody(); err != nil {
-		rh.handler.recordResult(d, spread.Abandoned, Response{})
+		rh.recordResult(d, spread.Abandoned, Response{})
 		rh.handler.log.Info("relay: request body incomplete", "request", rh.request.ID(), "error", err)
 		panic(http.ErrAbortHandler)
 	}
@@ -120,6 +122,7 @@
 	h := rh.handler
 	started := h.clock.Now()
 	conn, err := h.pool.Get(rh.ctx, d.Choice().Target().Address())
+	rh.newConnection = err != nil || !conn.IsReused()
 	if err != nil {
 		result := spread.Unreachable
 		if rh.ctx.Err() != nil {
@@ -127,11 +130,11 @@
 			// was open: that says nothing about the target.
 			result = spread.Abandoned
 		}
-		h.recordResult(d, result, Response{})
+		rh.recordResult(d, result, Response{})
 		rh.logFailedAttempt(d, result, err)
 		return rh.retry(d, true), false
 	}
-	if !conn.IsReused() {
+	if rh.newConnection {
 		h.admission.ObserveRTT(d.Choice().Target().Region(), h.clock.Now().Sub(started))
 	}
 	exchange, err := h.pool.Send(rh.ctx, conn, rh.targetRequest(d), func(r *http.Response) bool {
@@ -179,7 +182,7 @@
 	case rh.ctx.Err() != nil:
 		result = spread.Silent
 	}
-	rh.handler.recordResult(d, result, Response{})
+	rh.recordResult(d, result, Response{})
 	rh.logFailedAttempt(d, result, err)
 	if result != spread.Lost || !d.State().Route().Kind().IsRetryable() {
 		return rh.refuseRetry(d, result), false
@@ -229,7 +232,7 @@
 		return admit.Decision{}, true
 	}
 	exchange.Finish()
-	rh.handler.recordResult(d, result, response)
+	rh.recordResult(d, result, response)
 	rh.response = &bufferedResponse{status: r.StatusCode, header: header, body: body}
 	if result == spread.Failed && d.State().Route().Kind().IsRetryable() {
 		rh.logFailedAttempt(d, result, nil)
@@ -246,7 +249,7 @@
 	if response.foreign {
 		result = spread.Foreign
 	}
-	rh.handler.recordResult(d, result, response)
+	rh.recordResult(d, result, response)
 	rh.logFailedAttempt(d, result, nil)
 	return rh.retry(d, false), false
 }
@@ -311,7 +314,7 @@
 	rh.writer.WriteHeader(r.StatusCode)
 	// The latency of the target is the time to the first bytes; the rest
 	// depends on the network.
-	rh.handler.recordResult(d, result, response)
+	rh.recordResult(d, result, response)
 	written, err := rh.writer.Write(first)
 	if err == nil {
 		var n int64
--- a/relay/statement_test.go
+++ b/relay/statement_test.go
@@ -90,7 +90,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		h.handler.recordResult(d, spread.Abandoned, Response{})
+		(&requestHandler{handler: h.handler}).recordResult(d, spread.Abandoned, Response{})
 		if d.Choice().Target().ID() == id {
 			return false
 		}
--- a/spread/table.go
+++ b/spread/table.go
@@ -156,6 +156,9 @@
 // Len returns the number of targets.
 func (t *Table) Len() int { return len(t.targets) }
 
+// Targets returns the number of targets of a service.
+func (t *Table) Targets(service ident.Service) int { return len(t.services[service]) }
+
 // candidate is an eligible target with its rank in a query.
 type candidate struct {
 	state *targetState
