--- a/admit/controller.go
+++ b/admit/controller.go
@@ -288,15 +288,15 @@
 	switch result {
 	case spread.Served, spread.Failed, spread.Full, spread.Foreign:
 		return c.tracker.Contacted(now, service)
-	case spread.Unreachable, spread.Lost:
-		if newConnection {
-			return c.tracker.Failed(now, service, choice.Target().ID(), c.table.Targets(service))
+	case spread.Lost:
+		if !newConnection {
+			c.tracker.ConnectionLost(service)
+			return nil
 		}
-	case spread.Silent:
-	default:
-		return nil
+		return c.tracker.Failed(now, service, choice.Target().ID(), c.table.Targets(service))
+	case spread.Unreachable, spread.Silent:
+		return c.tracker.Failed(now, service, choice.Target().ID(), c.table.Targets(service))
 	}
-	c.tracker.ResponseMissing(service)
 	return nil
 }
 
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -13,9 +13,9 @@
 	// of life of any other, before they count as out of reach. Fewer are more
 	// likely to have failed themselves.
 	minFailedTargets = 3
-	// failureSpan is how long a failure counts. It covers the
-	// failures that one request meets in turn.
-	failureSpan = 3 * time.Second
+	// failureSpan is how long a failure counts. It covers the longest time that
+	// callers usually wait for a response.
+	failureSpan = 10 * time.Second
 	// quietTime is how long targets must have given no sign of life before a
 	// failure leads to probes. Beside traffic to other targets, a failure is
 	// that of one target.
@@ -28,11 +28,10 @@
 type evidence struct {
 	// contactAt is the last sign of life.
 	contactAt time.Time
-	// failed holds the targets to which no connection could be opened, or a new
-	// one broke, since then, with the time of the last failure.
+	// failed holds the targets that were tried in vain since then, with the time
+	// of the last failure.
 	failed map[ident.Target]time.Time
-	// suspected is set if a response failed to arrive since the last sign of
-	// life.
+	// suspected is set if a connection broke since the last sign of life.
 	suspected bool
 	// cutOffAt is when the targets got out of reach, or zero.
 	cutOffAt time.Time
@@ -117,10 +116,10 @@
 	return t.all.isCutOff() || t.service(service).isCutOff()
 }
 
-// Failed records that no connection to a target could be opened, or that a new one
-// broke. A broken connection that was open before is no such evidence, since it
-// may have ended for reasons of its own. The service has the given number of
-// targets.
+// Failed records that no connection to a target could be opened, that a new one
+// broke, or that no response came. A broken connection that was open before is no
+// such evidence, since it may have ended for reasons of its own. The service has
+// the given number of targets.
 func (t *Tracker) Failed(now time.Time, service ident.Service, target ident.Target, targets int) []Change {
 	var changes []Change
 	if e := t.service(service); e.fail(now, target, targets) {
@@ -132,9 +131,9 @@
 	return changes
 }
 
-// ResponseMissing records that a target gave no response to a request. That
-// alone does not show that it cannot be reached, but is a reason to probe.
-func (t *Tracker) ResponseMissing(service ident.Service) { t.service(service).suspected = true }
+// ConnectionLost records that a connection that had been open before broke. That
+// alone does not show that the targets cannot be reached, but is a reason to probe.
+func (t *Tracker) ConnectionLost(service ident.Service) { t.service(service).suspected = true }
 
 // Contacted records a sign of life of a target: a response. An open connection
 // is none, because something on the path may have accepted it.
