Send requests through another entry host while targets are out of reach

Cause: a host had one way to a target. It tried all targets in turn, 300 ms each, although other hosts had a path and it reached them (relay: targets are out of reach, at the cut hosts alone). Change: a host whose evidence says that a service is out of reach hands the request, with key, rate, route and service decided, to another entry host, which selects the target and decides on retries. Probes find out when the path is back.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -57,8 +57,10 @@
 	retryBudgets map[ident.Service]*quota.RetryBudget
 	balancers    map[*scheme.Route]*roundRobin
 	tracker      *reach.Tracker
-	hostCount    int
-	hostShare    float64
+	// peers is nil if requests are never sent through other entry hosts.
+	peers     *reach.Peers
+	hostCount int
+	hostShare float64
 }
 
 // NewController returns a controller without a configuration. It refuses all
@@ -156,6 +158,9 @@
 	if c.config == nil {
 		return Decision{reason: NotReady, retryAfter: time.Second}
 	}
+	if terms, ok := r.terms.Get(); ok {
+		return c.chooseTarget(now, terms.state(now, r))
+	}
 	route, ok := c.config.Match(r.host, r.path)
 	if !ok {
 		return Decision{reason: NoRoute}
@@ -245,6 +250,7 @@
 // nothing was sent, this costs neither an attempt nor retry budget.
 func (c *Controller) RetryUnreachable(now time.Time, s *RequestState) Decision {
 	s.attempts--
+	s.unreachable++
 	if s.deadline.Sub(now) < minAttemptTime {
 		return Decision{state: s, reason: OutOfTime}
 	}
@@ -256,6 +262,14 @@
 	if s.deadline.Sub(now) < minAttemptTime {
 		return Decision{state: s, reason: OutOfTime}
 	}
+	if s.isForwarded && c.tracker.IsCutOff(s.service) {
+		return Decision{state: s, reason: NoTarget, retryAfter: reach.ProbeInterval}
+	}
+	if c.needsPeer(s) {
+		if d, ok := c.choosePeer(now, s); ok {
+			return d
+		}
+	}
 	object := ""
 	if s.route.HasAffinity() && s.request.object != "" {
 		object = s.route.Name() + "\x00" + s.request.object
@@ -266,6 +280,11 @@
 		reason := NoRoom
 		if choice.Reason() == spread.NoTarget {
 			reason = NoTarget
+			if c.table.HasUnreachable(now, s.service) {
+				if d, ok := c.choosePeer(now, s); ok {
+					return d
+				}
+			}
 		}
 		return Decision{state: s, choice: choice, reason: reason, retryAfter: max(choice.RetryAfter(), defaultRetryAfter)}
 	}
@@ -280,26 +299,6 @@
 	c.table.RecordResult(now, choice, result, load)
 }
 
-// RecordReach records what the result of an attempt, over a new connection or
-// an earlier one, says of the path to the targets. It returns the services that
-// got out of reach or within reach again.
-func (c *Controller) RecordReach(now time.Time, choice spread.Choice, result spread.Result, newConnection bool) []reach.Change {
-	service := choice.Target().Service()
-	switch result {
-	case spread.Served, spread.Failed, spread.Full, spread.Foreign:
-		return c.tracker.Contacted(now, service)
-	case spread.Lost:
-		if !newConnection {
-			c.tracker.ConnectionLost(service)
-			return nil
-		}
-		return c.tracker.Failed(now, service, choice.Target().ID(), c.table.Targets(service))
-	case spread.Unreachable, spread.Silent:
-		return c.tracker.Failed(now, service, choice.Target().ID(), c.table.Targets(service))
-	}
-	return nil
-}
-
 func (c *Controller) retryBudget(service ident.Service) *quota.RetryBudget {
 	b, ok := c.retryBudgets[service]
 	if !ok {
--- /dev/null
+++ b/admit/peer.go
@@ -0,0 +1,88 @@
+package admit
+
+import (
+	"slices"
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/reach"
+)
+
+const (
+	// maxPeers is the number of other entry hosts that are asked in turn to
+	// handle a request.
+	maxPeers = 4
+	// maxUnreachable is the number of targets to which no connection can be
+	// opened after which a request is sent through another entry host.
+	maxUnreachable = 2
+)
+
+// UsePeers makes the controller send requests through other entry hosts while
+// the targets are out of reach.
+func (c *Controller) UsePeers(p *reach.Peers) { c.peers = p }
+
+// SetPeers replaces the entry hosts through which requests can be sent.
+func (c *Controller) SetPeers(list []reach.Peer) {
+	if c.peers != nil {
+		c.peers.Update(list)
+	}
+}
+
+// needsPeer reports whether a request should not be tried from this host. A
+// request that another host has sent here is not sent on, so that none goes
+// around in circles.
+func (c *Controller) needsPeer(s *RequestState) bool {
+	return !s.isForwarded && (c.tracker.IsCutOff(s.service) || s.unreachable >= maxUnreachable)
+}
+
+// choosePeer selects the entry host through which a request is sent. It hands
+// over all attempts that are left, since that host decides on retries.
+func (c *Controller) choosePeer(now time.Time, s *RequestState) (Decision, bool) {
+	if c.peers == nil || s.isForwarded || len(s.triedPeers) >= maxPeers {
+		return Decision{}, false
+	}
+	peer, ok := c.peers.Choose(now, s.service, s.allowsRegion, s.triedPeers)
+	if !ok {
+		return Decision{}, false
+	}
+	s.triedPeers = append(s.triedPeers, peer.Address())
+	s.attemptsBefore, s.attempts = s.attempts, s.route.Attempts()
+	return Decision{state: s, peer: ident.Some(peer)}, true
+}
+
+// RetryPeer decides what happens to a request after an entry host could not help
+// with it. Nothing was sent to a target.
+func (c *Controller) RetryPeer(now time.Time, s *RequestState) Decision {
+	s.attempts = s.attemptsBefore
+	if s.deadline.Sub(now) < minAttemptTime {
+		return Decision{state: s, reason: OutOfTime}
+	}
+	if d, ok := c.choosePeer(now, s); ok {
+		return d
+	}
+	return Decision{state: s, reason: NoTarget, retryAfter: reach.ProbeInterval}
+}
+
+// RecordPeer records the end of an attempt through a peer that began at the given
+// time, and whether the peer could help.
+func (c *Controller) RecordPeer(now time.Time, peer reach.Peer, service ident.Service, began time.Time, helped bool) {
+	if c.peers != nil {
+		c.peers.Record(now, peer, service, began, helped)
+	}
+}
+
+// allowsRegion reports whether the request may be sent to a host of a region.
+func (s *RequestState) allowsRegion(r ident.Region) bool {
+	return (len(s.route.Regions()) == 0 || slices.Contains(s.route.Regions(), r)) &&
+		(len(s.regions) == 0 || slices.Contains(s.regions, r))
+}
+
+// Terms returns the terms on which another entry host handles the request.
+func (s *RequestState) Terms() Terms {
+	object := ""
+	if s.route.HasAffinity() {
+		object = s.request.object
+	}
+	return NewTerms(s.route.Name(), s.route.Kind(), s.service, s.team, object, s.route.LatencyObjective(),
+		s.route.Regions(), s.regions, max(1, s.route.Attempts()-s.attemptsBefore))
+}
--- a/admit/request.go
+++ b/admit/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rhubarbrack/ident"
+	"rhubarbrack/reach"
 	"rhubarbrack/scheme"
 	"rhubarbrack/spread"
 )
@@ -16,6 +17,7 @@
 	key     string
 	object  string
 	timeout time.Duration
+	terms   ident.Option[Terms]
 }
 
 // NewRequest returns a request. The key and the object are empty if the caller
@@ -25,6 +27,15 @@
 	return Request{id: id, host: host, path: path, key: key, object: object, timeout: timeout}
 }
 
+// Timeout returns how long the caller waits for a response, or 0 if it is unknown.
+func (r Request) Timeout() time.Duration { return r.timeout }
+
+// NewForwardedRequest returns a request that another entry host has admitted on
+// the given terms.
+func NewForwardedRequest(id ident.RequestID, terms Terms, timeout time.Duration) Request {
+	return Request{id: id, timeout: timeout, terms: ident.Some(terms)}
+}
+
 // ID returns the request ID.
 func (r Request) ID() ident.RequestID { return r.id }
 
@@ -62,17 +73,25 @@
 // the request handler, which passes it to the controller with each further
 // call.
 type RequestState struct {
-	request       Request
-	route         *scheme.Route
-	balancer      *roundRobin
-	team          ident.Team
-	regions       []ident.Region
-	service       ident.Service
-	priority      int
-	arrived       time.Time
-	deadline      time.Time
-	tried         []ident.Target
-	attempts      int
+	request  Request
+	route    *scheme.Route
+	balancer *roundRobin
+	team     ident.Team
+	regions  []ident.Region
+	service  ident.Service
+	priority int
+	arrived  time.Time
+	deadline time.Time
+	tried    []ident.Target
+	attempts int
+	// attemptsBefore is the number of attempts before the request was handed
+	// over to a peer, and triedPeers the addresses of the peers.
+	attemptsBefore int
+	triedPeers     []string
+	// unreachable counts the targets to which no connection could be opened.
+	unreachable int
+	// isForwarded is set if another entry host has admitted the request.
+	isForwarded   bool
 	configVersion uint64
 	rate          float64
 	burst         float64
@@ -114,8 +133,13 @@
 	reason          Reason
 	retryAfter      time.Duration
 	canRequestToken bool
+	peer            ident.Option[reach.Peer]
 }
 
+// Peer returns the entry host through which the request is sent, if it is not sent
+// to a target.
+func (d Decision) Peer() ident.Option[reach.Peer] { return d.peer }
+
 // CanRequestToken reports whether a request beyond this host's share of the
 // team's rate should ask for a token of the reserve, see
 // Controller.AdmitWithToken.
@@ -136,6 +160,13 @@
 // if a retry is useless.
 func (d Decision) RetryAfter() time.Duration { return d.retryAfter }
 
+// WithPeerRefusal returns the decision with a refusal for the reason and with the
+// retry delay that the peer stated.
+func (d Decision) WithPeerRefusal(reason Reason, retryAfter time.Duration) Decision {
+	d.reason, d.retryAfter = reason, retryAfter
+	return d
+}
+
 // WithRefusal returns the decision with a refusal for the given reason.
 func (d Decision) WithRefusal(reason Reason) Decision {
 	d.reason, d.retryAfter = reason, defaultRetryAfter
--- a/link/pool.go
+++ b/link/pool.go
@@ -101,6 +101,10 @@
 	if c != nil {
 		return c, nil
 	}
+	return p.open(ctx, address)
+}
+
+func (p *Pool) open(ctx context.Context, address string) (*Conn, error) {
 	socket, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
--- /dev/null
+++ b/link/probe_test.go
@@ -0,0 +1,34 @@
+package link
+
+import (
+	"context"
+	"strings"
+	"testing"
+)
+
+// TestProbe guards against probes that take a target for reachable because
+// something accepts connections, or for out of reach because it is not healthy.
+func TestProbe(t *testing.T) {
+	cases := []struct {
+		name    string
+		respond func(string) string
+		fails   bool
+	}{
+		{"healthy", func(id string) string { return response(id, "ok") }, false},
+		{"not healthy", func(id string) string { return strings.Replace(response(id, "no"), "200", "503", 1) }, false},
+		{"closes the connection", func(string) string { return "!" }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTarget(t, serve(c.respond))
+			if err := newPool(t).Probe(t.Context(), s.address(), "/health"); (err != nil) != c.fails {
+				t.Errorf("error %v", err)
+			}
+		})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := newPool(t).Probe(ctx, "127.0.0.1:1", "/health"); err == nil {
+		t.Error("no error without a target")
+	}
+}
--- a/mesh/config_fetcher_test.go
+++ b/mesh/config_fetcher_test.go
@@ -142,6 +142,7 @@
 func (l testListener) SetEvacuated(zones []ident.Zone)                           { l.zones <- zones }
 func (l testListener) ZoneReturned(ident.Zone, time.Time)                        {}
 func (l testListener) SetTargets(time.Time, []ListedTarget)                      { l.targets <- struct{}{} }
+func (testListener) SetEntryHosts([]EntryHost)                                   {}
 func (l testListener) SetHostCount(n int)                                        { l.hosts <- n }
 func (l testListener) Demand(context.Context) ([]quota.Demand, error)            { return nil, nil }
 func (l testListener) ApplyLeases([]quota.Lease, []ident.Team, time.Time)        {}
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -50,6 +50,9 @@
 	// SetTargets replaces the list of targets, which was read at the given
 	// time.
 	SetTargets(readAt time.Time, list []ListedTarget)
+	// SetEntryHosts replaces the list of the other entry hosts that accept
+	// callers.
+	SetEntryHosts(list []EntryHost)
 	// SetHostCount sets the number of entry hosts that share the fleet-wide
 	// bounds.
 	SetHostCount(n int)
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -331,6 +331,9 @@
 	}
 	if next, ok := r.readyFrom(known); ok {
 		p.ready = next
+		t.listener.SetEntryHosts(slices.DeleteFunc(t.readyHosts(), func(e EntryHost) bool {
+			return e.address == t.heartbeat.Address
+		}))
 	}
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/rpc"
-	"sync/atomic"
 	"time"
 
 	"rhubarbrack/admit"
@@ -19,13 +18,8 @@
 	"rhubarbrack/clock"
 	"rhubarbrack/ctrl"
 	"rhubarbrack/ident"
-	"rhubarbrack/link"
 	"rhubarbrack/mesh"
 	"rhubarbrack/meter"
-	"rhubarbrack/quota"
-	"rhubarbrack/relay"
-	"rhubarbrack/scheme"
-	"rhubarbrack/spread"
 	"rhubarbrack/store"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -40,6 +34,7 @@
 	regions        map[ident.Zone]ident.Region
 	ip             string
 	peerPort       int
+	forwardPort    int
 	seeds          []string
 	metricsAddress string
 	dataDirectory  string
@@ -85,6 +80,13 @@
 	return c
 }
 
+// WithForwarding sets the port at which entry hosts take requests from each other.
+// Without it, a host that reaches no targets cannot use those of others.
+func (c HostConfig) WithForwarding(port int) HostConfig {
+	c.forwardPort = port
+	return c
+}
+
 // WithDrainTime sets for how long a target may get requests after it has said
 // that its process is about to end.
 func (c HostConfig) WithDrainTime(d time.Duration) HostConfig {
@@ -280,213 +282,3 @@
 	}
 	return nil
 }
-
-// Decoder decodes a configuration from its source text.
-type Decoder func(source []byte) (*scheme.Config, error)
-
-// entryListener applies updates from the control hosts to the tasks of an entry
-// host.
-type entryListener struct {
-	host      HostConfig
-	decode    Decoder
-	admission *relay.Admission
-	front     *relay.Front
-	ready     *atomic.Bool
-}
-
-var _ mesh.Listener = (*entryListener)(nil)
-
-// SetConfig implements mesh.Listener.
-func (e *entryListener) SetConfig(version uint64, source []byte) error {
-	c, err := e.decode(source)
-	if err != nil {
-		return fmt.Errorf("configuration %d: %w", version, err)
-	}
-	e.admission.Configure(c)
-	e.front.SetLimits(c.Limits())
-	return nil
-}
-
-// SetEvacuated implements mesh.Listener.
-func (e *entryListener) SetEvacuated(zones []ident.Zone) { e.admission.SetEvacuated(zones) }
-
-// ZoneReturned implements mesh.Listener.
-func (e *entryListener) ZoneReturned(zone ident.Zone, at time.Time) {
-	e.admission.ZoneReturned(zone, at)
-}
-
-// SetTargets implements mesh.Listener.
-func (e *entryListener) SetTargets(readAt time.Time, list []mesh.ListedTarget) {
-	out := make([]spread.Target, 0, len(list))
-	for _, l := range list {
-		coldUntil := time.Time{}
-		if l.ColdRemaining() > 0 {
-			coldUntil = readAt.Add(l.ColdRemaining())
-		}
-		out = append(out, spread.NewTarget(l.ID(), l.Service(), l.Address(), l.Zone(), e.host.regions[l.Zone()],
-			l.Slots(), l.IsDraining(), coldUntil, spread.WithStart(l.StartedAt())))
-	}
-	e.admission.SetTargets(out)
-}
-
-// SetHostCount implements mesh.Listener.
-func (e *entryListener) SetHostCount(n int) { e.admission.SetHostCount(n) }
-
-// Demand implements mesh.Listener.
-func (e *entryListener) Demand(ctx context.Context) ([]quota.Demand, error) {
-	list, err := e.admission.Demand(ctx)
-	if err != nil {
-		return nil, fmt.Errorf("entry host: %w", err)
-	}
-	return list, nil
-}
-
-// ApplyLeases implements mesh.Listener.
-func (e *entryListener) ApplyLeases(leases []quota.Lease, nearLimit []ident.Team, until time.Time) {
-	e.admission.ApplyLeases(leases, nearLimit, until)
-}
-
-// TargetStats implements mesh.Listener.
-func (e *entryListener) TargetStats(ctx context.Context) ([]spread.TargetStats, error) {
-	list, err := e.admission.TargetStats(ctx)
-	if err != nil {
-		return nil, fmt.Errorf("entry host: %w", err)
-	}
-	return list, nil
-}
-
-// ApplyRemoteStats implements mesh.Listener.
-func (e *entryListener) ApplyRemoteStats(stats []spread.TargetStats) {
-	e.admission.ApplyRemoteStats(stats)
-}
-
-// ApplyLimits implements mesh.Listener.
-func (e *entryListener) ApplyLimits(shares []spread.LimitShare) { e.admission.ApplyLimits(shares) }
-
-// BecomeReady implements mesh.Listener.
-func (e *entryListener) BecomeReady() { e.ready.Store(true) }
-
-const (
-	// callerDescriptorsPercent is the percentage of the file descriptors that
-	// callers' connections may use. The rest is for connections to targets and
-	// for the process itself.
-	callerDescriptorsPercent = 60
-	// lookupExpiryTime is how long a stopping entry host still accepts new
-	// connections: callers use lookup responses for their time to live, and
-	// some of them slightly longer.
-	lookupExpiryTime = 2500 * time.Millisecond
-	// stopMargin is how long before the end of the grace period the process
-	// exits.
-	stopMargin = 500 * time.Millisecond
-)
-
-// RunFleetEntry runs an entry host until ctx is cancelled and then stops it
-// without aborting requests, as far as the grace period allows. It listens for
-// callers at the given address. The function endpoints returns the endpoints to
-// serve.
-func RunFleetEntry(
-	ctx context.Context, c HostConfig, callers string, dialect relay.Dialect, decode Decoder,
-	endpoints func(isReady func() bool, client *mesh.ControlClient) []Endpoint,
-) error {
-	c.log.Info("node: entry host starts", "host", c.host, "zone", c.zone, "callers", callers)
-	system := tasks.NewSystem(c.log)
-	defer system.Shutdown()
-	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	pool, err := link.StartPool(taskCtx, system, c.clock, link.WithLocalIP(net.ParseIP(c.ip)))
-	if err != nil {
-		return fmt.Errorf("entry host: %w", err)
-	}
-	admission, err := relay.StartAdmission(taskCtx, system, c.clock, c.log, c.newController(), pool)
-	if err != nil {
-		return fmt.Errorf("entry host: %w", err)
-	}
-	callerListener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", callers)
-	if err != nil {
-		return fmt.Errorf("entry host: listen for callers: %w", err)
-	}
-	hostMeter := meter.New()
-	var ready atomic.Bool
-	listener := &entryListener{host: c, decode: decode, admission: admission, ready: &ready}
-	client, err := mesh.NewControlClient(taskCtx, system, c.clock, c.log, c.host, callers, c.zone, c.region, c.seeds,
-		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate),
-		mesh.WithClientMeter(hostMeter), mesh.WithNeighbours(c.peerPort))
-	if err != nil {
-		return fmt.Errorf("entry host: %w", err)
-	}
-	peersDone, err := c.serveNeighbours(taskCtx, client)
-	if err != nil {
-		return fmt.Errorf("entry host: %w", err)
-	}
-	options, err := c.pacingOptions(taskCtx, system)
-	if err != nil {
-		return fmt.Errorf("entry host: %w", err)
-	}
-	handler := relay.NewHandler(admission, pool, dialect, client, c.clock, c.log, hostMeter, options...)
-	front, err := relay.StartFront(
-		taskCtx, system, callerListener, handler, c.descriptors*callerDescriptorsPercent/100, c.clock, c.log)
-	if err != nil {
-		return fmt.Errorf("entry host: %w", err)
-	}
-	listener.front = front
-	client.Start(taskCtx)
-	servers, err := c.serveEndpoints(ctx, endpoints(ready.Load, client), hostMeter.Handler())
-	if err != nil {
-		return fmt.Errorf("entry host: %w", err)
-	}
-	<-ctx.Done()
-	c.log.Info("node: entry host stops", "host", c.host)
-	ready.Store(false)
-	client.SetReady(false)
-	front.Drain()
-	lookupWait := min(lookupExpiryTime, c.gracePeriod/2)
-	c.sleep(lookupWait)
-	handler.Stop()
-	shutdownCtx, cancel := context.WithTimeout(taskCtx, max(c.gracePeriod-lookupWait-stopMargin, stopMargin))
-	defer cancel()
-	if err := front.Shutdown(shutdownCtx); err != nil {
-		c.log.Warn("node: requests were aborted at the end of the grace period", "error", err)
-	}
-	c.closeServers(servers)
-	stop()
-	<-peersDone
-	c.log.Info("node: entry host stopped", "host", c.host)
-	return nil
-}
-
-// newController returns the admission controller of an entry host.
-func (c HostConfig) newController() *admit.Controller {
-	return admit.NewController(c.zone, c.region, c.bounds, spread.WithHost(c.host), spread.WithDrainTime(c.drainTime))
-}
-
-// serveNeighbours serves other entry hosts that are out of contact with the
-// control hosts. The returned channel is closed after ctx has ended.
-func (c HostConfig) serveNeighbours(ctx context.Context, client *mesh.ControlClient) (<-chan struct{}, error) {
-	server := rpc.NewServer()
-	if err := client.Register(ctx, server); err != nil {
-		return nil, fmt.Errorf("serve neighbours: %w", err)
-	}
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.peerAddress())
-	if err != nil {
-		return nil, fmt.Errorf("listen for neighbours: %w", err)
-	}
-	return wire.Serve(ctx, listener, server), nil
-}
-
-// pacingThreshold is the link rate in bytes per second from which responses are
-// not paced: a long response then delays others by a few milliseconds at most.
-const pacingThreshold = 10e6
-
-// pacingOptions returns the options that pace responses on a slow link.
-func (c HostConfig) pacingOptions(ctx context.Context, system *tasks.System) ([]relay.HandlerOption, error) {
-	if c.linkRate <= 0 || c.linkRate >= pacingThreshold {
-		return nil, nil
-	}
-	p, err := relay.StartPacer(ctx, system, c.clock, c.linkRate)
-	if err != nil {
-		return nil, fmt.Errorf("pace responses: %w", err)
-	}
-	return []relay.HandlerOption{relay.WithPacer(p)}, nil
-}
-
-func (c HostConfig) sleep(d time.Duration) { <-c.clock.NewTimer(d).C() }
--- a/reach/doc.go
+++ b/reach/doc.go
@@ -1,4 +1,5 @@
 // Package reach decides which services an entry host cannot reach although it
-// runs and is in contact with callers and other hosts. The evidence is its own:
-// failures to open connections, and signs of life of the targets.
+// runs and is in contact with callers and other hosts, and through which other
+// entry host a request is sent then. The evidence is the host's own: attempts in
+// vain, and responses of the targets.
 package reach
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -16,9 +16,9 @@
 	// failureSpan is how long a failure counts. It covers the longest time that
 	// callers usually wait for a response.
 	failureSpan = 10 * time.Second
-	// quietTime is how long targets must have given no sign of life before a
-	// failure leads to probes. Beside traffic to other targets, a failure is
-	// that of one target.
+	// quietTime is how long no target of any service must have given a sign of
+	// life before a failure leads to probes. Beside traffic to other targets, a
+	// failure is that of one target.
 	quietTime = 300 * time.Millisecond
 	// ProbeInterval is the interval between two rounds of probes of a service.
 	ProbeInterval = 400 * time.Millisecond
@@ -40,10 +40,8 @@
 
 func (e *evidence) isCutOff() bool { return !e.cutOffAt.IsZero() }
 
-// isDoubtful reports whether probes would tell more.
-func (e *evidence) isDoubtful(now time.Time) bool {
-	return e.isCutOff() || (e.suspected || len(e.failed) > 0) && now.Sub(e.contactAt) >= quietTime
-}
+// isDoubtful reports whether something failed since the last sign of life.
+func (e *evidence) isDoubtful() bool { return e.isCutOff() || e.suspected || len(e.failed) > 0 }
 
 // fail records a failure at one of the given number of targets. It
 // returns true if the targets are out of reach from now on.
@@ -148,11 +146,14 @@
 	return changes
 }
 
+// Forget drops the evidence on a service that has no targets to probe.
+func (t *Tracker) Forget(service ident.Service) { delete(t.services, service) }
+
 // IsDoubtful reports whether there are services whose targets should be probed,
 // now or later.
 func (t *Tracker) IsDoubtful() bool {
 	for _, e := range t.services {
-		if e.isCutOff() || e.suspected || len(e.failed) > 0 {
+		if e.isDoubtful() {
 			return true
 		}
 	}
@@ -163,8 +164,9 @@
 // and records that they are.
 func (t *Tracker) TakeProbes(now time.Time) []ident.Service {
 	var due []ident.Service
+	quiet := now.Sub(t.all.contactAt) >= quietTime
 	for name, e := range t.services {
-		if e.isDoubtful(now) && now.Sub(e.probedAt) >= ProbeInterval {
+		if (e.isCutOff() || quiet && e.isDoubtful()) && now.Sub(e.probedAt) >= ProbeInterval {
 			e.probedAt = now
 			due = append(due, name)
 		}
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -107,6 +107,10 @@
 			k.Contacted(start, "s")
 			k.Failed(start.Add(ms), "s", "s1", 5)
 		}, 400 * ms, []ident.Service{"s"}},
+		{"target fails beside traffic to another service", func(k *Tracker) {
+			k.Failed(start.Add(ms), "s", "s1", 5)
+			k.Contacted(start.Add(200*ms), "u")
+		}, 400 * ms, nil},
 		{"connection breaks and nothing follows", func(k *Tracker) {
 			k.Contacted(start, "s")
 			k.ConnectionLost("s")
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -24,20 +24,31 @@
 
 // StartAdmission starts the task. It ends with ctx.
 func StartAdmission(
-	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, controller *admit.Controller, pool IdleCloser,
+	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, controller *admit.Controller,
+	connections TargetConnections,
 ) (*Admission, error) {
-	ref, err := tasks.Spawn(ctx, system, "desk", &admissionTask{clock: c, log: log, controller: controller, pool: pool})
+	t := &admissionTask{ctx: ctx, clock: c, log: log, controller: controller, connections: connections}
+	ref, err := tasks.Spawn(ctx, system, "desk", t)
 	if err != nil {
 		return nil, fmt.Errorf("start admission task: %w", err)
 	}
+	t.self = ref
 	return &Admission{ref: ref}, nil
 }
 
-// IdleCloser closes the idle connections to an address.
-type IdleCloser interface {
+// TargetConnections are the connections to targets.
+type TargetConnections interface {
+	// CloseIdle closes the idle connections to an address.
 	CloseIdle(address string)
+	// Probe sends a health check over a new connection, and returns an error if
+	// no response arrives before the end of ctx.
+	Probe(ctx context.Context, address, path string) error
 }
 
+// SetPeers replaces the entry hosts through which requests are sent while targets
+// are out of reach.
+func (a *Admission) SetPeers(list []reach.Peer) { a.ref.Tell(setPeers{peers: list}) }
+
 // Configure replaces the configuration in force.
 func (a *Admission) Configure(c *scheme.Config) { a.ref.Tell(configure{config: c}) }
 
@@ -134,9 +145,24 @@
 		reply   tasks.Reply[bool]
 	}
 	retryRequest struct {
-		state       *admit.RequestState
-		unreachable bool
-		reply       tasks.Reply[admit.Decision]
+		state *admit.RequestState
+		after attemptEnd
+		reply tasks.Reply[admit.Decision]
+	}
+	setPeers   struct{ peers []reach.Peer }
+	peerResult struct {
+		peer    reach.Peer
+		service ident.Service
+		began   time.Time
+		helped  bool
+		// target is the process that responded, if it said that it is leaving.
+		leaving ident.Option[ForwardedTarget]
+	}
+	// probesDue is sent by the task to itself while probes may be due.
+	probesDue struct{}
+	probeDone struct {
+		target    spread.Target
+		responded bool
 	}
 	recordResult struct {
 		choice spread.Choice
@@ -149,12 +175,28 @@
 	}
 )
 
+// attemptEnd tells how the attempt ended after which a request is retried.
+type attemptEnd uint8
+
+const (
+	// afterFailure means that the request may have run, or was refused.
+	afterFailure attemptEnd = iota
+	// afterUnreachable means that no connection to the target could be opened.
+	afterUnreachable
+	// afterPeer means that another entry host sent the request to no target.
+	afterPeer
+)
+
 // admissionTask owns the admission controller.
 type admissionTask struct {
-	clock      clock.Clock
-	log        *slog.Logger
-	controller *admit.Controller
-	pool       IdleCloser
+	ctx         context.Context
+	self        *tasks.Ref
+	clock       clock.Clock
+	log         *slog.Logger
+	controller  *admit.Controller
+	connections TargetConnections
+	// probesScheduled is set while a probesDue message is on its way.
+	probesScheduled bool
 }
 
 var _ tasks.Task = (*admissionTask)(nil)
@@ -168,14 +210,10 @@
 	case getRetryable:
 		m.reply.Send(t.controller.IsRetryable(m.request))
 	case retryRequest:
-		if m.unreachable {
-			m.reply.Send(t.controller.RetryUnreachable(now, m.state))
-		} else {
-			m.reply.Send(t.controller.Retry(now, m.state))
-		}
+		m.reply.Send(t.retry(now, m))
 	case recordResult:
 		t.controller.RecordResult(now, m.choice, m.result, m.load)
-		t.logReach(t.controller.RecordReach(now, m.choice, m.result, m.newConnection))
+		t.applyReach(t.controller.RecordReach(now, m.choice, m.result, m.newConnection))
 		if coldFor, ok := m.coldFor.Get(); ok {
 			t.controller.Table().MarkCold(now, m.choice.Target().ID(), coldFor)
 		}
@@ -186,7 +224,7 @@
 		t.controller.Configure(m.config)
 	case setTargets:
 		for _, address := range t.controller.Table().Update(m.targets) {
-			t.pool.CloseIdle(address)
+			t.connections.CloseIdle(address)
 		}
 	case setEvacuated:
 		t.controller.SetEvacuated(now, m.zones)
@@ -210,19 +248,26 @@
 		t.controller.TokenDenied(now, m.team)
 	case observeRTT:
 		t.controller.Table().ObserveRTT(m.region, m.rtt)
+	case setPeers:
+		t.controller.SetPeers(m.peers)
+	case peerResult:
+		t.recordPeer(now, m)
+	case probesDue:
+		t.sendProbes(now)
+	case probeDone:
+		t.applyReach(t.controller.RecordProbe(now, m.target, m.responded))
 	}
 }
 
-// logReach logs services that got out of reach or within reach again. A line
-// without a service concerns all of them.
-func (t *admissionTask) logReach(changes []reach.Change) {
-	for _, c := range changes {
-		if c.IsCutOff() {
-			t.log.Warn("relay: targets are out of reach", "service", c.Service(), "failed", c.Failed())
-			continue
-		}
-		t.log.Info("relay: targets are within reach again", "service", c.Service(), "after-ms", millis(c.Lasted()))
+// retry decides on another attempt.
+func (t *admissionTask) retry(now time.Time, m retryRequest) admit.Decision {
+	switch m.after {
+	case afterUnreachable:
+		return t.controller.RetryUnreachable(now, m.state)
+	case afterPeer:
+		return t.controller.RetryPeer(now, m.state)
 	}
+	return t.controller.Retry(now, m.state)
 }
 
 // observe applies what a target said of itself, and logs what has changed.
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -22,6 +22,9 @@
 	// DecodeResponse decodes what a response says about the target and the
 	// request.
 	DecodeResponse(r *http.Response) Response
+	// SetResponseHeaders sets the headers of a target's response that is passed
+	// on. The target is empty if the response came through another entry host.
+	SetResponseHeaders(h http.Header, target spread.Target)
 	// WriteRefusal writes a refusal to the caller.
 	WriteRefusal(w http.ResponseWriter, r Refusal)
 }
@@ -37,6 +40,9 @@
 	coldFor ident.Option[time.Duration]
 	// statement is what the target says of itself.
 	statement spread.Statement
+	// target is the process that responded, if the response came through
+	// another entry host.
+	target ident.Option[ForwardedTarget]
 }
 
 // ResponseOption sets an optional property of a Response.
@@ -103,8 +109,12 @@
 	outcome    Outcome
 	reason     admit.Reason
 	retryAfter time.Duration
+	sends      int
 }
 
+// Sends returns the number of attempts at targets that were made.
+func (r Refusal) Sends() int { return r.sends }
+
 // Request returns the ID of the refused request.
 func (r Refusal) Request() ident.RequestID { return r.request }
 
@@ -117,7 +127,8 @@
 // RetryAfter returns the time after which the caller may retry, or 0.
 func (r Refusal) RetryAfter() time.Duration { return r.retryAfter }
 
-// NewRefusal returns the refusal of a request.
-func NewRefusal(request ident.RequestID, outcome Outcome, reason admit.Reason, retryAfter time.Duration) Refusal {
-	return Refusal{request: request, outcome: outcome, reason: reason, retryAfter: retryAfter}
+// NewRefusal returns the refusal of a request after the given number of attempts
+// at targets.
+func NewRefusal(request ident.RequestID, outcome Outcome, reason admit.Reason, retryAfter time.Duration, sends int) Refusal {
+	return Refusal{request: request, outcome: outcome, reason: reason, retryAfter: retryAfter, sends: sends}
 }
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -58,7 +58,9 @@
 	meter     Meter
 	tokens    TokenSource
 	// pacer is nil if the link needs no pacing.
-	pacer   *Pacer
+	pacer *Pacer
+	// peers is nil if requests are never sent through other entry hosts.
+	peers   PeerCodec
 	stopped atomic.Bool
 }
 
@@ -68,6 +70,10 @@
 // WithPacer paces long responses for a slow link.
 func WithPacer(p *Pacer) HandlerOption { return func(h *Handler) { h.pacer = p } }
 
+// WithPeers makes the handler send requests through other entry hosts, encoded by
+// the codec, when the admission controller decides so.
+func WithPeers(codec PeerCodec) HandlerOption { return func(h *Handler) { h.peers = codec } }
+
 // NewHandler returns a handler.
 func NewHandler(
 	admission *Admission, pool *link.Pool, dialect Dialect, tokens TokenSource, c clock.Clock, log *slog.Logger, m Meter,
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -55,6 +55,8 @@
 	return spread.NewStatement()
 }
 
+func (testDialect) SetResponseHeaders(http.Header, spread.Target) {}
+
 func (testDialect) WriteRefusal(w http.ResponseWriter, r Refusal) {
 	w.Header().Set("Reason", string(r.Reason()))
 	w.Header().Set("Run", r.Outcome().String())
--- a/relay/report.go
+++ b/relay/report.go
@@ -14,6 +14,10 @@
 // recordResult reports the result of an attempt to the admission controller.
 func (rh *requestHandler) recordResult(d admit.Decision, result spread.Result, response Response) {
 	h := rh.handler
+	if peer, ok := d.Peer().Get(); ok {
+		rh.recordPeerResult(d, peer, result, response)
+		return
+	}
 	h.admission.ref.Tell(recordResult{
 		choice: d.Choice(), result: result, newConnection: rh.newConnection, load: response.load, coldFor: response.coldFor,
 		statement: response.stated(result),
@@ -25,11 +29,12 @@
 }
 
 // logFailedAttempt logs and counts an attempt without a final response.
-func (rh *requestHandler) logFailedAttempt(d admit.Decision, result spread.Result, err error) {
+func (rh *requestHandler) logFailedAttempt(d admit.Decision, result spread.Result, err error, attrs ...any) {
 	c := d.Choice()
 	rh.handler.log.Warn("relay: attempt failed", "request", rh.request.ID(), "target", c.Target().ID(),
 		"verdict", result.String(), "choice", c.Reason(), "load", c.Load(),
-		"load-age-ms", millis(min(c.LoadAge(), time.Hour)), "sends", d.State().Attempts(), errorAttr(err))
+		"load-age-ms", millis(min(c.LoadAge(), time.Hour)), "sends", d.State().Attempts(), peerAttr(d), errorAttr(err),
+		slog.Group("", attrs...))
 	team, class := labels(d)
 	rh.handler.meter.Count("send-"+result.String(), team, class, 1)
 }
@@ -46,7 +51,10 @@
 		fields = append(fields, "route", t.Route().Name(), "team", t.Team(), "service", t.Service(),
 			"version", t.ConfigVersion(), "took-ms", millis(took), "left-ms", millis(t.Deadline().Sub(h.clock.Now())),
 			"sends", t.Attempts(), "target", c.Target().ID(), "choice", c.Reason(), "load", c.Load(),
-			"load-age-ms", millis(min(c.LoadAge(), time.Hour)))
+			"load-age-ms", millis(min(c.LoadAge(), time.Hour)), peerAttr(d))
+	}
+	if _, ok := d.Peer().Get(); ok {
+		h.meter.Count("forwarded", team, class, 1)
 	}
 	h.meter.Count("request-"+outcome, team, class, 1)
 	// Warnings have a log budget of their own, so that lines about successful
@@ -67,6 +75,14 @@
 	return slog.String("error", err.Error())
 }
 
+// sends returns the number of attempts at targets for a request.
+func sends(d admit.Decision) int {
+	if d.State() == nil {
+		return 0
+	}
+	return d.State().Attempts()
+}
+
 func labels(d admit.Decision) (ident.Team, ident.Class) {
 	t := d.State()
 	if t == nil {
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -30,6 +30,8 @@
 	longBody bool
 	// newConnection is set if the last attempt opened a connection, or tried to.
 	newConnection bool
+	// peerSince is when the last attempt through another entry host began.
+	peerSince time.Time
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	// response is the last complete response, if any.
@@ -119,6 +121,9 @@
 // attempt sends the request to one target. It returns true if the caller got a
 // response, or else the next decision.
 func (rh *requestHandler) attempt(d admit.Decision) (admit.Decision, bool) {
+	if peer, ok := d.Peer().Get(); ok {
+		return rh.forward(d, peer)
+	}
 	h := rh.handler
 	started := h.clock.Now()
 	conn, err := h.pool.Get(rh.ctx, d.Choice().Target().Address())
@@ -132,15 +137,12 @@
 		}
 		rh.recordResult(d, result, Response{})
 		rh.logFailedAttempt(d, result, err)
-		return rh.retry(d, true), false
+		return rh.retry(d, afterUnreachable), false
 	}
 	if rh.newConnection {
 		h.admission.ObserveRTT(d.Choice().Target().Region(), h.clock.Now().Sub(started))
 	}
-	exchange, err := h.pool.Send(rh.ctx, conn, rh.targetRequest(d), func(r *http.Response) bool {
-		response := h.dialect.DecodeResponse(r)
-		return response.request == rh.request.ID()
-	})
+	exchange, err := h.pool.Send(rh.ctx, conn, rh.targetRequest(d), rh.isResponse)
 	if err != nil {
 		return rh.handleBroken(d, err)
 	}
@@ -187,7 +189,7 @@
 	if result != spread.Lost || !d.State().Route().Kind().IsRetryable() {
 		return rh.refuseRetry(d, result), false
 	}
-	return rh.retry(d, false), false
+	return rh.retry(d, afterFailure), false
 }
 
 // refuseRetry returns the decision not to retry after the given result.
@@ -202,7 +204,7 @@
 // after a failure.
 func (rh *requestHandler) relayResponse(d admit.Decision, exchange *link.Exchange) (admit.Decision, bool) {
 	r := exchange.Response()
-	response := rh.handler.dialect.DecodeResponse(r)
+	response := rh.decodeResponse(d, r)
 	if response.foreign || response.notRun {
 		return rh.handleNotRun(d, exchange, response)
 	}
@@ -227,6 +229,7 @@
 	}
 	header := r.Header.Clone()
 	dropHopHeaders(header)
+	rh.handler.dialect.SetResponseHeaders(header, d.Choice().Target())
 	if len(body) > bufferedResponseBytes || r.ContentLength > bufferedResponseBytes {
 		rh.streamResponse(d, exchange, response, result, header, body)
 		return admit.Decision{}, true
@@ -236,12 +239,22 @@
 	rh.response = &bufferedResponse{status: r.StatusCode, header: header, body: body}
 	if result == spread.Failed && d.State().Route().Kind().IsRetryable() {
 		rh.logFailedAttempt(d, result, nil)
-		return rh.retry(d, false), false
+		return rh.retry(d, afterFailure), false
 	}
 	rh.writeResponse(d)
 	return admit.Decision{}, true
 }
 
+// decodeResponse decodes a response of a target, or one that came through another
+// entry host.
+func (rh *requestHandler) decodeResponse(d admit.Decision, r *http.Response) Response {
+	response := rh.handler.dialect.DecodeResponse(r)
+	if _, ok := d.Peer().Get(); ok {
+		response.target = rh.handler.peers.TakeTarget(r.Header)
+	}
+	return response
+}
+
 // handleNotRun handles a response that proves that the request has not run.
 func (rh *requestHandler) handleNotRun(d admit.Decision, exchange *link.Exchange, response Response) (admit.Decision, bool) {
 	exchange.Discard()
@@ -251,21 +264,20 @@
 	}
 	rh.recordResult(d, result, response)
 	rh.logFailedAttempt(d, result, nil)
-	return rh.retry(d, false), false
+	return rh.retry(d, afterFailure), false
 }
 
-// retry asks the admission controller for another target. The flag
-// unreachable tells that the last attempt failed to connect and sent nothing.
-func (rh *requestHandler) retry(d admit.Decision, unreachable bool) admit.Decision {
+// retry asks the admission controller for another attempt.
+func (rh *requestHandler) retry(d admit.Decision, after attemptEnd) admit.Decision {
 	// The rest of a long body is read while it is sent, so it can be sent once.
-	if rh.longBody && !unreachable || rh.incoming.Context().Err() != nil {
+	if rh.longBody && after == afterFailure || rh.incoming.Context().Err() != nil {
 		return d.WithRefusal(admit.NoAttempts)
 	}
 	// The admission task replies at once, even if the request's context has
 	// ended.
 	ctx := context.WithoutCancel(rh.incoming.Context())
 	next, err := tasks.Ask(ctx, rh.handler.admission.ref, func(reply tasks.Reply[admit.Decision]) any {
-		return retryRequest{state: d.State(), unreachable: unreachable, reply: reply}
+		return retryRequest{state: d.State(), after: after, reply: reply}
 	})
 	if err != nil {
 		rh.handler.log.Warn("relay: retry not decided", "request", rh.request.ID(), "error", err)
@@ -354,7 +366,7 @@
 		}
 	}
 	h := rh.handler
-	refusal := NewRefusal(rh.request.ID(), outcome, reason, d.RetryAfter())
+	refusal := NewRefusal(rh.request.ID(), outcome, reason, d.RetryAfter(), sends(d))
 	h.dialect.WriteRefusal(rh.writer, refusal)
 	team, class := labels(d)
 	h.meter.Refuse(team, class, string(reason))
--- a/spread/statement.go
+++ b/spread/statement.go
@@ -83,6 +83,18 @@
 	return changes
 }
 
+// ObserveLeaving records that a target's process has said, in an answer that came
+// through another host, that it is about to end. It returns false if that is known
+// or the process has been replaced.
+func (t *Table) ObserveLeaving(now time.Time, id ident.Target, startedAt int64) bool {
+	s, ok := t.targets[id]
+	if !ok || s.startedAt != startedAt || s.isLeaving() {
+		return false
+	}
+	s.leavingSince = now
+	return true
+}
+
 // WithDrainTime sets for how long a target that is leaving may get requests after
 // it said so. It gets them only if its service has no other target.
 func WithDrainTime(d time.Duration) Option { return func(t *Table) { t.drainTime = d } }
--- a/spread/statement_test.go
+++ b/spread/statement_test.go
@@ -117,3 +117,34 @@
 		t.Error("the pause has ended early")
 	}
 }
+
+// TestLeavingTargetOfOtherHost guards against requests to a target that has said
+// in an answer through another host that it leaves, and against leaving out the
+// process that follows it.
+func TestLeavingTargetOfOtherHost(t *testing.T) {
+	cases := []struct {
+		name      string
+		id        ident.Target
+		startedAt int64
+		want      bool
+	}{
+		{"the process", "a-0", 0, true},
+		{"an earlier process", "a-0", 7, false},
+		{"an unknown target", "x", 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTestTable(2, 100)
+			if got := table.ObserveLeaving(start, c.id, c.startedAt); got != c.want {
+				t.Errorf("observed %v, want %v", got, c.want)
+			}
+			used := map[ident.Target]bool{}
+			for i := range 100 {
+				used[table.Choose(start, query(fmt.Sprint(i))).Target().ID()] = true
+			}
+			if used["a-0"] == c.want {
+				t.Errorf("used: %v", used)
+			}
+		})
+	}
+}
--- a/spread/table.go
+++ b/spread/table.go
@@ -65,6 +65,8 @@
 	returnedAt     map[ident.Zone]time.Time
 	coldTerms      map[ident.Service]coldTerms
 	typicalLatency map[ident.Service]float64
+	// nextProbe counts the targets that were considered for probes.
+	nextProbe int
 	// rtts holds the shortest observed round-trip time per region.
 	rtts map[ident.Region]time.Duration
 }
@@ -159,6 +161,38 @@
 // Targets returns the number of targets of a service.
 func (t *Table) Targets(service ident.Service) int { return len(t.services[service]) }
 
+// HasUnreachable reports whether a target of a service gets no requests now
+// because no connection to it could be opened.
+func (t *Table) HasUnreachable(now time.Time, service ident.Service) bool {
+	return slices.ContainsFunc(t.services[service], func(s *targetState) bool {
+		return s.losses > 0 && now.Before(s.pausedUntil)
+	})
+}
+
+// Resume ends the pauses of the targets of a service after failures to connect:
+// the path to the targets had failed, not the targets.
+func (t *Table) Resume(service ident.Service) {
+	for _, s := range t.services[service] {
+		if s.losses > 0 {
+			s.losses, s.pausedUntil = 0, time.Time{}
+		}
+	}
+}
+
+// ProbeTarget returns a target of a service that may be probed, and false if
+// there is none. Successive calls return different targets.
+func (t *Table) ProbeTarget(now time.Time, service ident.Service) (Target, bool) {
+	list := t.services[service]
+	for range list {
+		t.nextProbe++
+		s := list[t.nextProbe%len(list)]
+		if !s.draining && !s.isLeaving() && !t.evacuated[s.zone] && !now.Before(s.pauseAskedUntil) && !t.isCold(now, s) {
+			return s.Target, true
+		}
+	}
+	return Target{}, false
+}
+
 // candidate is an eligible target with its rank in a query.
 type candidate struct {
 	state *targetState
--- a/spread/target.go
+++ b/spread/target.go
@@ -60,6 +60,9 @@
 // Address returns the network address of the target.
 func (t Target) Address() string { return t.address }
 
+// StartedAt returns when the target's process started, in Unix milliseconds, or 0.
+func (t Target) StartedAt() int64 { return t.startedAt }
+
 // Zone returns the zone of the target.
 func (t Target) Zone() ident.Zone { return t.zone }
 
