Choose another target if it pauses or leaves while a body arrives

What callers and targets saw: a request reaches a target that has asked for a pause, or said that it leaves, as long ago as the body of the request took. Cause: the target is chosen when the header has been read, and the request is sent when the body has been read; the class is a decision that is older than what it leads to. Change: after a body has been read, the choice is confirmed, or made anew. Test: TestStatementWhileBodyArrives failed before in both cases (the request reached the target) and passes.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -293,6 +293,17 @@
 	return Decision{state: s, choice: choice}
 }
 
+// Confirm decides again on a request that has waited since its target was chosen,
+// if the target is no longer eligible. Nothing was sent.
+func (c *Controller) Confirm(now time.Time, d Decision) Decision {
+	if !d.choice.IsFound() || c.table.Confirms(now, d.choice) {
+		return d
+	}
+	c.table.RecordResult(now, d.choice, spread.Abandoned, ident.None[spread.Load]())
+	d.state.attempts--
+	return c.chooseTarget(now, d.state)
+}
+
 // RecordResult records the result of an attempt and the load that the target
 // reported, if any.
 func (c *Controller) RecordResult(now time.Time, choice spread.Choice, result spread.Result, load ident.Option[spread.Load]) {
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -149,6 +149,10 @@
 		after attemptEnd
 		reply tasks.Reply[admit.Decision]
 	}
+	confirmChoice struct {
+		decision admit.Decision
+		reply    tasks.Reply[admit.Decision]
+	}
 	setPeers   struct{ peers []reach.Peer }
 	peerResult struct {
 		peer    reach.Peer
@@ -211,6 +215,8 @@
 		m.reply.Send(t.controller.IsRetryable(m.request))
 	case retryRequest:
 		m.reply.Send(t.retry(now, m))
+	case confirmChoice:
+		m.reply.Send(t.controller.Confirm(now, m.decision))
 	case recordResult:
 		t.controller.RecordResult(now, m.choice, m.result, m.load)
 		t.applyReach(t.controller.RecordReach(now, m.choice, m.result, m.newConnection))
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -52,6 +52,9 @@
 	if r.Header.Get("Leaving") != "" {
 		return spread.NewStatement(spread.WithLeaving())
 	}
+	if pause, err := time.ParseDuration(r.Header.Get("Pause")); err == nil {
+		return spread.NewStatement(spread.WithPause(pause))
+	}
 	return spread.NewStatement()
 }
 
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -59,6 +59,13 @@
 		rh.handler.log.Info("relay: request body incomplete", "request", rh.request.ID(), "error", err)
 		panic(http.ErrAbortHandler)
 	}
+	if len(rh.body) > 0 {
+		d = rh.confirm(d)
+		if reason, refused := d.Refused(); refused {
+			rh.writeRefusal(d, reason)
+			return
+		}
+	}
 	ctx, cancel := context.WithDeadline(rh.incoming.Context(), d.State().Deadline())
 	defer cancel()
 	rh.ctx = ctx
@@ -118,6 +125,21 @@
 	return nil
 }
 
+// confirm asks the admission controller whether the target may still get the
+// request: a body may have taken long to arrive.
+func (rh *requestHandler) confirm(d admit.Decision) admit.Decision {
+	ctx := context.WithoutCancel(rh.incoming.Context())
+	next, err := tasks.Ask(ctx, rh.handler.admission.ref, func(reply tasks.Reply[admit.Decision]) any {
+		return confirmChoice{decision: d, reply: reply}
+	})
+	if err != nil {
+		rh.handler.log.Warn("relay: choice not confirmed", "request", rh.request.ID(), "error", err)
+		rh.recordResult(d, spread.Abandoned, Response{})
+		return d.WithRefusal(admit.NotReady)
+	}
+	return next
+}
+
 // attempt sends the request to one target. It returns true if the caller got a
 // response, or else the next decision.
 func (rh *requestHandler) attempt(d admit.Decision) (admit.Decision, bool) {
--- a/spread/table.go
+++ b/spread/table.go
@@ -276,7 +276,7 @@
 	objectHash := xxhash.Sum64String(q.object)
 	list := make([]candidate, 0, len(t.services[q.service]))
 	for _, s := range t.services[q.service] {
-		if s.draining || t.evacuated[s.zone] || !q.allows(s) || now.Before(s.pausedUntil) || now.Before(s.pauseAskedUntil) {
+		if !t.isEligible(now, s) || !q.allows(s) {
 			continue
 		}
 		if s.isLeaving() != leaving || leaving && !t.admitsLeaving(now, s) {
@@ -302,6 +302,21 @@
 	return list
 }
 
+// isEligible reports whether a target may get requests at all.
+func (t *Table) isEligible(now time.Time, s *targetState) bool {
+	return !s.draining && !t.evacuated[s.zone] && !now.Before(s.pausedUntil) && !now.Before(s.pauseAskedUntil)
+}
+
+// Confirms reports whether a choice that was made some time ago still holds: the
+// target's process has neither ended nor become ineligible since.
+func (t *Table) Confirms(now time.Time, c Choice) bool {
+	s, ok := t.targets[c.target.id]
+	if !ok || s != c.state || !t.isEligible(now, s) {
+		return false
+	}
+	return !s.isLeaving() || !s.leavingSince.After(c.chosenAt) && t.admitsLeaving(now, s)
+}
+
 // admits reports whether a target may get a request now. A cold target gets
 // only this host's share of its bound, one with a rate limit this host's share
 // of that, and a silent one only one request per probeInterval.
