Heed what targets state in the answers to health checks

What targets saw: a health check finds out whether a target can be reached again, its answer asks for a pause or says that the target leaves, and requests follow nevertheless. Cause: the health checks that came with the way through other hosts only looked at whether a response came. Change: their statements are decoded and applied like those of other answers, except that they end no rate limit.

--- a/bridge/forward_test.go
+++ b/bridge/forward_test.go
@@ -46,6 +46,8 @@
 		false, ident.None[spread.Load](), ident.None[time.Duration]())
 }
 
+func (dialect) DecodeStatement(*http.Response) spread.Statement { return spread.NewStatement() }
+
 func (dialect) SetResponseHeaders(http.Header, spread.Target) {}
 
 func (dialect) WriteRefusal(w http.ResponseWriter, r relay.Refusal) {
@@ -111,7 +113,7 @@
 	controller := admit.NewController("z", region, admit.NewBounds(5*time.Second, 10*time.Second, 0.2, 1000, 1.5, 5))
 	controller.UsePeers(reach.NewPeers(name, region))
 	h := &host{}
-	if h.admission, err = relay.StartAdmission(ctx, system, clock.Wall(), log, controller, pool); err != nil {
+	if h.admission, err = relay.StartAdmission(ctx, system, clock.Wall(), log, controller, pool, dialect{}); err != nil {
 		t.Fatal(err)
 	}
 	services := []scheme.WeightedService{scheme.NewWeightedService("s", 1)}
--- a/link/probe_test.go
+++ b/link/probe_test.go
@@ -21,14 +21,14 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			s := newTarget(t, serve(c.respond))
-			if err := newPool(t).Probe(t.Context(), s.address(), "/health"); (err != nil) != c.fails {
+			if _, err := newPool(t).Probe(t.Context(), s.address(), "/health"); (err != nil) != c.fails {
 				t.Errorf("error %v", err)
 			}
 		})
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if err := newPool(t).Probe(ctx, "127.0.0.1:1", "/health"); err == nil {
+	if _, err := newPool(t).Probe(ctx, "127.0.0.1:1", "/health"); err == nil {
 		t.Error("no error without a target")
 	}
 }
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -144,12 +144,18 @@
 	stopMargin = 500 * time.Millisecond
 )
 
+// Dialect is the protocol of callers and targets.
+type Dialect interface {
+	relay.Dialect
+	relay.StatementDecoder
+}
+
 // RunFleetEntry runs an entry host until ctx is cancelled and then stops it
 // without aborting requests, as far as the grace period allows. It listens for
 // callers at the given address. The function endpoints returns the endpoints to
 // serve.
 func RunFleetEntry(
-	ctx context.Context, c HostConfig, callers string, dialect relay.Dialect, decode Decoder,
+	ctx context.Context, c HostConfig, callers string, dialect Dialect, decode Decoder,
 	endpoints func(isReady func() bool, client *mesh.ControlClient) []Endpoint,
 ) error {
 	c.log.Info("node: entry host starts", "host", c.host, "zone", c.zone, "callers", callers)
@@ -161,7 +167,7 @@
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
-	admission, err := relay.StartAdmission(taskCtx, system, c.clock, c.log, c.newController(), pool)
+	admission, err := relay.StartAdmission(taskCtx, system, c.clock, c.log, c.newController(), pool, dialect)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"time"
 
 	"rhubarbrack/admit"
@@ -25,9 +26,9 @@
 // StartAdmission starts the task. It ends with ctx.
 func StartAdmission(
 	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, controller *admit.Controller,
-	connections TargetConnections,
+	connections TargetConnections, decoder StatementDecoder,
 ) (*Admission, error) {
-	t := &admissionTask{ctx: ctx, clock: c, log: log, controller: controller, connections: connections}
+	t := &admissionTask{ctx: ctx, clock: c, log: log, controller: controller, connections: connections, decoder: decoder}
 	ref, err := tasks.Spawn(ctx, system, "desk", t)
 	if err != nil {
 		return nil, fmt.Errorf("start admission task: %w", err)
@@ -42,7 +43,12 @@
 	CloseIdle(address string)
 	// Probe sends a health check over a new connection, and returns an error if
 	// no response arrives before the end of ctx.
-	Probe(ctx context.Context, address, path string) error
+	Probe(ctx context.Context, address, path string) (*http.Response, error)
+}
+
+// StatementDecoder decodes what a target says of itself in a response.
+type StatementDecoder interface {
+	DecodeStatement(r *http.Response) spread.Statement
 }
 
 // SetPeers replaces the entry hosts through which requests are sent while targets
@@ -165,8 +171,9 @@
 	// probesDue is sent by the task to itself while probes may be due.
 	probesDue struct{}
 	probeDone struct {
-		target    spread.Target
-		responded bool
+		target spread.Target
+		// statement is present if the target has responded.
+		statement ident.Option[spread.Statement]
 	}
 	recordResult struct {
 		choice spread.Choice
@@ -199,6 +206,7 @@
 	log         *slog.Logger
 	controller  *admit.Controller
 	connections TargetConnections
+	decoder     StatementDecoder
 	// probesScheduled is set while a probesDue message is on its way.
 	probesScheduled bool
 }
@@ -261,7 +269,7 @@
 	case probesDue:
 		t.sendProbes(now)
 	case probeDone:
-		t.applyReach(t.controller.RecordProbe(now, m.target, m.responded))
+		t.recordProbe(now, m)
 	}
 }
 
@@ -276,11 +284,16 @@
 	return t.controller.Retry(now, m.state)
 }
 
-// observe applies what a target said of itself, and logs what has changed.
+// observe applies what a target said of itself.
 func (t *admissionTask) observe(now time.Time, choice spread.Choice, statement spread.Statement) {
-	for _, change := range t.controller.Table().Observe(now, choice, statement) {
-		rate, _ := statement.Limit().Rate()
-		t.log.Info("relay: statement of a target", "target", choice.Target().ID(), "change", change, "rate", rate,
+	t.logChanges(choice.Target(), statement, t.controller.Table().Observe(now, choice, statement))
+}
+
+// logChanges logs what has changed by a statement of a target.
+func (t *admissionTask) logChanges(target spread.Target, statement spread.Statement, changes []spread.Change) {
+	rate, _ := statement.Limit().Rate()
+	for _, change := range changes {
+		t.log.Info("relay: statement of a target", "target", target.ID(), "change", change, "rate", rate,
 			"pause-ms", statement.Pause().Milliseconds())
 	}
 }
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -48,6 +48,9 @@
 		WithStatement(testStatement(r)))
 }
 
+// DecodeStatement implements StatementDecoder.
+func (testDialect) DecodeStatement(r *http.Response) spread.Statement { return testStatement(r) }
+
 func testStatement(r *http.Response) spread.Statement {
 	if r.Header.Get("Leaving") != "" {
 		return spread.NewStatement(spread.WithLeaving())
@@ -174,7 +177,7 @@
 		t.Fatal(err)
 	}
 	bounds := admit.NewBounds(5*time.Second, 10*time.Second, 0.2, 1000, 1.5, 5)
-	admission, err := StartAdmission(ctx, system, clock.Wall(), slog.New(slog.DiscardHandler), admit.NewController("z", "r", bounds), pool)
+	admission, err := StartAdmission(ctx, system, clock.Wall(), slog.New(slog.DiscardHandler), admit.NewController("z", "r", bounds), pool, testDialect{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/relay/probing.go
+++ b/relay/probing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbrack/admit"
+	"rhubarbrack/ident"
 	"rhubarbrack/reach"
 	"rhubarbrack/tasks"
 )
@@ -47,11 +48,22 @@
 func (t *admissionTask) probe(p admit.Probe) {
 	ctx, cancel := context.WithTimeout(t.ctx, probeTimeout)
 	defer cancel()
-	err := t.connections.Probe(ctx, p.Target().Address(), p.Path())
+	r, err := t.connections.Probe(ctx, p.Target().Address(), p.Path())
 	if err != nil {
 		t.log.Info("relay: probe failed", "target", p.Target().ID(), "error", err)
+		t.self.Tell(probeDone{target: p.Target()})
+		return
 	}
-	t.self.Tell(probeDone{target: p.Target(), responded: err == nil})
+	t.self.Tell(probeDone{target: p.Target(), statement: ident.Some(t.decoder.DecodeStatement(r))})
+}
+
+// recordProbe applies the result of a probe, and what the target has said of itself.
+func (t *admissionTask) recordProbe(now time.Time, m probeDone) {
+	statement, responded := m.statement.Get()
+	if responded {
+		t.logChanges(m.target, statement, t.controller.Table().ObserveProbe(now, m.target, statement))
+	}
+	t.applyReach(t.controller.RecordProbe(now, m.target, responded))
 }
 
 // recordPeer applies the result of an attempt through another entry host.
--- a/spread/statement.go
+++ b/spread/statement.go
@@ -71,6 +71,22 @@
 		}
 	}
 	t.applyLimit(now, now, s, statement.limit)
+	return append(changes, s.applyStatement(now, statement)...)
+}
+
+// ObserveProbe applies what a target stated in the answer to a health check, and
+// returns the changes. That it states no rate limit there ends none.
+func (t *Table) ObserveProbe(now time.Time, target Target, statement Statement) []Change {
+	s, ok := t.targets[target.id]
+	if !ok || !s.isSameProcess(target) {
+		return nil
+	}
+	return s.applyStatement(now, statement)
+}
+
+// applyStatement applies that a target leaves or wants a pause.
+func (s *targetState) applyStatement(now time.Time, statement Statement) []Change {
+	var changes []Change
 	if statement.leaving && s.leavingSince.IsZero() {
 		// A process that is leaving does not stay, whatever it says later.
 		s.leavingSince = now
