Answer requests at work before a planned stop ends

What callers saw: requests that a target is still at work on when the grace period of a planned stop ends get no answer, among them ones that must not run twice. Cause: the exit of the process ended them. Change: attempts in flight are given up 0.8 s before the end of the grace period and answered as requests that may have run. A stopping host refuses requests that it does not expect to answer in time. Test: TestPlannedStopAnswersRequestsAtWork failed before (EOF for the request sent before the stop and for the one sent during it) and passes; TestStopBy.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -58,7 +58,9 @@
 	balancers    map[*scheme.Route]*roundRobin
 	tracker      *reach.Tracker
 	// peers is nil if requests are never sent through other entry hosts.
-	peers     *reach.Peers
+	peers *reach.Peers
+	// stopAt is when the host exits, or zero.
+	stopAt    time.Time
 	hostCount int
 	hostShare float64
 }
@@ -190,10 +192,21 @@
 // its team's rate.
 func (c *Controller) start(now time.Time, s *RequestState) Decision {
 	s.service = s.balancer.next()
+	if !c.stopAt.IsZero() && now.Add(stopLatencyFactor*c.table.TypicalLatency(s.service)).After(c.stopAt) {
+		return Decision{state: s, reason: NotReady, retryAfter: defaultRetryAfter}
+	}
 	c.retryBudget(s.service).RecordRequest(now)
 	return c.chooseTarget(now, s)
 }
 
+// stopLatencyFactor is the multiple of the typical latency of a service by which a
+// stopping host expects the response to a request.
+const stopLatencyFactor = 2
+
+// StopBy refuses requests that are not expected to be answered by the given time,
+// when the host exits. Another host can answer them.
+func (c *Controller) StopBy(at time.Time) { c.stopAt = at }
+
 // timeout returns the smaller of the request's timeout and the route's.
 func (c *Controller) timeout(r Request, route *scheme.Route) time.Duration {
 	timeout := defaultTimeout
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -142,6 +142,9 @@
 	// stopMargin is how long before the end of the grace period the process
 	// exits.
 	stopMargin = 500 * time.Millisecond
+	// answerTime is how long before that the requests in flight are given up, so
+	// that their callers get an answer.
+	answerTime = 300 * time.Millisecond
 )
 
 // Dialect is the protocol of callers and targets.
@@ -213,16 +216,7 @@
 	c.log.Info("node: entry host stops", "host", c.host)
 	ready.Store(false)
 	client.SetReady(false)
-	peers.refuse()
-	front.Drain()
-	lookupWait := min(lookupExpiryTime, c.gracePeriod/2)
-	c.sleep(lookupWait)
-	handler.Stop()
-	shutdownCtx, cancel := context.WithTimeout(taskCtx, max(c.gracePeriod-lookupWait-stopMargin, stopMargin))
-	defer cancel()
-	if err := errors.Join(front.Shutdown(shutdownCtx), peers.shutdown(shutdownCtx)); err != nil {
-		c.log.Warn("node: requests were aborted at the end of the grace period", "error", err)
-	}
+	c.drain(taskCtx, admission, front, handler, peers)
 	c.closeServers(servers)
 	stop()
 	<-peersDone
@@ -230,6 +224,35 @@
 	return nil
 }
 
+// drain serves the callers that still come, and then finishes the requests in
+// flight. Those that are unanswered shortly before the end of the grace period are
+// answered as ones that may have run.
+func (c HostConfig) drain(
+	ctx context.Context, admission *relay.Admission, front *relay.Front, handler *relay.Handler, peers *peerFront,
+) {
+	lookupWait := min(lookupExpiryTime, c.gracePeriod/2)
+	finishTime := max(c.gracePeriod-lookupWait-stopMargin-answerTime, stopMargin)
+	admission.StopBy(c.clock.Now().Add(lookupWait + finishTime))
+	peers.refuse()
+	front.Drain()
+	c.sleep(lookupWait)
+	handler.Stop()
+	shutdown := func(limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return errors.Join(front.Shutdown(ctx), peers.shutdown(ctx))
+	}
+	if shutdown(finishTime) == nil {
+		return
+	}
+	c.log.Warn("node: requests are given up at the end of the grace period", "host", c.host)
+	handler.End()
+	peers.end()
+	if err := shutdown(answerTime); err != nil {
+		c.log.Warn("node: connections were closed at the end of the grace period", "error", err)
+	}
+}
+
 // newController returns the admission controller of an entry host.
 func (c HostConfig) newController() *admit.Controller {
 	controller := admit.NewController(c.zone, c.region, c.bounds, spread.WithHost(c.host), spread.WithDrainTime(c.drainTime))
--- a/node/peer_front.go
+++ b/node/peer_front.go
@@ -69,6 +69,13 @@
 	}
 }
 
+// end gives up the requests in flight.
+func (p *peerFront) end() {
+	if p != nil {
+		p.handler.End()
+	}
+}
+
 // shutdown returns when all requests have been answered or ctx ends.
 func (p *peerFront) shutdown(ctx context.Context) error {
 	if p == nil {
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -51,6 +51,9 @@
 	DecodeStatement(r *http.Response) spread.Statement
 }
 
+// StopBy refuses requests that are not expected to be answered by the given time.
+func (a *Admission) StopBy(at time.Time) { a.ref.Tell(stopBy{at: at}) }
+
 // SetPeers replaces the entry hosts through which requests are sent while targets
 // are out of reach.
 func (a *Admission) SetPeers(list []reach.Peer) { a.ref.Tell(setPeers{peers: list}) }
@@ -159,6 +162,7 @@
 		decision admit.Decision
 		reply    tasks.Reply[admit.Decision]
 	}
+	stopBy     struct{ at time.Time }
 	setPeers   struct{ peers []reach.Peer }
 	peerResult struct {
 		peer    reach.Peer
@@ -262,6 +266,8 @@
 		t.controller.TokenDenied(now, m.team)
 	case observeRTT:
 		t.controller.Table().ObserveRTT(m.region, m.rtt)
+	case stopBy:
+		t.controller.StopBy(m.at)
 	case setPeers:
 		t.controller.SetPeers(m.peers)
 	case peerResult:
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -62,6 +62,9 @@
 	// peers is nil if requests are never sent through other entry hosts.
 	peers   PeerCodec
 	stopped atomic.Bool
+	// ending ends when the attempts in flight are to be given up.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // HandlerOption sets an optional property of a handler.
@@ -79,7 +82,11 @@
 	admission *Admission, pool *link.Pool, dialect Dialect, tokens TokenSource, c clock.Clock, log *slog.Logger, m Meter,
 	options ...HandlerOption,
 ) *Handler {
-	h := &Handler{admission: admission, pool: pool, dialect: dialect, tokens: tokens, clock: c, log: log, meter: m}
+	ending, end := context.WithCancel(context.Background())
+	h := &Handler{
+		admission: admission, pool: pool, dialect: dialect, tokens: tokens, clock: c, log: log, meter: m,
+		ending: ending, end: end,
+	}
 	for _, apply := range options {
 		apply(h)
 	}
@@ -93,6 +100,10 @@
 // about to close.
 func (h *Handler) Stop() { h.stopped.Store(true) }
 
+// End gives up all attempts in flight. Their requests are answered as ones that may
+// have run, so that no caller is left without an answer when the process exits.
+func (h *Handler) End() { h.end() }
+
 // IsRetryable implements FrontHandler. It counts the requests for which it
 // returns true, since they are handled early.
 func (h *Handler) IsRetryable(r *http.Request) bool {
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -68,6 +68,7 @@
 	}
 	ctx, cancel := context.WithDeadline(rh.incoming.Context(), d.State().Deadline())
 	defer cancel()
+	defer context.AfterFunc(rh.handler.ending, cancel)()
 	rh.ctx = ctx
 	for {
 		next, done := rh.attempt(d)
@@ -291,6 +292,10 @@
 
 // retry asks the admission controller for another attempt.
 func (rh *requestHandler) retry(d admit.Decision, after attemptEnd) admit.Decision {
+	if rh.ctx.Err() != nil {
+		// Its deadline has passed, or the host is about to exit.
+		return d.WithRefusal(admit.OutOfTime)
+	}
 	// The rest of a long body is read while it is sent, so it can be sent once.
 	if rh.longBody && after == afterFailure || rh.incoming.Context().Err() != nil {
 		return d.WithRefusal(admit.NoAttempts)
--- a/spread/table.go
+++ b/spread/table.go
@@ -161,6 +161,12 @@
 // Targets returns the number of targets of a service.
 func (t *Table) Targets(service ident.Service) int { return len(t.services[service]) }
 
+// TypicalLatency returns the moving average of the latency of a service, or 0 if no
+// target has responded yet.
+func (t *Table) TypicalLatency(service ident.Service) time.Duration {
+	return time.Duration(t.typicalLatency[service] * float64(time.Second))
+}
+
 // HasUnreachable reports whether a target of a service gets no requests now
 // because no connection to it could be opened.
 func (t *Table) HasUnreachable(now time.Time, service ident.Service) bool {
@@ -252,7 +258,7 @@
 // queueTime estimates the time until the queue of a full target gets shorter by
 // one request.
 func (t *Table) queueTime(list []candidate) time.Duration {
-	return max(fullPause, time.Duration(t.typicalLatency[list[0].state.service]*float64(time.Second)))
+	return max(fullPause, t.TypicalLatency(list[0].state.service))
 }
 
 // retryAfter returns the time until the first of the targets may take another
@@ -331,7 +337,7 @@
 }
 
 func (t *Table) isSilent(now time.Time, s *targetState) bool {
-	silence := max(minSilence, time.Duration(silenceFactor*t.typicalLatency[s.service]*float64(time.Second)))
+	silence := max(minSilence, silenceFactor*t.TypicalLatency(s.service))
 	return s.isSilent(now, silence)
 }
 
