Let doubts about the reach of targets expire, and given up attempts say nothing of a peer

Cause: after a broken connection of a service without further traffic, checks whether probes are due went on for good, ten a second; and an attempt through another entry host that the caller gave up counted as one with which that host had helped, which ended its suspension. Found by reading. Change: a doubt lasts 10 s, and such an attempt changes nothing. Test: TestProbes and TestChoosePeer have a case each.

--- a/admit/peer.go
+++ b/admit/peer.go
@@ -65,9 +65,9 @@
 
 // RecordPeer records the end of an attempt through a peer that began at the given
 // time, and whether the peer could help.
-func (c *Controller) RecordPeer(now time.Time, peer reach.Peer, service ident.Service, began time.Time, helped bool) {
+func (c *Controller) RecordPeer(now time.Time, peer reach.Peer, service ident.Service, began time.Time, help reach.Help) {
 	if c.peers != nil {
-		c.peers.Record(now, peer, service, began, helped)
+		c.peers.Record(now, peer, service, began, help)
 	}
 }
 
--- a/admit/peer_test.go
+++ b/admit/peer_test.go
@@ -79,7 +79,7 @@
 		if left := d.State().Terms().Attempts(); left != 3 {
 			t.Errorf("%d attempts are left, want 3", left)
 		}
-		controller.RecordPeer(start, peer, "s", start, false)
+		controller.RecordPeer(start, peer, "s", start, reach.NotHelped)
 		d = controller.RetryPeer(start, d.State())
 	}
 	if reason, _ := d.Refused(); reason != NoTarget || len(asked) != 2 || d.RetryAfter() <= 0 {
--- a/admit/reach.go
+++ b/admit/reach.go
@@ -18,7 +18,7 @@
 		return c.contacted(now, target.Service())
 	case spread.Lost:
 		if !newConnection {
-			c.tracker.ConnectionLost(target.Service())
+			c.tracker.ConnectionLost(now, target.Service())
 			return nil
 		}
 		return c.failed(now, target)
@@ -65,7 +65,7 @@
 func (p Probe) Path() string { return p.path }
 
 // IsReachDoubtful reports whether probes may be due soon.
-func (c *Controller) IsReachDoubtful() bool { return c.tracker.IsDoubtful() }
+func (c *Controller) IsReachDoubtful(now time.Time) bool { return c.tracker.IsDoubtful(now) }
 
 // TakeProbes returns the probes that are due. Each of them must be passed to
 // RecordProbe when it ends.
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -60,6 +60,18 @@
 	return now.Sub(s.suspendedAt[service]) < min(minSuspension<<min(n-1, 8), maxSuspension)
 }
 
+// Help tells whether a peer could help with a request.
+type Help uint8
+
+const (
+	// HelpUnknown means that the attempt ended for reasons of its own.
+	HelpUnknown Help = iota
+	// Helped means that the peer reaches targets.
+	Helped
+	// NotHelped means that the peer did not respond or reaches no target.
+	NotHelped
+)
+
 // Peers chooses the entry hosts through which requests are sent. It is not safe
 // for concurrent use.
 type Peers struct {
@@ -126,18 +138,17 @@
 // Record records the end of an attempt through a peer that began at the given
 // time, and whether the peer could help with requests of the service. That it
 // could not does not count if it has helped with another request since.
-func (p *Peers) Record(now time.Time, peer Peer, service ident.Service, began time.Time, helped bool) {
+func (p *Peers) Record(now time.Time, peer Peer, service ident.Service, began time.Time, help Help) {
 	s, ok := p.states[peer.address]
 	if !ok {
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
-	if helped {
+	switch {
+	case help == Helped:
 		s.helpedAt = now
 		delete(s.failures, service)
-		return
-	}
-	if !s.isSuspended(now, service) && !s.helpedAt.After(began) {
+	case help == NotHelped && !s.isSuspended(now, service) && !s.helpedAt.After(began):
 		s.failures[service]++
 		s.suspendedAt[service] = now
 	}
--- a/reach/peers_test.go
+++ b/reach/peers_test.go
@@ -43,19 +43,23 @@
 			}
 		}, "far"},
 		{"another region if the own one cannot help", 2, 1, anyRegion, func(p *Peers) {
-			p.Record(start, NewPeer("n0:1", "near"), "s", start, false)
-			p.Record(start, NewPeer("n1:1", "near"), "s", start, false)
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, NotHelped)
+			p.Record(start, NewPeer("n1:1", "near"), "s", start, NotHelped)
 		}, "far"},
 		{"could not help with another service", 1, 1, anyRegion, func(p *Peers) {
-			p.Record(start, NewPeer("n0:1", "near"), "u", start, false)
+			p.Record(start, NewPeer("n0:1", "near"), "u", start, NotHelped)
 		}, "near"},
 		{"helped since", 1, 1, anyRegion, func(p *Peers) {
-			p.Record(start, NewPeer("n0:1", "near"), "s", start, false)
-			p.Record(start, NewPeer("n0:1", "near"), "s", start, true)
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, NotHelped)
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, Helped)
 		}, "near"},
+		{"attempt given up after it could not help", 1, 1, anyRegion, func(p *Peers) {
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, NotHelped)
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, HelpUnknown)
+		}, "far"},
 		{"helped with a request that began later", 1, 1, anyRegion, func(p *Peers) {
-			p.Record(start.Add(time.Second), NewPeer("n0:1", "near"), "s", start.Add(time.Second), true)
-			p.Record(start.Add(2*time.Second), NewPeer("n0:1", "near"), "s", start, false)
+			p.Record(start.Add(time.Second), NewPeer("n0:1", "near"), "s", start.Add(time.Second), Helped)
+			p.Record(start.Add(2*time.Second), NewPeer("n0:1", "near"), "s", start, NotHelped)
 		}, "near"},
 	}
 	for _, c := range cases {
@@ -102,11 +106,13 @@
 		if !ok {
 			t.Fatal("no peer is left")
 		}
-		helps := peer.Address() == "n7:1" || peer.Address() == "n20:1"
-		if !helps {
+		help := NotHelped
+		if peer.Address() == "n7:1" || peer.Address() == "n20:1" {
+			help = Helped
+		} else {
 			asked++
 		}
-		p.Record(now, peer, "s", now, helps)
+		p.Record(now, peer, "s", now, help)
 	}
 	// Each of the 38 others is asked once, and again after 1 s and 3 s.
 	if asked > 3*38 {
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -31,8 +31,9 @@
 	// failed holds the targets that were tried in vain since then, with the time
 	// of the last failure.
 	failed map[ident.Target]time.Time
-	// suspected is set if a connection broke since the last sign of life.
-	suspected bool
+	// suspectedAt is when a target was last tried in vain or a connection broke
+	// since then, or zero.
+	suspectedAt time.Time
 	// cutOffAt is when the targets got out of reach, or zero.
 	cutOffAt time.Time
 	probedAt time.Time
@@ -40,8 +41,11 @@
 
 func (e *evidence) isCutOff() bool { return !e.cutOffAt.IsZero() }
 
-// isDoubtful reports whether something failed since the last sign of life.
-func (e *evidence) isDoubtful() bool { return e.isCutOff() || e.suspected || len(e.failed) > 0 }
+// isDoubtful reports whether something failed a short time ago and since the last
+// sign of life, or the targets are out of reach.
+func (e *evidence) isDoubtful(now time.Time) bool {
+	return e.isCutOff() || !e.suspectedAt.IsZero() && now.Sub(e.suspectedAt) < failureSpan
+}
 
 // fail records a failure at one of the given number of targets. It
 // returns true if the targets are out of reach from now on.
@@ -49,7 +53,7 @@
 	if e.failed == nil {
 		e.failed = map[ident.Target]time.Time{}
 	}
-	e.failed[target] = now
+	e.failed[target], e.suspectedAt = now, now
 	maps.DeleteFunc(e.failed, func(_ ident.Target, at time.Time) bool { return now.Sub(at) > failureSpan })
 	if e.isCutOff() || len(e.failed) < min(minFailedTargets, targets) {
 		return false
@@ -65,7 +69,7 @@
 	if e.isCutOff() {
 		lasted = now.Sub(e.cutOffAt)
 	}
-	e.contactAt, e.failed, e.suspected, e.cutOffAt = now, nil, false, time.Time{}
+	e.contactAt, e.failed, e.suspectedAt, e.cutOffAt = now, nil, time.Time{}, time.Time{}
 	return lasted
 }
 
@@ -131,7 +135,9 @@
 
 // ConnectionLost records that a connection that had been open before broke. That
 // alone does not show that the targets cannot be reached, but is a reason to probe.
-func (t *Tracker) ConnectionLost(service ident.Service) { t.service(service).suspected = true }
+func (t *Tracker) ConnectionLost(now time.Time, service ident.Service) {
+	t.service(service).suspectedAt = now
+}
 
 // Contacted records a sign of life of a target: a response. An open connection
 // is none, because something on the path may have accepted it.
@@ -151,9 +157,9 @@
 
 // IsDoubtful reports whether there are services whose targets should be probed,
 // now or later.
-func (t *Tracker) IsDoubtful() bool {
+func (t *Tracker) IsDoubtful(now time.Time) bool {
 	for _, e := range t.services {
-		if e.isDoubtful() {
+		if e.isDoubtful(now) {
 			return true
 		}
 	}
@@ -166,7 +172,7 @@
 	var due []ident.Service
 	quiet := now.Sub(t.all.contactAt) >= quietTime
 	for name, e := range t.services {
-		if (e.isCutOff() || quiet && e.isDoubtful()) && now.Sub(e.probedAt) >= ProbeInterval {
+		if (e.isCutOff() || quiet && e.isDoubtful(now)) && now.Sub(e.probedAt) >= ProbeInterval {
 			e.probedAt = now
 			due = append(due, name)
 		}
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -113,8 +113,11 @@
 		}, 400 * ms, nil},
 		{"connection breaks and nothing follows", func(k *Tracker) {
 			k.Contacted(start, "s")
-			k.ConnectionLost("s")
+			k.ConnectionLost(start, "s")
 		}, 400 * ms, []ident.Service{"s"}},
+		{"connection broke long ago", func(k *Tracker) {
+			k.ConnectionLost(start, "s")
+		}, time.Minute, nil},
 		{"probed a short time ago", func(k *Tracker) {
 			k.Failed(start, "s", "s1", 1)
 			k.TakeProbes(start.Add(300 * ms))
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -168,7 +168,7 @@
 		peer    reach.Peer
 		service ident.Service
 		began   time.Time
-		helped  bool
+		help    reach.Help
 		// target is the process that responded, if it said that it is leaving.
 		leaving ident.Option[ForwardedTarget]
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -122,10 +122,12 @@
 // recordPeerResult reports the result of an attempt through another entry host to
 // the admission controller.
 func (rh *requestHandler) recordPeerResult(d admit.Decision, peer reach.Peer, result spread.Result, response Response) {
-	m := peerResult{peer: peer, service: d.State().Service(), began: rh.peerSince, helped: true}
+	m := peerResult{peer: peer, service: d.State().Service(), began: rh.peerSince, help: reach.Helped}
 	switch result {
+	case spread.Abandoned:
+		m.help = reach.HelpUnknown
 	case spread.Unreachable, spread.Lost, spread.Silent:
-		m.helped = false
+		m.help = reach.NotHelped
 	}
 	if stated, ok := response.stated(result).Get(); ok && stated.IsLeaving() {
 		m.leaving = response.target
