--- a/admit/peer.go
+++ b/admit/peer.go
@@ -50,8 +50,8 @@
 	return Decision{state: s, peer: ident.Some(peer)}, true
 }
 
-// RetryPeer decides what happens to a request after an entry host could not help
-// with it. Nothing was sent to a target.
+// RetryPeer decides what happens to a request after a peer was unavailable for it.
+// Nothing was sent to a target.
 func (c *Controller) RetryPeer(now time.Time, s *RequestState) Decision {
 	s.attempts = s.attemptsBefore
 	if s.deadline.Sub(now) < minAttemptTime {
@@ -63,11 +63,11 @@
 	return Decision{state: s, reason: NoTarget, retryAfter: reach.ProbeInterval}
 }
 
-// RecordPeer records the end of an attempt through a peer that began at the given
-// time, and whether the peer could help.
-func (c *Controller) RecordPeer(now time.Time, peer reach.Peer, service ident.Service, began time.Time, help reach.Help) {
+// RecordPeer records the result of an attempt through a peer that began at the
+// given time.
+func (c *Controller) RecordPeer(now time.Time, peer reach.Peer, service ident.Service, began time.Time, result reach.PeerResult) {
 	if c.peers != nil {
-		c.peers.Record(now, peer, service, began, help)
+		c.peers.Record(now, peer, service, began, result)
 	}
 }
 
--- a/admit/peer_test.go
+++ b/admit/peer_test.go
@@ -64,7 +64,7 @@
 }
 
 // TestPeersInTurn guards against requests that are refused although another peer
-// could help, and against a search without end.
+// is available, and against a search without end.
 func TestPeersInTurn(t *testing.T) {
 	controller := newPeerController(t)
 	controller.cutOff("s")
@@ -79,7 +79,7 @@
 		if left := d.State().Terms().Attempts(); left != 3 {
 			t.Errorf("%d attempts are left, want 3", left)
 		}
-		controller.RecordPeer(start, peer, "s", start, reach.NotHelped)
+		controller.RecordPeer(start, peer, "s", start, reach.Unavailable)
 		d = controller.RetryPeer(start, d.State())
 	}
 	if reason, _ := d.Refused(); reason != NoTarget || len(asked) != 2 || d.RetryAfter() <= 0 {
--- a/admit/reach.go
+++ b/admit/reach.go
@@ -64,8 +64,8 @@
 // Path returns the path of the health check.
 func (p Probe) Path() string { return p.path }
 
-// IsReachDoubtful reports whether probes may be due soon.
-func (c *Controller) IsReachDoubtful(now time.Time) bool { return c.tracker.IsDoubtful(now) }
+// NeedsProbes reports whether probes may be due soon.
+func (c *Controller) NeedsProbes(now time.Time) bool { return c.tracker.IsSuspicious(now) }
 
 // TakeProbes returns the probes that are due. Each of them must be passed to
 // RecordProbe when it ends.
--- a/reach/peers.go
+++ b/reach/peers.go
@@ -18,8 +18,8 @@
 	// otherRegionPenalty is by how many forwarded requests in flight a host of
 	// the own region must be busier for one of another region to be chosen.
 	otherRegionPenalty = 8
-	// minSuspension and maxSuspension bound how long a host that could not help
-	// is not asked again. The time doubles with each consecutive failure.
+	// minSuspension and maxSuspension bound how long a host that was unavailable
+	// is not used again. The time doubles with each consecutive failure.
 	minSuspension = time.Second
 	maxSuspension = 8 * time.Second
 )
@@ -47,7 +47,7 @@
 	// rank differs between hosts, so that they use different peers.
 	rank        uint64
 	inFlight    int
-	helpedAt    time.Time
+	availableAt time.Time
 	failures    map[ident.Service]int
 	suspendedAt map[ident.Service]time.Time
 }
@@ -60,16 +60,16 @@
 	return now.Sub(s.suspendedAt[service]) < min(minSuspension<<min(n-1, 8), maxSuspension)
 }
 
-// Help tells whether a peer could help with a request.
-type Help uint8
+// PeerResult tells what an attempt through a peer says of it.
+type PeerResult uint8
 
 const (
-	// HelpUnknown means that the attempt ended for reasons of its own.
-	HelpUnknown Help = iota
-	// Helped means that the peer reaches targets.
-	Helped
-	// NotHelped means that the peer did not respond or reaches no target.
-	NotHelped
+	// Inconclusive means that the attempt was cancelled.
+	Inconclusive PeerResult = iota
+	// Available means that the peer reaches targets.
+	Available
+	// Unavailable means that the peer did not respond or reaches no target.
+	Unavailable
 )
 
 // Peers chooses the entry hosts through which requests are sent. It is not safe
@@ -135,20 +135,20 @@
 	return best.Peer, true
 }
 
-// Record records the end of an attempt through a peer that began at the given
-// time, and whether the peer could help with requests of the service. That it
-// could not does not count if it has helped with another request since.
-func (p *Peers) Record(now time.Time, peer Peer, service ident.Service, began time.Time, help Help) {
+// Record records the result of an attempt through a peer that began at the given
+// time. A peer that was unavailable is suspended for the service, unless it was
+// available for another request since.
+func (p *Peers) Record(now time.Time, peer Peer, service ident.Service, began time.Time, result PeerResult) {
 	s, ok := p.states[peer.address]
 	if !ok {
 		return
 	}
 	s.inFlight = max(0, s.inFlight-1)
 	switch {
-	case help == Helped:
-		s.helpedAt = now
+	case result == Available:
+		s.availableAt = now
 		delete(s.failures, service)
-	case help == NotHelped && !s.isSuspended(now, service) && !s.helpedAt.After(began):
+	case result == Unavailable && !s.isSuspended(now, service) && !s.availableAt.After(began):
 		s.failures[service]++
 		s.suspendedAt[service] = now
 	}
--- a/reach/peers_test.go
+++ b/reach/peers_test.go
@@ -24,7 +24,7 @@
 }
 
 // TestChoosePeer guards against requests that leave the regions in which they may
-// run, and against peers that are asked although they could not help.
+// run, and against peers that are used although they were unavailable a short time ago.
 func TestChoosePeer(t *testing.T) {
 	cases := []struct {
 		name      string
@@ -42,24 +42,24 @@
 				p.Choose(start, "s", anyRegion, []string{"f0:1"})
 			}
 		}, "far"},
-		{"another region if the own one cannot help", 2, 1, anyRegion, func(p *Peers) {
-			p.Record(start, NewPeer("n0:1", "near"), "s", start, NotHelped)
-			p.Record(start, NewPeer("n1:1", "near"), "s", start, NotHelped)
+		{"another region if the own one is unavailable", 2, 1, anyRegion, func(p *Peers) {
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, Unavailable)
+			p.Record(start, NewPeer("n1:1", "near"), "s", start, Unavailable)
 		}, "far"},
-		{"could not help with another service", 1, 1, anyRegion, func(p *Peers) {
-			p.Record(start, NewPeer("n0:1", "near"), "u", start, NotHelped)
+		{"unavailable for another service", 1, 1, anyRegion, func(p *Peers) {
+			p.Record(start, NewPeer("n0:1", "near"), "u", start, Unavailable)
 		}, "near"},
-		{"helped since", 1, 1, anyRegion, func(p *Peers) {
-			p.Record(start, NewPeer("n0:1", "near"), "s", start, NotHelped)
-			p.Record(start, NewPeer("n0:1", "near"), "s", start, Helped)
+		{"available since", 1, 1, anyRegion, func(p *Peers) {
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, Unavailable)
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, Available)
 		}, "near"},
-		{"attempt given up after it could not help", 1, 1, anyRegion, func(p *Peers) {
-			p.Record(start, NewPeer("n0:1", "near"), "s", start, NotHelped)
-			p.Record(start, NewPeer("n0:1", "near"), "s", start, HelpUnknown)
+		{"attempt cancelled while it is unavailable", 1, 1, anyRegion, func(p *Peers) {
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, Unavailable)
+			p.Record(start, NewPeer("n0:1", "near"), "s", start, Inconclusive)
 		}, "far"},
-		{"helped with a request that began later", 1, 1, anyRegion, func(p *Peers) {
-			p.Record(start.Add(time.Second), NewPeer("n0:1", "near"), "s", start.Add(time.Second), Helped)
-			p.Record(start.Add(2*time.Second), NewPeer("n0:1", "near"), "s", start, NotHelped)
+		{"available for a request that began later", 1, 1, anyRegion, func(p *Peers) {
+			p.Record(start.Add(time.Second), NewPeer("n0:1", "near"), "s", start.Add(time.Second), Available)
+			p.Record(start.Add(2*time.Second), NewPeer("n0:1", "near"), "s", start, Unavailable)
 		}, "near"},
 	}
 	for _, c := range cases {
@@ -95,9 +95,9 @@
 	}
 }
 
-// TestFewPeersCanHelp guards against requests that are lost in the search for the
+// TestFewAvailablePeers guards against requests that are lost in the search for the
 // few peers that reach the targets.
-func TestFewPeersCanHelp(t *testing.T) {
+func TestFewAvailablePeers(t *testing.T) {
 	p := newTestPeers("h", 40, 0)
 	now, asked := start, 0
 	for range 200 {
@@ -106,16 +106,16 @@
 		if !ok {
 			t.Fatal("no peer is left")
 		}
-		help := NotHelped
+		result := Unavailable
 		if peer.Address() == "n7:1" || peer.Address() == "n20:1" {
-			help = Helped
+			result = Available
 		} else {
 			asked++
 		}
-		p.Record(now, peer, "s", now, help)
+		p.Record(now, peer, "s", now, result)
 	}
 	// Each of the 38 others is asked once, and again after 1 s and 3 s.
 	if asked > 3*38 {
-		t.Errorf("%d of 200 requests were sent to peers that cannot help", asked)
+		t.Errorf("%d of 200 requests were sent to unavailable peers", asked)
 	}
 }
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -9,16 +9,16 @@
 )
 
 const (
-	// minFailedTargets is the number of targets that must fail, without a sign
-	// of life of any other, before they count as out of reach. Fewer are more
+	// minFailedTargets is the number of targets that must fail, without a
+	// response of any other, before they count as out of reach. Fewer are more
 	// likely to have failed themselves.
 	minFailedTargets = 3
 	// failureSpan is how long a failure counts. It covers the longest time that
 	// callers usually wait for a response.
 	failureSpan = 10 * time.Second
-	// quietTime is how long no target of any service must have given a sign of
-	// life before a failure leads to probes. Beside traffic to other targets, a
-	// failure is that of one target.
+	// quietTime is how long no target of any service must have responded before
+	// a failure leads to probes. Beside traffic to other targets, a failure is
+	// that of one target.
 	quietTime = 300 * time.Millisecond
 	// ProbeInterval is the interval between two rounds of probes of a service.
 	ProbeInterval = 400 * time.Millisecond
@@ -26,13 +26,13 @@
 
 // evidence is what is known of the targets of a service, or of all targets.
 type evidence struct {
-	// contactAt is the last sign of life.
+	// contactAt is when a target last responded.
 	contactAt time.Time
-	// failed holds the targets that were tried in vain since then, with the time
-	// of the last failure.
+	// failed holds the targets at which an attempt failed since then, with the
+	// time of the last failure.
 	failed map[ident.Target]time.Time
-	// suspectedAt is when a target was last tried in vain or a connection broke
-	// since then, or zero.
+	// suspectedAt is when an attempt last failed, or a connection broke, since
+	// then, or zero.
 	suspectedAt time.Time
 	// cutOffAt is when the targets got out of reach, or zero.
 	cutOffAt time.Time
@@ -41,9 +41,9 @@
 
 func (e *evidence) isCutOff() bool { return !e.cutOffAt.IsZero() }
 
-// isDoubtful reports whether something failed a short time ago and since the last
-// sign of life, or the targets are out of reach.
-func (e *evidence) isDoubtful(now time.Time) bool {
+// isSuspected reports whether something failed a short time ago and since the last
+// response, or the targets are out of reach.
+func (e *evidence) isSuspected(now time.Time) bool {
 	return e.isCutOff() || !e.suspectedAt.IsZero() && now.Sub(e.suspectedAt) < failureSpan
 }
 
@@ -62,7 +62,7 @@
 	return true
 }
 
-// contact records a sign of life. It returns for how long the targets were out
+// contact records a response. It returns for how long the targets were out
 // of reach, or 0.
 func (e *evidence) contact(now time.Time) time.Duration {
 	var lasted time.Duration
@@ -88,7 +88,7 @@
 // IsCutOff reports whether the targets got out of reach.
 func (c Change) IsCutOff() bool { return c.cutOff }
 
-// Failed returns the number of targets that gave no sign of life when tried.
+// Failed returns the number of targets at which attempts failed.
 func (c Change) Failed() int { return c.failed }
 
 // Lasted returns how long the targets were out of reach.
@@ -139,8 +139,8 @@
 	t.service(service).suspectedAt = now
 }
 
-// Contacted records a sign of life of a target: a response. An open connection
-// is none, because something on the path may have accepted it.
+// Contacted records a response of a target. An open connection does not show that
+// a target can be reached, because something on the path may have accepted it.
 func (t *Tracker) Contacted(now time.Time, service ident.Service) []Change {
 	var changes []Change
 	if lasted := t.service(service).contact(now); lasted > 0 {
@@ -155,11 +155,11 @@
 // Forget drops the evidence on a service that has no targets to probe.
 func (t *Tracker) Forget(service ident.Service) { delete(t.services, service) }
 
-// IsDoubtful reports whether there are services whose targets should be probed,
-// now or later.
-func (t *Tracker) IsDoubtful(now time.Time) bool {
+// IsSuspicious reports whether there are services whose targets may have to be
+// probed.
+func (t *Tracker) IsSuspicious(now time.Time) bool {
 	for _, e := range t.services {
-		if e.isDoubtful(now) {
+		if e.isSuspected(now) {
 			return true
 		}
 	}
@@ -172,7 +172,7 @@
 	var due []ident.Service
 	quiet := now.Sub(t.all.contactAt) >= quietTime
 	for name, e := range t.services {
-		if (e.isCutOff() || quiet && e.isDoubtful(now)) && now.Sub(e.probedAt) >= ProbeInterval {
+		if (e.isCutOff() || quiet && e.isSuspected(now)) && now.Sub(e.probedAt) >= ProbeInterval {
 			e.probedAt = now
 			due = append(due, name)
 		}
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -15,7 +15,7 @@
 	at      time.Duration
 	service ident.Service
 	target  ident.Target
-	// contact is set for a sign of life instead of a failure.
+	// contact is set for a response instead of a failure.
 	contact bool
 }
 
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -168,7 +168,7 @@
 		peer    reach.Peer
 		service ident.Service
 		began   time.Time
-		help    reach.Help
+		result  reach.PeerResult
 		// target is the process that responded, if it said that it is leaving.
 		leaving ident.Option[ForwardedTarget]
 	}
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"fmt"
 	"log/slog"
 	"net/http"
 	"time"
@@ -56,9 +55,9 @@
 	return PeerRefusal{outcome: outcome, reason: reason, retryAfter: retryAfter, sends: sends}
 }
 
-// canHelp reports whether the other host reaches targets, so that its refusal is
-// final.
-func (r PeerRefusal) canHelp() bool {
+// isFinal reports whether the refusal holds for the request. Otherwise the other
+// host reaches no target, or is stopping, and another one may handle the request.
+func (r PeerRefusal) isFinal() bool {
 	return r.outcome != NotRun || r.sends > 0 || r.reason != admit.NoTarget && r.reason != admit.NotReady && r.reason != admit.NoRoute
 }
 
@@ -66,7 +65,7 @@
 // caller got a response, or else the next decision.
 func (rh *requestHandler) forward(d admit.Decision, peer reach.Peer) (admit.Decision, bool) {
 	h := rh.handler
-	rh.peerSince = h.clock.Now()
+	rh.forwardedAt = h.clock.Now()
 	conn, err := h.pool.Get(rh.ctx, peer.Address())
 	if err != nil {
 		result := spread.Unreachable
@@ -98,7 +97,7 @@
 // handlePeerRefusal handles a refusal of the other entry host.
 func (rh *requestHandler) handlePeerRefusal(d admit.Decision, exchange *link.Exchange, r PeerRefusal) (admit.Decision, bool) {
 	exchange.Discard()
-	if r.canHelp() {
+	if r.isFinal() {
 		rh.recordResult(d, spread.Full, Response{})
 		rh.mayHaveRun = rh.mayHaveRun || r.outcome != NotRun
 		rh.logFailedAttempt(d, spread.Full, nil, slog.String("reason", string(r.reason)), slog.String("run", r.outcome.String()))
@@ -122,12 +121,12 @@
 // recordPeerResult reports the result of an attempt through another entry host to
 // the admission controller.
 func (rh *requestHandler) recordPeerResult(d admit.Decision, peer reach.Peer, result spread.Result, response Response) {
-	m := peerResult{peer: peer, service: d.State().Service(), began: rh.peerSince, help: reach.Helped}
+	m := peerResult{peer: peer, service: d.State().Service(), began: rh.forwardedAt, result: reach.Available}
 	switch result {
 	case spread.Abandoned:
-		m.help = reach.HelpUnknown
+		m.result = reach.Inconclusive
 	case spread.Unreachable, spread.Lost, spread.Silent:
-		m.help = reach.NotHelped
+		m.result = reach.Unavailable
 	}
 	if stated, ok := response.stated(result).Get(); ok && stated.IsLeaving() {
 		m.leaving = response.target
@@ -139,7 +138,7 @@
 // sent.
 func peerAttr(d admit.Decision) slog.Attr {
 	if peer, ok := d.Peer().Get(); ok {
-		return slog.String("peer", fmt.Sprint(peer.Address()))
+		return slog.String("peer", peer.Address())
 	}
 	return slog.Attr{}
 }
--- a/relay/probing.go
+++ b/relay/probing.go
@@ -19,8 +19,8 @@
 )
 
 // applyReach logs services that got out of reach or within reach again, and makes
-// sure that probes are sent while there is doubt. A line without a service concerns
-// all of them.
+// sure that probes are sent while a service is suspected to be out of reach. A line
+// without a service concerns all of them.
 func (t *admissionTask) applyReach(changes []reach.Change) {
 	for _, c := range changes {
 		if c.IsCutOff() {
@@ -29,7 +29,7 @@
 		}
 		t.log.Info("relay: targets are within reach again", "service", c.Service(), "after-ms", millis(c.Lasted()))
 	}
-	if !t.probesScheduled && t.controller.IsReachDoubtful(t.clock.Now()) {
+	if !t.probesScheduled && t.controller.NeedsProbes(t.clock.Now()) {
 		t.probesScheduled = true
 		tasks.After(t.ctx, t.clock, probeDelay, t.self, probesDue{})
 	}
@@ -68,7 +68,7 @@
 
 // recordPeer applies the result of an attempt through another entry host.
 func (t *admissionTask) recordPeer(now time.Time, m peerResult) {
-	t.controller.RecordPeer(now, m.peer, m.service, m.began, m.help)
+	t.controller.RecordPeer(now, m.peer, m.service, m.began, m.result)
 	if target, ok := m.leaving.Get(); ok && t.controller.Table().ObserveLeaving(now, target.id, target.startedAt) {
 		t.log.Info("relay: statement of a target", "target", target.id, "change", "leaving", "peer", m.peer.Address())
 	}
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -30,8 +30,8 @@
 	longBody bool
 	// newConnection is set if the last attempt opened a connection, or tried to.
 	newConnection bool
-	// peerSince is when the last attempt through another entry host began.
-	peerSince time.Time
+	// forwardedAt is when the last attempt through another entry host began.
+	forwardedAt time.Time
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	// response is the last complete response, if any.
@@ -292,14 +292,14 @@
 
 // retry asks the admission controller for another attempt.
 func (rh *requestHandler) retry(d admit.Decision, after attemptEnd) admit.Decision {
-	if rh.ctx.Err() != nil {
-		// Its deadline has passed, or the host is about to exit.
-		return d.WithRefusal(admit.OutOfTime)
-	}
 	// The rest of a long body is read while it is sent, so it can be sent once.
 	if rh.longBody && after == afterFailure || rh.incoming.Context().Err() != nil {
 		return d.WithRefusal(admit.NoAttempts)
 	}
+	if rh.ctx.Err() != nil {
+		// The deadline has passed, or the host is about to exit.
+		return d.WithRefusal(admit.OutOfTime)
+	}
 	// The admission task replies at once, even if the request's context has
 	// ended.
 	ctx := context.WithoutCancel(rh.incoming.Context())
