Keep requests from other hosts while new connections to the targets succeed

Cause: full targets reset new connections; after two of them a request went to another host, which could not serve it either. Change: a failure to connect leads to another host only if no new connection to the service has brought a response for a second, or if the service is out of reach.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -278,7 +278,7 @@
 	if s.isForwarded && c.tracker.IsCutOff(s.service) {
 		return Decision{state: s, reason: NoTarget, retryAfter: reach.ProbeInterval}
 	}
-	if c.needsPeer(s) {
+	if c.needsPeer(now, s) {
 		if d, ok := c.choosePeer(now, s); ok {
 			return d
 		}
@@ -293,7 +293,7 @@
 		reason := NoRoom
 		if choice.Reason() == spread.NoTarget {
 			reason = NoTarget
-			if c.table.HasUnreachable(now, s.service) {
+			if c.canOnlyUsePeer(now, s) {
 				if d, ok := c.choosePeer(now, s); ok {
 					return d
 				}
--- a/admit/peer.go
+++ b/admit/peer.go
@@ -31,8 +31,15 @@
 // needsPeer reports whether a request should not be tried from this host. A
 // request that another host has sent here is not sent on, so that none goes
 // around in circles.
-func (c *Controller) needsPeer(s *RequestState) bool {
-	return !s.isForwarded && (c.tracker.IsCutOff(s.service) || s.unreachable >= maxUnreachable)
+func (c *Controller) needsPeer(now time.Time, s *RequestState) bool {
+	return !s.isForwarded && (c.tracker.IsCutOff(s.service) ||
+		s.unreachable >= maxUnreachable && !c.tracker.CanConnect(now, s.service))
+}
+
+// canOnlyUsePeer reports whether no target is left for a request because of failures
+// to connect, which are not those of single targets.
+func (c *Controller) canOnlyUsePeer(now time.Time, s *RequestState) bool {
+	return c.table.HasUnreachable(now, s.service) && !c.tracker.CanConnect(now, s.service)
 }
 
 // choosePeer selects the entry host through which a request is sent. It hands
--- a/admit/reach.go
+++ b/admit/reach.go
@@ -15,7 +15,7 @@
 	target := choice.Target()
 	switch result {
 	case spread.Served, spread.Failed, spread.Full, spread.Foreign:
-		return c.contacted(now, target.Service())
+		return c.contacted(now, target.Service(), newConnection)
 	case spread.Lost:
 		if !newConnection {
 			c.tracker.ConnectionLost(now, target.Service())
@@ -32,7 +32,7 @@
 // services that got out of reach or within reach again.
 func (c *Controller) RecordProbe(now time.Time, target spread.Target, responded bool) []reach.Change {
 	if responded {
-		return c.contacted(now, target.Service())
+		return c.contacted(now, target.Service(), true)
 	}
 	return c.failed(now, target)
 }
@@ -43,9 +43,9 @@
 
 // contacted records a response of a target. The targets that were paused while
 // their service was out of reach get requests again.
-func (c *Controller) contacted(now time.Time, service ident.Service) []reach.Change {
+func (c *Controller) contacted(now time.Time, service ident.Service, newConnection bool) []reach.Change {
 	wasCutOff := c.tracker.IsCutOff(service)
-	changes := c.tracker.Contacted(now, service)
+	changes := c.tracker.Contacted(now, service, newConnection)
 	if wasCutOff {
 		c.table.Resume(service)
 	}
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -20,6 +20,9 @@
 	// a failure leads to probes. Beside traffic to other targets, a failure is
 	// that of one target.
 	quietTime = 300 * time.Millisecond
+	// connectSpan is how long a response over a new connection shows that the
+	// targets of a service can be reached.
+	connectSpan = time.Second
 	// ProbeInterval is the interval between two rounds of probes of a service.
 	ProbeInterval = 400 * time.Millisecond
 )
@@ -34,6 +37,8 @@
 	// suspectedAt is when an attempt last failed, or a connection broke, since
 	// then, or zero.
 	suspectedAt time.Time
+	// connectedAt is when a target last responded over a new connection.
+	connectedAt time.Time
 	// cutOffAt is when the targets got out of reach, or zero.
 	cutOffAt time.Time
 	probedAt time.Time
@@ -141,8 +146,11 @@
 
 // Contacted records a response of a target. An open connection does not show that
 // a target can be reached, because something on the path may have accepted it.
-func (t *Tracker) Contacted(now time.Time, service ident.Service) []Change {
+func (t *Tracker) Contacted(now time.Time, service ident.Service, newConnection bool) []Change {
 	var changes []Change
+	if newConnection {
+		t.service(service).connectedAt = now
+	}
 	if lasted := t.service(service).contact(now); lasted > 0 {
 		changes = append(changes, Change{service: service, lasted: lasted})
 	}
@@ -152,6 +160,13 @@
 	return changes
 }
 
+// CanConnect reports whether a target of the service has responded over a new
+// connection a short time ago. Failures to connect are then those of single targets,
+// such as full ones that reset connections.
+func (t *Tracker) CanConnect(now time.Time, service ident.Service) bool {
+	return now.Sub(t.service(service).connectedAt) < connectSpan
+}
+
 // Forget drops the evidence on a service that has no targets to probe.
 func (t *Tracker) Forget(service ident.Service) { delete(t.services, service) }
 
