--- a/relay/admission.go
+++ b/relay/admission.go
@@ -169,7 +169,7 @@
 		service ident.Service
 		began   time.Time
 		result  reach.PeerResult
-		// target is the process that responded, if it said that it is leaving.
+		// leaving is the target that responded, if it said that it is leaving.
 		leaving ident.Option[ForwardedTarget]
 	}
 	// probesDue is sent by the task to itself while probes may be due.
