--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -20,6 +20,7 @@
 // scripts are the scripts by name. Each returns whether its rule held.
 var scripts = map[string]func(f *fleet, isTroubled bool) (bool, error){
 	"crashing-request": crashingRequest,
+	"removed-host":     removedHost,
 }
 
 func main() { os.Exit(run()) }
