Move the review's stand-ins to a folder named platform

TestPlatformNamesElsewhere walks all Go files and failed for review/stand: names of the platform may stand in folders named platform only. The stand-ins speak nothing but these names.

--- a/review/stand/main.go
+++ b/review/platform/main.go
@@ -1,6 +1,6 @@
-// Command stand runs the scripts of the review: it starts the project's programs
-// as processes on loopback addresses, with stand-ins of servers, clients, the
-// operator and the platform's list.
+// Command platform runs the scripts of the review: it starts the project's programs
+// as processes on loopback addresses, with stand-ins of the platform: servers, clients,
+// the operator and the list of servers.
 package main
 
 import (
