--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts. They need the standard library only.
 set -euo pipefail
 cd "$(dirname "$0")"
-GOFLAGS=-mod=mod GOWORK=off go build -o bin/stand ./platform
+GOFLAGS=-buildvcs=false GOWORK=off go build -o bin/stand ./platform
