--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -21,6 +21,7 @@
 var scripts = map[string]func(f *fleet, isTroubled bool) (bool, error){
 	"crashing-request": crashingRequest,
 	"removed-host":     removedHost,
+	"replaced-host":    replacedHost,
 }
 
 func main() { os.Exit(run()) }
