Keep the addresses of restarted test hosts out of the ephemeral ports

Cause: the test takes a port from the kernel's ephemeral range, gives it up, and binds it again when the host starts. An outgoing connection that binds its own address may take the port in between.

Package addrs reserves a network of 127.0.0.0/8 with a port below the ephemeral range for the time of a test; a listener holds the reservation. Certificates of node's fleet name the addresses of their host. In mesh/neighbour_test.go no address is given up, so nothing changes there.

--- a/ctrl/replica_test.go
+++ b/ctrl/replica_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"rhubarbrack/addrs"
 	"rhubarbrack/agree"
 	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
@@ -113,17 +114,28 @@
 	return cluster
 }
 
+// reserveAddresses reserves addresses until the end of the test.
+func reserveAddresses(t testing.TB) *addrs.Block {
+	t.Helper()
+	block, err := addrs.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = block.Release() })
+	return block
+}
+
 // allocate assigns an address and a data directory to each host.
 func (cluster *testCluster) allocate(hosts ...ident.Host) []Peer {
 	cluster.t.Helper()
 	var peers []Peer
+	block := reserveAddresses(cluster.t)
 	for _, h := range hosts {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		address, err := block.Next()
 		if err != nil {
 			cluster.t.Fatal(err)
 		}
-		cluster.addresses[h], cluster.directories[h] = listener.Addr().String(), cluster.t.TempDir()
-		_ = listener.Close()
+		cluster.addresses[h], cluster.directories[h] = address, cluster.t.TempDir()
 		peers = append(peers, NewPeer(h, cluster.addresses[h]))
 	}
 	return peers
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,6 +14,7 @@
 	"testing"
 	"time"
 
+	"rhubarbrack/addrs"
 	"rhubarbrack/clock"
 	"rhubarbrack/tasks"
 )
@@ -195,12 +195,16 @@
 // Guards against requests that fail because one of the hosts is down, and
 // against charging the team for attempts that reached no host.
 func TestExchangeFailover(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	addresses, err := addrs.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = addresses.Release() })
+	// Nobody listens at the address.
+	down, err := addresses.Next()
 	if err != nil {
 		t.Fatal(err)
 	}
-	down := listener.Addr().String()
-	_ = listener.Close()
 	cases := []struct {
 		name       string
 		extraHosts string
--- a/node/fleet_test.go
+++ b/node/fleet_test.go
@@ -15,11 +15,11 @@
 	"path/filepath"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"rhubarbrack/addrs"
 	"rhubarbrack/certs"
 	"rhubarbrack/clock"
 	"rhubarbrack/cmds"
@@ -67,6 +67,7 @@
 type fleet struct {
 	t         *testing.T
 	directory string
+	addresses *addrs.Block
 	system    *tasks.System
 	platform  *stand.Platform
 	targets   []*stand.Target
@@ -121,13 +122,19 @@
 	authority, err := certs.NewAuthority(clock.Wall().Now())
 	f.must(err)
 	f.authority = authority
-	files := f.certificates("client")
+	files := f.certificates("client", nil)
 	f.clientTLS, err = certs.NewClientConfig(files.Authority())
 	f.must(err)
 }
 
-func (f *fleet) certificates(name string) certs.Files {
-	pair, err := f.authority.Issue(ident.Host(name), net.IPv4(127, 0, 0, 1))
+func (f *fleet) certificates(name string, addresses map[string]string) certs.Files {
+	var ips []net.IP
+	for _, a := range addresses {
+		ip, _, err := net.SplitHostPort(a)
+		f.must(err)
+		ips = append(ips, net.ParseIP(ip))
+	}
+	pair, err := f.authority.Issue(ident.Host(name), ips...)
 	f.must(err)
 	files, err := pair.Write(filepath.Join(f.directory, "certificates"), name)
 	f.must(err)
@@ -139,7 +146,7 @@
 	if f.authority == nil {
 		return ""
 	}
-	files := f.certificates(p.name)
+	files := f.certificates(p.name, p.addresses)
 	var b strings.Builder
 	b.WriteString("tls:\n")
 	for _, listener := range []string{"callers", "operators", "peers"} {
@@ -197,25 +204,21 @@
 	f.platform = platform
 }
 
-// portBase is below the ephemeral port range, so that no outgoing connection takes
-// a port between its selection and its use.
-const portBase = 20000
-
-var lastPort atomic.Int64
-
-// freeAddresses returns a free loopback address for each use.
+// freeAddresses returns an address for each use, which no other process uses
+// until the end of the test.
 func (f *fleet) freeAddresses(uses ...string) map[string]string {
+	f.t.Helper()
+	if f.addresses == nil {
+		block, err := addrs.Reserve()
+		f.must(err)
+		f.addresses = block
+		f.t.Cleanup(func() { _ = block.Release() })
+	}
 	out := make(map[string]string)
 	for _, use := range uses {
-		for out[use] == "" {
-			address := fmt.Sprintf("127.0.0.1:%d", portBase+lastPort.Add(1))
-			l, err := net.Listen("tcp", address)
-			if err != nil {
-				continue
-			}
-			f.must(l.Close())
-			out[use] = address
-		}
+		address, err := f.addresses.Next()
+		f.must(err)
+		out[use] = address
 	}
 	return out
 }
