Log the members of the replicated log as each control host knows them

The logs show that the leader removed a member, but not why, nor what the removed host believes; core-4 logs one line, "role changed" to pre-candidate, after its return.

New lines: "ctrl: members changed" on every control host, with voters and learners of its own copy of the log; "mesh: no leader known" after a second without one; "mesh: membership changed" says for how long each member has been silent. New gauge: control-voters.

--- a/agree/members.go
+++ b/agree/members.go
@@ -52,6 +52,9 @@
 // List returns the members in ascending order of hosts.
 func (m Members) List() []Member { return slices.Clone(m.list) }
 
+// Equal reports whether both memberships hold the same members.
+func (m Members) Equal(other Members) bool { return slices.Equal(m.list, other.list) }
+
 // Len returns the number of members.
 func (m Members) Len() int { return len(m.list) }
 
--- a/ctrl/replica_task.go
+++ b/ctrl/replica_task.go
@@ -75,6 +75,7 @@
 	peers            *peerSet
 	reorder          *reorderBuffer
 	applied          ident.Revision
+	members          agree.Members
 	snapshotTrigger  snapshotTrigger
 	nextTag          agree.Tag
 	pendingRequests  map[agree.Tag]tasks.Reply[requestResult]
@@ -108,6 +109,7 @@
 		pendingEntries:  map[ident.Revision]pendingEntry{},
 	}
 	t.applied = t.node.SnapshotRevision()
+	t.logMembers()
 	t.snapshotTrigger = newSnapshotTrigger(t.applied, o)
 	return t
 }
@@ -223,9 +225,29 @@
 	if c, ok := effects.RoleChange().Get(); ok {
 		t.onRoleChange(c)
 	}
+	t.logMembers()
 	t.snapshotIfDue()
 }
 
+// logMembers logs the latest membership in the log of this host if it changed.
+func (t *replicaTask) logMembers() {
+	members := t.node.Members()
+	if members.Equal(t.members) {
+		return
+	}
+	t.members = members
+	var voters, learners []ident.Host
+	for _, m := range members.List() {
+		if m.IsVoter() {
+			voters = append(voters, m.Host())
+		} else {
+			learners = append(learners, m.Host())
+		}
+	}
+	t.options.logger.Info("ctrl: members changed", "host", t.node.Host(), "voters", voters, "learners", learners,
+		"revision", t.node.LastRevision())
+}
+
 func (t *replicaTask) sendResult(tag agree.Tag, result requestResult) {
 	if reply, ok := t.pendingRequests[tag]; ok {
 		delete(t.pendingRequests, tag)
--- a/mesh/membership.go
+++ b/mesh/membership.go
@@ -26,6 +26,7 @@
 // ends: this host requests to join while it is not a voter, and applies
 // membership changes while it leads.
 func (c *Control) MaintainMembership(ctx context.Context) {
+	var absence leaderAbsence
 	for clock.Sleep(ctx, c.clock, membershipInterval) {
 		status, err := c.replica.Status(ctx)
 		if err != nil {
@@ -38,6 +39,7 @@
 			addresses = append(addresses, m.Member().Address())
 			voter = voter || m.Member().Host() == c.host && m.Member().IsVoter()
 		}
+		c.logAbsence(&absence, status, voter)
 		c.ref.Tell(updateMembers{addresses: addresses})
 		if status.Role() == agree.Leader {
 			c.confirmLeadership(ctx)
@@ -110,10 +112,19 @@
 	case err != nil:
 		c.log.Warn("mesh: membership change failed", "change", action, "member", host, "error", err)
 	case action != "":
-		c.log.Info("mesh: membership changed", "change", action, "member", host)
+		c.log.Info("mesh: membership changed", "change", action, "member", host, "silent", silences(c.clock.Now(), status))
 	}
 }
 
+// silences returns how long each member has been silent, by host.
+func silences(now time.Time, status ctrl.Status) map[string]string {
+	list := map[string]string{}
+	for _, m := range status.Members() {
+		list[string(m.Member().Host())] = now.Sub(m.LastContact()).Truncate(time.Millisecond).String()
+	}
+	return list
+}
+
 // applyNextChange returns the change that it attempted and the host concerned,
 // or empty values if no change is due.
 func (c *Control) applyNextChange(
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -18,6 +18,13 @@
 			m.SetGauge("revision-applied", int64(status.AppliedRevision()))
 			m.SetGauge("revision-snapshot", int64(status.SnapshotRevision()))
 			m.SetGauge("control-hosts", int64(len(status.Members())))
+			voters := int64(0)
+			for _, member := range status.Members() {
+				if member.Member().IsVoter() {
+					voters++
+				}
+			}
+			m.SetGauge("control-voters", voters)
 			isLeader := int64(0)
 			if status.Leader() == host {
 				isLeader = 1
