Let a removed control host join again

Cause: a control host that is silent for 6 s while five others are in contact is removed from the replicated log, as one without power is while another one is being replaced. Nobody tells it. Its own copy of the log has it as a voter, so it never asked to join, and its pre-votes are rejected. With four members in contact the host that was replaced was never removed either, and a majority of the five voters does not survive two lost disks.

A control host that has known no leader for a second now asks to join, like one that is no voter. The leader ignores the request of a host that is a voter, and adds a removed one again, first as a learner. The disk of such a host is intact, so its votes and its log remain valid. Without a leader, the addresses of seeds and of hosts that others name are kept beside those of its own copy of the log, which may all be outdated.

--- a/ctrl/replica_member.go
+++ b/ctrl/replica_member.go
@@ -12,8 +12,9 @@
 )
 
 // AddMember adds a host, first as a learner and, once it has caught up, as a
-// voter. The host must be running with an empty disk. A retry after a failure
-// resumes where the previous call stopped.
+// voter. The host must be running with an empty disk, or with the disk that it
+// had when it was removed. A retry after a failure resumes where the previous
+// call stopped.
 func (r *Replica) AddMember(ctx context.Context, host ident.Host, address string) error {
 	if err := r.addMember(ctx, host, address); err != nil {
 		return fmt.Errorf("add member %s: %w", host, err)
--- a/mesh/absence.go
+++ b/mesh/absence.go
@@ -6,8 +6,8 @@
 	"rhubarbrack/ctrl"
 )
 
-// absenceTime is how long a control host knows no leader before this is logged.
-// It is longer than an election usually takes.
+// absenceTime is how long a control host knows no leader before it assumes that
+// others have one. It is longer than an election usually takes.
 const absenceTime = time.Second
 
 // leaderAbsence tracks since when a control host has known no leader.
@@ -16,22 +16,22 @@
 	reported bool
 }
 
-// update records whether a leader is known and returns how long none has been.
-func (a *leaderAbsence) update(now time.Time, isLeaderKnown bool) time.Duration {
+// update records whether a leader is known and reports whether none has been for
+// absenceTime.
+func (a *leaderAbsence) update(now time.Time, isLeaderKnown bool) bool {
 	if isLeaderKnown {
 		*a = leaderAbsence{}
-		return 0
+		return false
 	}
 	if a.since.IsZero() {
 		a.since = now
 	}
-	return now.Sub(a.since)
+	return now.Sub(a.since) >= absenceTime
 }
 
-// logAbsence logs once that this host has known no leader for a while.
+// logAbsence logs that this host knows no leader, once in each absence.
 func (c *Control) logAbsence(a *leaderAbsence, status ctrl.Status, isVoter bool) {
-	d := a.update(c.clock.Now(), status.Leader() != "")
-	if d < absenceTime || a.reported {
+	if a.reported {
 		return
 	}
 	a.reported = true
--- a/mesh/membership.go
+++ b/mesh/membership.go
@@ -23,8 +23,8 @@
 )
 
 // MaintainMembership maintains the membership of the replicated log until ctx
-// ends: this host requests to join while it is not a voter, and applies
-// membership changes while it leads.
+// ends: this host requests to join while it is not a voter or knows no leader,
+// and applies membership changes while it leads.
 func (c *Control) MaintainMembership(ctx context.Context) {
 	var absence leaderAbsence
 	for clock.Sleep(ctx, c.clock, membershipInterval) {
@@ -33,23 +33,42 @@
 			c.log.Info("mesh: membership maintenance stopped", "error", err)
 			return
 		}
-		var addresses []string
-		voter := false
-		for _, m := range status.Members() {
-			addresses = append(addresses, m.Member().Address())
-			voter = voter || m.Member().Host() == c.host && m.Member().IsVoter()
+		voter := c.updateAddresses(status)
+		isAbsent := absence.update(c.clock.Now(), status.Leader() != "")
+		if isAbsent {
+			c.logAbsence(&absence, status, voter)
 		}
-		c.logAbsence(&absence, status, voter)
-		c.ref.Tell(updateMembers{addresses: addresses})
-		if status.Role() == agree.Leader {
+		switch {
+		case status.Role() == agree.Leader:
 			c.confirmLeadership(ctx)
 			c.updateMembership(ctx, status)
-		} else if !voter {
+		case !voter, isAbsent:
+			// A host that was removed while it was down or cut off still has
+			// itself as a voter in its log. A leader ignores the request of a
+			// host that is a voter.
 			c.requestJoin(ctx)
 		}
 	}
 }
 
+// updateAddresses passes the addresses of the members to the registry and
+// reports whether this host is a voter by its own log. Without a leader the
+// members may be outdated, so that other known addresses are kept.
+func (c *Control) updateAddresses(status ctrl.Status) bool {
+	var addresses []string
+	voter := false
+	for _, m := range status.Members() {
+		addresses = append(addresses, m.Member().Address())
+		voter = voter || m.Member().Host() == c.host && m.Member().IsVoter()
+	}
+	if status.Leader() == "" {
+		c.ref.Tell(addControlHosts{addresses: addresses})
+	} else {
+		c.ref.Tell(updateMembers{addresses: addresses})
+	}
+	return voter
+}
+
 // confirmLeadership tells the registry if a majority confirms that this host
 // leads.
 func (c *Control) confirmLeadership(ctx context.Context) {
@@ -90,7 +109,7 @@
 				c.log.Debug("mesh: join request failed", "peer", address, "error", err)
 				return
 			}
-			c.ref.Tell(updateMembers{addresses: append(reply.Controls, list...)})
+			c.ref.Tell(addControlHosts{addresses: reply.Controls})
 		}()
 	}
 	for range list {
--- /dev/null
+++ b/mesh/membership_test.go
@@ -0,0 +1,53 @@
+package mesh
+
+import "testing"
+
+// TestRemovedMemberJoinsAgain guards against a host that is removed while it is
+// down and never takes part again, because its own copy of the log still has it
+// as a voter.
+func TestRemovedMemberJoinsAgain(t *testing.T) {
+	seeds := []string{"a", "b", "c"}
+	cases := []struct {
+		name string
+		// change changes the cluster while host d is down.
+		change func(cluster *controlCluster)
+		// seeds are those of host d after its return.
+		seeds  []string
+		voters []string
+	}{
+		{"same leader", func(*controlCluster) {}, seeds, []string{"a", "b", "c", "d"}},
+		{"a leader that it does not know", func(cluster *controlCluster) {
+			cluster.start("e", seeds, nil)
+			cluster.waitForVoters("a", "b", "c", "e")
+			cluster.lead("e")
+		}, seeds, []string{"a", "b", "c", "d", "e"}},
+		{"all members replaced, new seeds", func(cluster *controlCluster) {
+			for _, name := range []string{"e", "f", "g"} {
+				cluster.start(name, seeds, nil)
+			}
+			cluster.waitForVoters("a", "b", "c", "e", "f", "g")
+			cluster.lead("e")
+			for _, name := range seeds {
+				cluster.stop(cluster.hosts[name])
+				cluster.remove(name)
+			}
+		}, []string{"e", "f", "g"}, []string{"d", "e", "f", "g"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newControlCluster(t, "a", "b", "c", "d", "e", "f", "g")
+			for _, name := range seeds {
+				cluster.start(name, seeds, seeds)
+			}
+			d := cluster.start("d", seeds, nil)
+			cluster.waitForVoters("a", "b", "c", "d")
+			cluster.waitForExpiredRequests()
+			cluster.stop(d)
+			cluster.remove("d")
+			c.change(cluster)
+			cluster.start("d", c.seeds, nil)
+			cluster.waitForVoters(c.voters...)
+		})
+	}
+}
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -97,7 +97,9 @@
 		reply  tasks.Reply[[]string]
 	}
 	updateMembers struct{ addresses []string }
-	requestToken  struct {
+	// addControlHosts carries addresses of hosts that may be control hosts.
+	addControlHosts struct{ addresses []string }
+	requestToken    struct {
 		record TokenRequestRecord
 		reply  tasks.Reply[bool]
 	}
@@ -170,6 +172,10 @@
 		m.reply.Send(r.controlHostList())
 	case updateMembers:
 		r.updateMembers(m.addresses)
+	case addControlHosts:
+		for _, a := range m.addresses {
+			r.controlHosts[a] = true
+		}
 	case requestToken:
 		m.reply.Send(r.takeToken(m.record))
 	case leadershipConfirmed:
