Log which lost attempts belong to the same request

The logs show single lost attempts with different ids; nothing tells that they are the same request, or at how many targets it was lost.

"relay: attempt failed" with the verdict "lost" now carries a fingerprint of team, method, host name, path and body.

--- a/relay/report.go
+++ b/relay/report.go
@@ -31,6 +31,9 @@
 // logFailedAttempt logs and counts an attempt without a final response.
 func (rh *requestHandler) logFailedAttempt(d admit.Decision, result spread.Result, err error, attrs ...any) {
 	c := d.Choice()
+	if result == spread.Lost {
+		attrs = append(attrs, slog.String("fingerprint", rh.fingerprint(d).String()))
+	}
 	rh.handler.log.Warn("relay: attempt failed", "request", rh.request.ID(), "target", c.Target().ID(),
 		"verdict", result.String(), "choice", c.Reason(), "load", c.Load(),
 		"load-age-ms", millis(min(c.LoadAge(), time.Hour)), "sends", d.State().Attempts(), peerAttr(d), errorAttr(err),
@@ -39,6 +42,11 @@
 	rh.handler.meter.Count("send-"+result.String(), team, class, 1)
 }
 
+// fingerprint returns the fingerprint of the request.
+func (rh *requestHandler) fingerprint(d admit.Decision) ident.Fingerprint {
+	return fingerprint(rh.incoming, d.State().Team(), rh.body, rh.longBody)
+}
+
 // recordEnd logs and counts the end of a request.
 func (rh *requestHandler) recordEnd(d admit.Decision, outcome string, attrs ...any) {
 	h := rh.handler
