Refuse requests that crash the targets that run them

What else these targets were working on was lost.

Cause: package guard counts crashes for the slot owners of the product's own mode only. Entry hosts that choose targets by themselves counted nothing, and each of them alone sees too few of the crashes.

An entry host that loses a connection before the response now checks whether the target refuses new connections while another target accepts them. Such a crash counts for the fingerprint of the request and the process. From the second crash on a request gets one attempt, from the third it is refused as not run. Any response of a target ends the suspicion. Broken connections alone never count, nor does a host that reaches no target.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rhubarbrack/guard"
 	"rhubarbrack/ident"
 	"rhubarbrack/quota"
 	"rhubarbrack/reach"
@@ -57,6 +58,8 @@
 	retryBudgets map[ident.Service]*quota.RetryBudget
 	balancers    map[*scheme.Route]*roundRobin
 	tracker      *reach.Tracker
+	suspects     *guard.Suspects
+	losses       *guard.Losses
 	// peers is nil if requests are never sent through other entry hosts.
 	peers *reach.Peers
 	// stopAt is when the host exits, or zero.
@@ -76,6 +79,8 @@
 		retryBudgets: map[ident.Service]*quota.RetryBudget{},
 		balancers:    map[*scheme.Route]*roundRobin{},
 		tracker:      reach.NewTracker(),
+		suspects:     guard.NewSuspects(),
+		losses:       guard.NewLosses(),
 		hostCount:    1,
 		hostShare:    1,
 	}
@@ -243,7 +248,7 @@
 // attempt. The caller must make sure that the request has not run or may run
 // twice.
 func (c *Controller) Retry(now time.Time, s *RequestState) Decision {
-	if s.attempts >= s.route.Attempts() {
+	if s.attempts >= s.route.Attempts() || s.isSuspected {
 		return Decision{state: s, reason: NoAttempts, retryAfter: defaultRetryAfter}
 	}
 	if s.deadline.Sub(now) < minAttemptTime {
--- a/admit/request.go
+++ b/admit/request.go
@@ -91,7 +91,9 @@
 	// unreachable counts the targets to which no connection could be opened.
 	unreachable int
 	// isForwarded is set if another entry host has admitted the request.
-	isForwarded   bool
+	isForwarded bool
+	// isSuspected is set if targets have crashed while they ran the request.
+	isSuspected   bool
 	configVersion uint64
 	rate          float64
 	burst         float64
--- a/guard/doc.go
+++ b/guard/doc.go
@@ -12,4 +12,10 @@
 // crash is in force at every owner, and that it has one copy in flight at a
 // time. With more copies in flight when the first target crashes, each of
 // them can crash the target that it runs on.
+//
+// Guard serves hosts that own the slots of targets and see all requests there.
+// Suspects and Losses serve entry hosts that choose targets by themselves: each
+// of them sees few of the crashes, so that they exchange reports, count only
+// processes that have ended, and refuse a request from the third crash on that
+// no response came between.
 package guard
--- a/link/probe.go
+++ b/link/probe.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
+	"syscall"
 )
 
 // Probe sends a health check over a new connection, and returns an error if no
@@ -26,3 +28,18 @@
 	x.Discard()
 	return x.Response(), nil
 }
+
+// IsRefused reports whether the host at an address refuses a new connection, as
+// it does after the process there has ended. The error is not nil if the host
+// does not respond.
+func (p *Pool) IsRefused(ctx context.Context, address string) (bool, error) {
+	c, err := p.open(ctx, address)
+	switch {
+	case err == nil:
+		c.close()
+		return false, nil
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return true, nil
+	}
+	return false, fmt.Errorf("check for a listener: %w", err)
+}
--- a/link/probe_test.go
+++ b/link/probe_test.go
@@ -32,3 +32,28 @@
 		t.Error("no error without a target")
 	}
 }
+
+// TestIsRefused guards against taking a target for ended that does not respond or
+// that accepts connections.
+func TestIsRefused(t *testing.T) {
+	s := newTarget(t, serve(func(string) string { return "!" }))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	cases := []struct {
+		name    string
+		ctx     context.Context
+		address string
+		want    bool
+		fails   bool
+	}{
+		{"listening", t.Context(), s.address(), false, false},
+		{"nobody listens", t.Context(), "127.0.0.1:1", true, false},
+		{"no answer in time", ended, "127.0.0.1:1", false, true},
+	}
+	for _, c := range cases {
+		got, err := newPool(t).IsRefused(c.ctx, c.address)
+		if got != c.want || (err != nil) != c.fails {
+			t.Errorf("%s: refused %v, error %v", c.name, got, err)
+		}
+	}
+}
--- a/mesh/config_fetcher_test.go
+++ b/mesh/config_fetcher_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"rhubarbrack/clock"
+	"rhubarbrack/guard"
 	"rhubarbrack/ident"
 	"rhubarbrack/patch"
 	"rhubarbrack/quota"
@@ -149,8 +150,13 @@
 func (l testListener) TargetStats(context.Context) ([]spread.TargetStats, error) { return nil, nil }
 func (l testListener) ApplyRemoteStats([]spread.TargetStats)                     {}
 func (l testListener) ApplyLimits([]spread.LimitShare)                           {}
+func (l testListener) MergeSuspects([]guard.Report)                              {}
 func (l testListener) BecomeReady()                                              { close(l.ready) }
 
+func (l testListener) SuspectReports(context.Context, time.Time) ([]guard.Report, error) {
+	return nil, nil
+}
+
 var errUndecodable = errors.New("undecodable")
 
 // startTestClient starts a control client of a stand-in.
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"rhubarbrack/clock"
+	"rhubarbrack/guard"
 	"rhubarbrack/ident"
 	"rhubarbrack/quota"
 	"rhubarbrack/scheme"
@@ -70,6 +71,11 @@
 	// ApplyLimits applies the rate limits that targets stated to any host, and
 	// this host's shares.
 	ApplyLimits(shares []spread.LimitShare)
+	// SuspectReports returns what has changed since a time about requests that
+	// may crash targets.
+	SuspectReports(ctx context.Context, since time.Time) ([]guard.Report, error)
+	// MergeSuspects applies what other hosts have reported about such requests.
+	MergeSuspects(reports []guard.Report)
 	// BecomeReady is called once the host knows enough to serve.
 	BecomeReady()
 }
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -25,10 +25,12 @@
 	setReady           struct{ ready bool }
 	updateControlHosts struct{ addresses []string }
 	heartbeatDone      struct {
-		peer   *peer
-		sent   time.Time
-		record HeartbeatReplyRecord
-		err    error
+		peer *peer
+		sent time.Time
+		// toLeader is set if the heartbeat had the parts for the leader.
+		toLeader bool
+		record   HeartbeatReplyRecord
+		err      error
 	}
 	// configReceived reports a configuration that has arrived and is not in
 	// force yet.
@@ -55,6 +57,11 @@
 	hostCount int
 	leads     bool
 	ready     readyList
+	// isTold is set once the control host, as the leader, has what this host
+	// knows of requests that may crash targets, and suspectsTag identifies what
+	// this host has from it.
+	isTold      bool
+	suspectsTag uint64
 }
 
 // controlClientTask owns what the entry host has learned.
@@ -224,14 +231,15 @@
 		p.busy = true
 		heartbeat := t.heartbeat
 		heartbeat.ReadyTag, heartbeat.ReadyTags, heartbeat.ListTag = p.ready.tag, known, t.listTag
-		go t.sendHeartbeat(p, heartbeat, p.leads, now)
+		heartbeat.SuspectsTag = p.suspectsTag
+		go t.sendHeartbeat(p, heartbeat, p.leads, p.isTold, now)
 	}
 	t.askNeighbours(now)
 	t.checkReady(now)
 }
 
 // sendHeartbeat sends a heartbeat to one control host.
-func (t *controlClientTask) sendHeartbeat(p *peer, heartbeat HeartbeatRecord, leads bool, sent time.Time) {
+func (t *controlClientTask) sendHeartbeat(p *peer, heartbeat HeartbeatRecord, leads, isTold bool, sent time.Time) {
 	call, cancel := context.WithTimeout(t.ctx, callTimeout)
 	defer cancel()
 	if leads {
@@ -250,8 +258,9 @@
 		for _, s := range stats {
 			heartbeat.Counts = append(heartbeat.Counts, newTargetStatsRecord(s))
 		}
+		t.addSuspects(call, &heartbeat, isTold, sent)
 	}
-	m := heartbeatDone{peer: p, sent: sent}
+	m := heartbeatDone{peer: p, sent: sent, toLeader: leads}
 	m.err = p.client.Call(call, methodHeartbeat, &heartbeat, &m.record)
 	t.self.Tell(m)
 }
@@ -273,6 +282,7 @@
 		t.listener.ApplyRemoteStats(stats)
 	}
 	t.applyLimits(m.record)
+	t.applySuspects(m)
 }
 
 // applyLimits applies the rate limits of targets in a reply of the leader.
@@ -352,6 +362,8 @@
 	m.peer.leads = m.record.Leads
 	if m.record.Leads {
 		t.applyLeaderReply(m)
+	} else {
+		m.peer.isTold = false
 	}
 	if t.firstReply.IsZero() {
 		t.firstReply = now
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -42,6 +42,10 @@
 		// Needs and Counts are sent to the leader only.
 		Needs  []DemandRecord
 		Counts []TargetStatsRecord
+		// Suspects is sent to the leader only. SuspectsTag identifies what the
+		// sender has from the receiver.
+		Suspects    []SuspectRecord
+		SuspectsTag uint64
 	}
 	// TargetStatsRecord holds the in-flight requests at a target, and the
 	// recent results of attempts.
@@ -137,6 +141,10 @@
 		// Limits holds the rate limits of targets and the shares of the receiver,
 		// see encodeLimits. It refers to the list with the tag LoadsTag.
 		Limits []byte
+		// Suspects is sent by the leader only, if SuspectsTag differs from that
+		// of the heartbeat.
+		Suspects    []SuspectRecord
+		SuspectsTag uint64
 	}
 	// EmptyRecord is a request without parameters.
 	EmptyRecord struct{}
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rhubarbrack/clock"
+	"rhubarbrack/guard"
 	"rhubarbrack/ident"
 	"rhubarbrack/patch"
 	"rhubarbrack/quota"
@@ -60,6 +61,7 @@
 	// confirmedAt is when this host's leadership was last confirmed.
 	confirmedAt time.Time
 	allocator   *quota.Allocator
+	suspects    *guard.Suspects
 	reports     map[ident.Host]statsReport
 	// totals are the sums of the reports, or nil before the first one.
 	totals *statsTotals
@@ -127,7 +129,7 @@
 	r := &registry{
 		ctx: ctx, system: system, clock: c, log: log, ownAddress: ownAddress, hosts: map[ident.Host]EntryHost{},
 		controlHosts: map[string]bool{}, joiners: map[string]joiner{}, clients: map[string]*wire.Client{},
-		reports: map[ident.Host]statsReport{},
+		reports: map[ident.Host]statsReport{}, suspects: guard.NewSuspects(),
 	}
 	for _, s := range seeds {
 		r.controlHosts[s] = true
@@ -237,6 +239,7 @@
 		}
 		r.reports[host] = statsReport{at: now, stats: record.Counts}
 		reply = r.addLoads(now, reply, record, r.remoteStats(now, host))
+		reply = r.addSuspects(now, reply, record)
 	}
 	return reply
 }
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -12,6 +12,7 @@
 
 	"rhubarbrack/admit"
 	"rhubarbrack/bridge"
+	"rhubarbrack/guard"
 	"rhubarbrack/ident"
 	"rhubarbrack/link"
 	"rhubarbrack/mesh"
@@ -124,6 +125,18 @@
 // ApplyLimits implements mesh.Listener.
 func (e *entryListener) ApplyLimits(shares []spread.LimitShare) { e.admission.ApplyLimits(shares) }
 
+// SuspectReports implements mesh.Listener.
+func (e *entryListener) SuspectReports(ctx context.Context, since time.Time) ([]guard.Report, error) {
+	list, err := e.admission.SuspectReports(ctx, since)
+	if err != nil {
+		return nil, fmt.Errorf("entry host: %w", err)
+	}
+	return list, nil
+}
+
+// MergeSuspects implements mesh.Listener.
+func (e *entryListener) MergeSuspects(reports []guard.Report) { e.admission.MergeSuspects(reports) }
+
 // BecomeReady implements mesh.Listener.
 func (e *entryListener) BecomeReady() { e.ready.Store(true) }
 
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"rhubarbrack/admit"
@@ -21,6 +22,8 @@
 // concurrent use.
 type Admission struct {
 	ref *tasks.Ref
+	// suspected is the latest set of fingerprints that the task has published.
+	suspected *atomic.Pointer[map[ident.Fingerprint]bool]
 }
 
 // StartAdmission starts the task. It ends with ctx.
@@ -28,13 +31,16 @@
 	ctx context.Context, system *tasks.System, c clock.Clock, log *slog.Logger, controller *admit.Controller,
 	connections TargetConnections, decoder StatementDecoder,
 ) (*Admission, error) {
-	t := &admissionTask{ctx: ctx, clock: c, log: log, controller: controller, connections: connections, decoder: decoder}
+	suspected := &atomic.Pointer[map[ident.Fingerprint]bool]{}
+	t := &admissionTask{
+		ctx: ctx, clock: c, log: log, controller: controller, connections: connections, decoder: decoder, suspected: suspected,
+	}
 	ref, err := tasks.Spawn(ctx, system, "desk", t)
 	if err != nil {
 		return nil, fmt.Errorf("start admission task: %w", err)
 	}
 	t.self = ref
-	return &Admission{ref: ref}, nil
+	return &Admission{ref: ref, suspected: suspected}, nil
 }
 
 // TargetConnections are the connections to targets.
@@ -44,6 +50,9 @@
 	// Probe sends a health check over a new connection, and returns an error if
 	// no response arrives before the end of ctx.
 	Probe(ctx context.Context, address, path string) (*http.Response, error)
+	// IsRefused reports whether new connections to an address are refused, and
+	// returns an error if that cannot be found out.
+	IsRefused(ctx context.Context, address string) (bool, error)
 }
 
 // StatementDecoder decodes what a target says of itself in a response.
@@ -211,6 +220,7 @@
 	controller  *admit.Controller
 	connections TargetConnections
 	decoder     StatementDecoder
+	suspected   *atomic.Pointer[map[ident.Fingerprint]bool]
 	// probesScheduled is set while a probesDue message is on its way.
 	probesScheduled bool
 }
@@ -220,6 +230,9 @@
 // Handle implements tasks.Task.
 func (t *admissionTask) Handle(message any) {
 	now := t.clock.Now()
+	if t.handleSuspicion(now, message) {
+		return
+	}
 	switch m := message.(type) {
 	case admitRequest:
 		m.reply.Send(t.controller.Admit(now, m.request))
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"rhubarbrack/admit"
+	"rhubarbrack/ident"
 	"rhubarbrack/link"
 	"rhubarbrack/spread"
 	"rhubarbrack/tasks"
@@ -32,6 +33,8 @@
 	newConnection bool
 	// forwardedAt is when the last attempt through another entry host began.
 	forwardedAt time.Time
+	// wasLost is set once the connection to a target broke.
+	wasLost bool
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
 	// response is the last complete response, if any.
@@ -59,12 +62,10 @@
 		rh.handler.log.Info("relay: request body incomplete", "request", rh.request.ID(), "error", err)
 		panic(http.ErrAbortHandler)
 	}
-	if len(rh.body) > 0 {
-		d = rh.confirm(d)
-		if reason, refused := d.Refused(); refused {
-			rh.writeRefusal(d, reason)
-			return
-		}
+	d = rh.confirmAfterBody(d)
+	if reason, refused := d.Refused(); refused {
+		rh.writeRefusal(d, reason)
+		return
 	}
 	ctx, cancel := context.WithDeadline(rh.incoming.Context(), d.State().Deadline())
 	defer cancel()
@@ -126,6 +127,20 @@
 	return nil
 }
 
+// confirmAfterBody confirms the decision once the body is known.
+func (rh *requestHandler) confirmAfterBody(d admit.Decision) admit.Decision {
+	if len(rh.body) > 0 {
+		d = rh.confirm(d)
+	}
+	if _, refused := d.Refused(); refused {
+		return d
+	}
+	if rh.handler.admission.isSuspected(func() ident.Fingerprint { return rh.fingerprint(d) }) {
+		return rh.confirmSuspected(d)
+	}
+	return d
+}
+
 // confirm asks the admission controller whether the target may still get the
 // request: a body may have taken long to arrive.
 func (rh *requestHandler) confirm(d admit.Decision) admit.Decision {
@@ -209,6 +224,9 @@
 	}
 	rh.recordResult(d, result, Response{})
 	rh.logFailedAttempt(d, result, err)
+	if result == spread.Lost {
+		rh.reportLoss(d, err)
+	}
 	if result != spread.Lost || !d.State().Route().Kind().IsRetryable() {
 		return rh.refuseRetry(d, result), false
 	}
@@ -246,6 +264,7 @@
 		exchange.Abort()
 		return rh.handleBroken(d, fmt.Errorf("response incomplete: %w", err))
 	}
+	rh.reportResponse(d)
 	result := spread.Served
 	if r.StatusCode >= http.StatusInternalServerError {
 		result = spread.Failed
