Limit the headers of health reports and of lists of targets

A target or a list server that sends a header without end made the process that called it allocate 11 to 73 MB for one call, up to 16 calls at a time for health reports and one for each zone for lists. A control host has 280 MB.

Cause: the HTTP clients of the health prober, of the lister of the product's own mode and of the platform's list left the limit of headers at the default of net/http, 10 MiB. Requests to targets had a limit of 64 KiB.

All three clients have that limit now.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -20,6 +20,8 @@
 	defaultTimeout = 2 * time.Second
 	// defaultMaxListBytes is enough for about 100,000 targets.
 	defaultMaxListBytes = 16 << 20
+	// maxHeaderBytes limits the header of a response.
+	maxHeaderBytes = 64 << 10
 	// maxDrainBytes limits how much of an error response is read so that its
 	// connection can be reused.
 	maxDrainBytes = 4 << 10
@@ -240,7 +242,7 @@
 // can come only from the configured address.
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 1},
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/target/probe.go
+++ b/target/probe.go
@@ -92,7 +92,9 @@
 	t := &proberTask{
 		probeSettings: s, listener: listener, ctx: ctx, cancel: cancel, targets: make(map[ident.Target]*targetState),
 		client: &http.Client{
-			Transport:     &http.Transport{MaxIdleConnsPerHost: 1, MaxIdleConns: s.parallel},
+			Transport: &http.Transport{
+				MaxIdleConnsPerHost: 1, MaxIdleConns: s.parallel, MaxResponseHeaderBytes: defaultHeaderBytes,
+			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
