--- a/agree/memory_log.go
+++ b/agree/memory_log.go
@@ -7,11 +7,12 @@
 )
 
 // memoryLog is the part of the log that is held in memory: the entries after
-// revision base.
+// revision base, and the sum of their sizes.
 type memoryLog struct {
 	base     ident.Revision
 	baseTerm Term
 	entries  []Entry
+	bytes    int
 }
 
 // restoreMemoryLog rebuilds the log from the content of a disk. If the entries
@@ -24,9 +25,19 @@
 		l.base, l.baseTerm = r.entries[0].revision, r.entries[0].term
 		l.entries = r.entries[1:]
 	}
+	l.bytes = sizeOf(l.entries)
 	return l
 }
 
+// sizeOf returns the sum of the sizes of entries.
+func sizeOf(entries []Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += e.Size()
+	}
+	return size
+}
+
 func (l *memoryLog) last() ident.Revision { return l.base + ident.Revision(len(l.entries)) }
 
 func (l *memoryLog) lastTerm() Term {
@@ -66,12 +77,16 @@
 	return slices.Clip(l.entries[after-l.base : upTo-l.base])
 }
 
-func (l *memoryLog) append(entries ...Entry) { l.entries = append(l.entries, entries...) }
+func (l *memoryLog) append(entries ...Entry) {
+	l.entries = append(l.entries, entries...)
+	l.bytes += sizeOf(entries)
+}
 
 // truncate drops the entries after a revision. The slice is clipped because
 // messages and writes may still refer to the dropped entries, which a later
 // append must not overwrite.
 func (l *memoryLog) truncate(after ident.Revision) {
+	l.bytes -= sizeOf(l.entries[after-l.base:])
 	l.entries = slices.Clip(l.entries[:after-l.base])
 }
 
@@ -81,6 +96,7 @@
 		return
 	}
 	term, _ := l.term(upTo)
+	l.bytes -= sizeOf(l.entries[:upTo-l.base])
 	l.entries = slices.Clone(l.entries[upTo-l.base:])
 	l.base, l.baseTerm = upTo, term
 }
--- a/agree/status.go
+++ b/agree/status.go
@@ -45,6 +45,12 @@
 // LastRevision returns the last revision of the log.
 func (n *Node) LastRevision() ident.Revision { return n.log.last() }
 
+// LogEntries returns the number of entries that are held in memory.
+func (n *Node) LogEntries() int { return len(n.log.entries) }
+
+// LogBytes returns the approximate size of these entries.
+func (n *Node) LogBytes() int { return n.log.bytes }
+
 // SnapshotRevision returns the last revision that the latest snapshot
 // includes.
 func (n *Node) SnapshotRevision() ident.Revision { return n.snapshot.revision }
--- a/ctrl/replica_snapshot.go
+++ b/ctrl/replica_snapshot.go
@@ -58,4 +58,6 @@
 		return
 	}
 	t.step(agree.NewCompact(m.revision, m.data))
+	t.options.logger.Info("ctrl: snapshot taken", "host", t.node.Host(), "revision", m.revision, "bytes", len(m.data),
+		"log-entries", t.node.LogEntries(), "log-bytes", t.node.LogBytes())
 }
--- a/ctrl/replica_status.go
+++ b/ctrl/replica_status.go
@@ -15,6 +15,8 @@
 	applied  ident.Revision
 	last     ident.Revision
 	snapshot ident.Revision
+	entries  int
+	bytes    int
 	members  []agree.MemberStatus
 }
 
@@ -42,6 +44,12 @@
 // SnapshotRevision returns the last revision that the latest snapshot includes.
 func (s Status) SnapshotRevision() ident.Revision { return s.snapshot }
 
+// LogEntries returns the number of entries that the replica holds in memory.
+func (s Status) LogEntries() int { return s.entries }
+
+// LogBytes returns the approximate size of these entries.
+func (s Status) LogBytes() int { return s.bytes }
+
 // Members returns the members with the last revision that is known to match on
 // their disks, and the time of the last contact. Only the leader knows both for
 // all members.
@@ -57,6 +65,8 @@
 		applied:  t.applied,
 		last:     t.node.LastRevision(),
 		snapshot: t.node.SnapshotRevision(),
+		entries:  t.node.LogEntries(),
+		bytes:    t.node.LogBytes(),
 		members:  t.node.MemberStatus(),
 	}
 }
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -17,6 +17,8 @@
 			m.SetGauge("revision-committed", int64(status.CommitRevision()))
 			m.SetGauge("revision-applied", int64(status.AppliedRevision()))
 			m.SetGauge("revision-snapshot", int64(status.SnapshotRevision()))
+			m.SetGauge("log-entries", int64(status.LogEntries()))
+			m.SetGauge("log-bytes", int64(status.LogBytes()))
 			m.SetGauge("control-hosts", int64(len(status.Members())))
 			voters := int64(0)
 			for _, member := range status.Members() {
