--- a/agree/memory_log.go
+++ b/agree/memory_log.go
@@ -90,6 +90,21 @@
 	l.entries = slices.Clip(l.entries[:after-l.base])
 }
 
+// retainedFrom returns the revision after which entries are kept, if at most the
+// given number of entries and bytes remain up to a snapshot.
+func (l *memoryLog) retainedFrom(snapshot ident.Revision, entries, bytes int) ident.Revision {
+	from := snapshot
+	for from > l.base && entries > 0 {
+		bytes -= l.entries[from-l.base-1].Size()
+		if bytes < 0 {
+			break
+		}
+		entries--
+		from--
+	}
+	return from
+}
+
 // compact drops the entries up to a revision.
 func (l *memoryLog) compact(upTo ident.Revision) {
 	if upTo <= l.base {
--- a/agree/node.go
+++ b/agree/node.go
@@ -253,9 +253,7 @@
 	term, _ := n.log.term(c.revision)
 	n.snapshot = NewSnapshot(c.revision, term, members, c.data)
 	n.step.snapshot = ident.Some(n.snapshot)
-	if retained := ident.Revision(n.options.retainedEntries); c.revision > retained {
-		n.log.compact(c.revision - retained)
-	}
+	n.log.compact(n.log.retainedFrom(c.revision, n.options.retainedEntries, n.options.retainedBytes))
 	n.compactMemberships()
 }
 
--- a/agree/options.go
+++ b/agree/options.go
@@ -22,6 +22,9 @@
 	// defaultRetainedEntries is the number of entries kept before a snapshot, so
 	// that members that lag slightly behind need no snapshot.
 	defaultRetainedEntries = 4096
+	// defaultRetainedBytes bounds the size of these entries. A member that lags
+	// by more gets a snapshot, which is smaller if the entries are large.
+	defaultRetainedBytes = 4 << 20
 	// snapshotResendTimeouts is the number of election timeouts after which a
 	// leader sends an unconfirmed snapshot again.
 	snapshotResendTimeouts = 10
@@ -35,6 +38,7 @@
 	maxUncommittedEntries int
 	maxUncommittedBytes   int
 	retainedEntries       int
+	retainedBytes         int
 	random                *rand.Rand
 }
 
@@ -67,6 +71,10 @@
 // snapshot.
 func WithRetainedEntries(n int) Option { return func(o *options) { o.retainedEntries = n } }
 
+// WithRetainedBytes bounds the size of the entries that are kept before a
+// snapshot.
+func WithRetainedBytes(n int) Option { return func(o *options) { o.retainedBytes = n } }
+
 // WithSeed sets the seed of the random election timeouts. The hosts of a
 // cluster need different seeds.
 func WithSeed(seed uint64) Option {
@@ -82,6 +90,7 @@
 		maxUncommittedEntries: defaultMaxUncommittedEntries,
 		maxUncommittedBytes:   defaultMaxUncommittedBytes,
 		retainedEntries:       defaultRetainedEntries,
+		retainedBytes:         defaultRetainedBytes,
 		random:                rand.New(rand.NewPCG(0, 0)),
 	}
 	for _, apply := range list {
--- a/ctrl/replica_options.go
+++ b/ctrl/replica_options.go
@@ -16,8 +16,8 @@
 	defaultTickInterval = 25 * time.Millisecond
 	// defaultSnapshotEntries bounds the entries to replay after a restart.
 	defaultSnapshotEntries = 8192
-	// defaultSnapshotBytes bounds the size of the log on disk.
-	defaultSnapshotBytes = 16 << 20
+	// defaultSnapshotBytes bounds the size of the log in memory and on disk.
+	defaultSnapshotBytes = 8 << 20
 	// defaultCallTimeout bounds a call between replicas.
 	defaultCallTimeout = time.Second
 )
--- a/ctrl/replica_test.go
+++ b/ctrl/replica_test.go
@@ -142,6 +142,15 @@
 }
 
 func (cluster *testCluster) start(h ident.Host, list ...ReplicaOption) *controlProcess {
+	cluster.t.Helper()
+	machine := newRecordingMachine()
+	p := cluster.startWith(h, machine, list...)
+	p.machine = machine
+	return p
+}
+
+// startWith starts a host with a state machine.
+func (cluster *testCluster) startWith(h ident.Host, machine StateMachine, list ...ReplicaOption) *controlProcess {
 	cluster.t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	listener, err := net.Listen("tcp", cluster.addresses[h])
@@ -149,12 +158,12 @@
 		cluster.t.Fatal(err)
 	}
 	server := rpc.NewServer()
-	p := &controlProcess{machine: newRecordingMachine()}
+	p := &controlProcess{}
 	list = append([]ReplicaOption{
 		WithLeadershipObserver(leadershipRecorder{host: h, began: cluster.began, ended: cluster.ended}),
 		WithLogger(slog.New(slog.NewTextHandler(io.Discard, nil))),
 	}, list...)
-	p.replica, err = StartReplica(ctx, cluster.system, server, h, cluster.directories[h], p.machine, list...)
+	p.replica, err = StartReplica(ctx, cluster.system, server, h, cluster.directories[h], machine, list...)
 	if err != nil {
 		cluster.t.Fatal(err)
 	}
