--- a/store/frame.go
+++ b/store/frame.go
@@ -3,9 +3,17 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
+	"io"
+	"slices"
+
+	"github.com/juju/errors"
 )
 
+// errFrameTooLarge means that a record exceeds maxBodyBytes.
+const errFrameTooLarge = errors.ConstError("record is too large")
+
 const (
 	// frameHeaderBytes is the size of the header of a frame: magic number, length
 	// and checksum.
@@ -20,6 +28,41 @@
 	castagnoli = crc32.MakeTable(crc32.Castagnoli)
 )
 
+// writeFrame writes the frame of an encoded record without holding the whole of
+// it in memory. It encodes the record three times: for the length, for the
+// checksum and for the content.
+func writeFrame(w io.Writer, record any) error {
+	var size countingWriter
+	if err := encodeTo(&size, record); err != nil {
+		return fmt.Errorf("measure frame: %w", err)
+	}
+	if size > maxBodyBytes {
+		return fmt.Errorf("%w: %d bytes", errFrameTooLarge, size)
+	}
+	header := binary.BigEndian.AppendUint32(slices.Clone(magic), uint32(size))
+	sum := crc32.New(castagnoli)
+	_, _ = sum.Write(header[len(magic):])
+	if err := encodeTo(sum, record); err != nil {
+		return fmt.Errorf("checksum of frame: %w", err)
+	}
+	if _, err := w.Write(binary.BigEndian.AppendUint32(header, sum.Sum32())); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	if err := encodeTo(w, record); err != nil {
+		return fmt.Errorf("write frame: %w", err)
+	}
+	return nil
+}
+
+// countingWriter counts the bytes that are written to it.
+type countingWriter int64
+
+// Write implements io.Writer.
+func (c *countingWriter) Write(b []byte) (int, error) {
+	*c += countingWriter(len(b))
+	return len(b), nil
+}
+
 // appendFrame appends a body with its frame header to a buffer.
 func appendFrame(buffer, body []byte) []byte {
 	var length [4]byte
--- a/store/log.go
+++ b/store/log.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -93,6 +94,10 @@
 		return l.fail(l.path(logFileName), fmt.Errorf("write: %w", err))
 	}
 	l.buffer = l.buffer[:0]
+	if cap(l.buffer) > 2*maxBufferBytes {
+		// A few large entries must not occupy memory for good.
+		l.buffer = nil
+	}
 	return nil
 }
 
@@ -101,11 +106,7 @@
 	if l.failure != nil {
 		return l.failure
 	}
-	body, err := encode(fromSnapshot(snapshot))
-	if err != nil {
-		return l.fail(l.path(snapshotFileName), err)
-	}
-	f, err := l.replaceFile(snapshotFileName, appendFrame(nil, body))
+	f, _, err := l.replaceFile(snapshotFileName, func(w io.Writer) error { return writeFrame(w, fromSnapshot(snapshot)) })
 	if err != nil {
 		return l.fail(l.path(snapshotFileName), err)
 	}
@@ -121,11 +122,8 @@
 	if l.failure != nil {
 		return l.failure
 	}
-	l.buffer = l.buffer[:0]
-	if err := l.bufferRecord(&logRecord{Hard: fromHardState(hard), Entries: fromEntries(entries)}); err != nil {
-		return l.fail(l.path(logFileName), err)
-	}
-	f, err := l.replaceFile(logFileName, l.buffer)
+	l.buffer = nil
+	f, size, err := l.replaceFile(logFileName, func(w io.Writer) error { return writeEntries(w, hard, entries) })
 	if err != nil {
 		return l.fail(l.path(logFileName), err)
 	}
@@ -135,38 +133,69 @@
 		}
 	}
 	l.file = f
-	l.written, l.synced = int64(len(l.buffer)), int64(len(l.buffer))
-	l.buffer = l.buffer[:0]
+	l.written, l.synced = size, size
 	return l.writeSyncMark()
 }
 
+// writeEntries writes the hard state and entries as records of about
+// maxBufferBytes.
+func writeEntries(w io.Writer, hard agree.HardState, entries []agree.Entry) error {
+	record := &logRecord{Hard: fromHardState(hard)}
+	for {
+		n := leadingEntries(entries, maxBufferBytes)
+		record.Entries = fromEntries(entries[:n])
+		if err := writeFrame(w, record); err != nil {
+			return fmt.Errorf("write entries: %w", err)
+		}
+		if entries = entries[n:]; len(entries) == 0 {
+			return nil
+		}
+		record = &logRecord{}
+	}
+}
+
+// leadingEntries returns how many entries fit into a size, but at least one if
+// there is any.
+func leadingEntries(entries []agree.Entry, size int) int {
+	for i, e := range entries {
+		size -= e.Size()
+		if size < 0 {
+			return max(i, 1)
+		}
+	}
+	return len(entries)
+}
+
 // replaceFile writes a file under a temporary name, syncs it, renames it and
-// syncs the directory. It returns the file open for appending.
-func (l *Log) replaceFile(name string, content []byte) (File, error) {
+// syncs the directory. It returns the file open for appending, and its size.
+func (l *Log) replaceFile(name string, write func(io.Writer) error) (File, int64, error) {
 	f, err := l.files.Create(l.path(name + temporarySuffix))
 	if err != nil {
-		return nil, fmt.Errorf("replace %s: %w", name, err)
+		return nil, 0, fmt.Errorf("replace %s: %w", name, err)
 	}
-	if err := l.writeAndRename(f, name, content); err != nil {
-		return nil, errors.Join(fmt.Errorf("replace %s: %w", name, err), f.Close())
+	size, err := l.writeAndRename(f, name, write)
+	if err != nil {
+		return nil, 0, errors.Join(fmt.Errorf("replace %s: %w", name, err), f.Close())
 	}
-	return f, nil
+	return f, size, nil
 }
 
-func (l *Log) writeAndRename(f File, name string, content []byte) error {
-	if _, err := f.Write(content); err != nil {
-		return fmt.Errorf("write: %w", err)
+func (l *Log) writeAndRename(f File, name string, write func(io.Writer) error) (int64, error) {
+	var size countingWriter
+	buffer := bufio.NewWriter(io.MultiWriter(f, &size))
+	if err := errors.Join(write(buffer), buffer.Flush()); err != nil {
+		return 0, fmt.Errorf("write: %w", err)
 	}
 	if err := f.Sync(); err != nil {
-		return fmt.Errorf("sync: %w", err)
+		return 0, fmt.Errorf("sync: %w", err)
 	}
 	if err := l.files.Rename(l.path(name+temporarySuffix), l.path(name)); err != nil {
-		return fmt.Errorf("install: %w", err)
+		return 0, fmt.Errorf("install: %w", err)
 	}
 	if err := l.files.SyncDirectory(l.directory); err != nil {
-		return fmt.Errorf("install: %w", err)
+		return 0, fmt.Errorf("install: %w", err)
 	}
-	return nil
+	return int64(size), nil
 }
 
 // Close closes the files without syncing them.
--- a/store/log_test.go
+++ b/store/log_test.go
@@ -1,8 +1,10 @@
 package store
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -323,3 +325,62 @@
 		}
 	})
 }
+
+// TestLargeEntries guards against a second copy of the whole log or of a snapshot
+// in memory while it is written, against buffers that stay as large as the
+// largest record, and against entries that are lost between the records of a
+// compacted log.
+func TestLargeEntries(t *testing.T) {
+	const count, size = 12, 1 << 20
+	var entries []agree.Entry
+	for i := range count {
+		entries = append(entries, agree.NewEntry(ident.Revision(i+1), 1, agree.EntryData, bytes.Repeat([]byte{byte(i)}, size)))
+	}
+	hard := agree.NewHardState(1, "a", voters)
+	snapshot := agree.NewSnapshot(1, 1, voters, bytes.Repeat([]byte{9}, count*size))
+	cases := []struct {
+		name  string
+		write func(l *Log) error
+		// copies is how many bytes may be allocated, as a share of the content.
+		copies float64
+	}{
+		{"compacted log", func(l *Log) error { return l.Compact(hard, entries) }, 0.1},
+		{"snapshot", func(l *Log) error { return l.SaveSnapshot(snapshot) }, 0.1},
+	}
+	directory := t.TempDir()
+	l, _, err := Open(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range cases {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		if err := c.write(l); err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		runtime.ReadMemStats(&after)
+		if used := after.TotalAlloc - before.TotalAlloc; float64(used) > c.copies*count*size {
+			t.Errorf("%s: %d bytes allocated for %d", c.name, used, count*size)
+		}
+	}
+	next := agree.NewEntry(count+1, 1, agree.EntryData, bytes.Repeat([]byte{count}, 3*size))
+	if err := errors.Join(l.Append(hard, []agree.Entry{next}), l.Sync(), l.Close()); err != nil {
+		t.Fatal(err)
+	}
+	if cap(l.buffer) > 2*maxBufferBytes {
+		t.Errorf("the buffer keeps %d bytes", cap(l.buffer))
+	}
+	_, restored, err := Open(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := restored.Entries()
+	if s, _ := restored.Snapshot().Get(); len(got) != count+1 || !bytes.Equal(s.Data(), snapshot.Data()) {
+		t.Fatalf("%d entries and a snapshot of %d bytes", len(got), len(s.Data()))
+	}
+	for i, e := range append(entries, next) {
+		if got[i].Revision() != e.Revision() || !bytes.Equal(got[i].Data(), e.Data()) {
+			t.Errorf("entry %d differs", e.Revision())
+		}
+	}
+}
--- a/store/open.go
+++ b/store/open.go
@@ -150,7 +150,12 @@
 	if err != nil {
 		return 0, fmt.Errorf("create identity: %w", err)
 	}
-	f, err := l.replaceFile(identityFileName, appendFrame(nil, body))
+	f, _, err := l.replaceFile(identityFileName, func(w io.Writer) error {
+		if _, err := w.Write(appendFrame(nil, body)); err != nil {
+			return fmt.Errorf("write identity: %w", err)
+		}
+		return nil
+	})
 	if err != nil {
 		return 0, l.fail(l.path(identityFileName), err)
 	}
--- a/store/record.go
+++ b/store/record.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -57,13 +58,21 @@
 
 func encode(record any) ([]byte, error) {
 	var body bytes.Buffer
-	encoder := msgpack.NewEncoder(&body)
+	if err := encodeTo(&body, record); err != nil {
+		return nil, err
+	}
+	return body.Bytes(), nil
+}
+
+// encodeTo writes an encoded record. Data of entries and snapshots is not copied.
+func encodeTo(w io.Writer, record any) error {
+	encoder := msgpack.NewEncoder(w)
 	// Log records are numerous and short, so field names are omitted.
 	encoder.UseArrayEncodedStructs(true)
 	if err := encoder.Encode(record); err != nil {
-		return nil, fmt.Errorf("encode record: %w", err)
+		return fmt.Errorf("encode record: %w", err)
 	}
-	return body.Bytes(), nil
+	return nil
 }
 
 func decode(body []byte, record any) error {
