--- a/ctrl/peer_chunk.go
+++ b/ctrl/peer_chunk.go
@@ -23,15 +23,23 @@
 	data     []byte
 }
 
+// maxSnapshotBytes bounds a snapshot that another host sends.
+const maxSnapshotBytes = 256 << 20
+
 // receiveChunk assembles the chunks of a snapshot. A first chunk replaces an
-// incomplete snapshot; any other must directly follow the previous chunk.
+// incomplete snapshot; any other must directly follow the previous chunk. All of
+// them must fit into the stated size.
 func (t *replicaTask) receiveChunk(m chunkReceived) {
 	r, p := m.record, &t.partialSnapshot
+	if r.Size < 0 || r.Size > maxSnapshotBytes {
+		m.reply.Send(false)
+		return
+	}
 	if r.Offset == 0 {
-		*p = partialSnapshot{message: r.Message, revision: r.Revision}
+		*p = partialSnapshot{message: r.Message, revision: r.Revision, data: make([]byte, 0, r.Size)}
 	}
 	same := p.message.From == r.Message.From && p.message.Term == r.Message.Term && p.revision == r.Revision
-	if !same || r.Offset != len(p.data) {
+	if !same || r.Offset != len(p.data) || len(p.data)+len(r.Data) > r.Size {
 		m.reply.Send(false)
 		return
 	}
