Send large changes between control hosts packed

Cause: an append with such an entry takes 1.4 s over a connection between regions, whose window is small. Heartbeats wait behind it for longer than an election timeout, and calls end after 1 s. Commands on their way to the leader and configurations that are read from it take as long.

Messages keep their form for hosts of earlier releases: packed ones go through methods that these lack, and only to hosts that have said that they take them.

--- a/ctrl/peer.go
+++ b/ctrl/peer.go
@@ -12,10 +12,12 @@
 
 // Names of the RPC service and its methods between replicas.
 const (
-	serviceName    = "Replica"
-	methodDeliver  = serviceName + ".Deliver"
-	methodChunk    = serviceName + ".Chunk"
-	methodIdentify = serviceName + ".Identify"
+	serviceName         = "Replica"
+	methodDeliver       = serviceName + ".Deliver"
+	methodDeliverPacked = serviceName + ".DeliverPacked"
+	methodChunk         = serviceName + ".Chunk"
+	methodChunkPacked   = serviceName + ".ChunkPacked"
+	methodIdentify      = serviceName + ".Identify"
 )
 
 // identity identifies a replica and its cluster.
@@ -48,7 +50,8 @@
 
 // Deliver is an RPC method. It receives messages. Responses to them are sent as
 // messages too.
-func (s *peerService) Deliver(args *BatchRecord, _ *AckRecord) error {
+func (s *peerService) Deliver(args *BatchRecord, reply *AckRecord) error {
+	reply.TakesPacked = true
 	m := batchReceived{
 		from: ident.Host(args.From), address: args.Address, session: args.Session, sequence: args.Sequence,
 		messages: make([]agree.Message, 0, len(args.Messages)),
@@ -60,6 +63,23 @@
 	return nil
 }
 
+// DeliverPacked is an RPC method. It receives messages with packed data. Hosts of
+// earlier releases, which would take it for empty data, lack the method.
+func (s *peerService) DeliverPacked(args *BatchRecord, reply *AckRecord) error {
+	if err := args.unpack(); err != nil {
+		return fmt.Errorf("take messages: %w", err)
+	}
+	return s.Deliver(args, reply)
+}
+
+// ChunkPacked is an RPC method. It receives a packed chunk of a snapshot.
+func (s *peerService) ChunkPacked(args *ChunkRecord, reply *ChunkAckRecord) error {
+	if err := args.unpack(); err != nil {
+		return fmt.Errorf("take part of a snapshot: %w", err)
+	}
+	return s.Chunk(args, reply)
+}
+
 // Chunk is an RPC method. It receives a chunk of a snapshot.
 func (s *peerService) Chunk(args *ChunkRecord, reply *ChunkAckRecord) error {
 	ctx, cancel := context.WithTimeout(context.Background(), s.timeout)
--- a/ctrl/peer_record.go
+++ b/ctrl/peer_record.go
@@ -3,6 +3,7 @@
 import (
 	"rhubarbrack/agree"
 	"rhubarbrack/ident"
+	"rhubarbrack/patch"
 )
 
 // The record types are the messages between replicas over net/rpc. Only this
@@ -16,13 +17,17 @@
 	Voter   bool
 }
 
-// LogEntryRecord is the encoded form of an agree.Entry.
+// LogEntryRecord is the encoded form of an agree.Entry. If Packed is set, it holds
+// the data instead of Data, as patch.Encode returns it, and Digest is that of the
+// data.
 type LogEntryRecord struct {
 	Revision uint64
 	Term     uint64
 	Kind     uint8
 	Data     []byte
 	Members  []MemberRecord
+	Packed   []byte
+	Digest   patch.Digest
 }
 
 // MessageRecord is the encoded form of an agree.Message without its snapshot.
@@ -52,11 +57,13 @@
 	Messages []MessageRecord
 }
 
-// AckRecord is the reply to a BatchRecord.
-type AckRecord struct{}
+// AckRecord is the reply to a BatchRecord. TakesPacked tells that the recipient
+// decodes packed data, which hosts of earlier releases do not.
+type AckRecord struct{ TakesPacked bool }
 
 // ChunkRecord is a chunk of a snapshot. Message is the
-// agree.MessageInstallSnapshot that the snapshot belongs to.
+// agree.MessageInstallSnapshot that the snapshot belongs to. Offset and Size count
+// unpacked bytes; Packed and Digest are as in LogEntryRecord.
 type ChunkRecord struct {
 	Message  MessageRecord
 	Address  string
@@ -66,6 +73,8 @@
 	Size     int
 	Offset   int
 	Data     []byte
+	Packed   []byte
+	Digest   patch.Digest
 }
 
 // ChunkAckRecord is the reply to a ChunkRecord. Accepted is false if the
@@ -115,6 +124,7 @@
 	return out
 }
 
+// toEntries returns the entries of unpacked records.
 func toEntries(records []LogEntryRecord) []agree.Entry {
 	var out []agree.Entry
 	for _, r := range records {
--- a/ctrl/peer_sender.go
+++ b/ctrl/peer_sender.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 
 	"rhubarbrack/agree"
 	"rhubarbrack/ident"
@@ -20,7 +21,7 @@
 	// maxBatchBytes bounds the total size of the entries of one call.
 	maxBatchBytes = 4 << 20
 	// defaultChunkBytes is the size of the chunks in which a snapshot is sent.
-	defaultChunkBytes = 1 << 20
+	defaultChunkBytes = 256 << 10
 )
 
 // outgoingMessage is a message with the address of this host.
@@ -44,6 +45,8 @@
 	session     uint64
 	sequence    uint64
 	unreachable bool
+	// takesPacked is set while the peer is known to decode packed data.
+	takesPacked atomic.Bool
 }
 
 func startSender(
@@ -141,9 +144,23 @@
 }
 
 func (s *sender) deliver(ctx context.Context, record *BatchRecord) error {
+	method := methodDeliver
+	if s.takesPacked.Load() {
+		isPacked, err := record.pack()
+		if err != nil {
+			return fmt.Errorf("send to %s: %w", s.host, err)
+		}
+		if isPacked {
+			method = methodDeliverPacked
+		}
+	}
 	callCtx, cancel := context.WithTimeout(ctx, s.options.callTimeout)
 	defer cancel()
-	if err := s.client.Call(callCtx, methodDeliver, record, &AckRecord{}); err != nil {
+	var ack AckRecord
+	err := s.client.Call(callCtx, method, record, &ack)
+	// After a failure, a process of another release may be at the address.
+	s.takesPacked.Store(err == nil && ack.TakesPacked)
+	if err != nil {
 		return fmt.Errorf("send to %s: %w", s.host, err)
 	}
 	return nil
@@ -207,10 +224,20 @@
 }
 
 func (s *sender) sendChunk(ctx context.Context, record ChunkRecord) error {
+	method := methodChunk
+	if s.takesPacked.Load() {
+		isPacked, err := record.pack()
+		if err != nil {
+			return fmt.Errorf("pack: %w", err)
+		}
+		if isPacked {
+			method = methodChunkPacked
+		}
+	}
 	callCtx, cancel := context.WithTimeout(ctx, s.options.callTimeout)
 	defer cancel()
 	var ack ChunkAckRecord
-	if err := s.client.Call(callCtx, methodChunk, &record, &ack); err != nil {
+	if err := s.client.Call(callCtx, method, &record, &ack); err != nil {
 		return fmt.Errorf("call: %w", err)
 	}
 	if !ack.Accepted {
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -153,9 +153,12 @@
 			return fmt.Errorf("read own state: %w", err)
 		}
 		var reply StateRecord
-		if err := client.Call(ctx, methodRead, &ReadRecord{Version: held.Version}, &reply); err != nil {
+		if err := client.Call(ctx, methodRead, &ReadRecord{Version: held.Version, TakesPacked: true}, &reply); err != nil {
 			return fmt.Errorf("ask the leader: %w", err)
 		}
+		if reply, err = reply.unpack(); err != nil {
+			return fmt.Errorf("read the reply of the leader: %w", err)
+		}
 		// A version has one content, so the source need not be sent again.
 		if reply.Version == held.Version {
 			reply.Source = held.Source
@@ -191,13 +194,7 @@
 			return fmt.Errorf("propose order: %w", err)
 		}
 		return nil
-	}, func(ctx context.Context, client *wire.Client) error {
-		var r SubmitReplyRecord
-		if err := client.Call(ctx, methodSubmit, &SubmitRecord{Order: command}, &r); err != nil {
-			return fmt.Errorf("ask the leader: %w", err)
-		}
-		return nil
-	})
+	}, func(ctx context.Context, client *wire.Client) error { return submitTo(ctx, client, command) })
 }
 
 // callLeader runs the call on this host or, if another host leads, on that
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -17,6 +17,7 @@
 	methodTargets      = serviceName + ".Targets"
 	methodJoin         = serviceName + ".Join"
 	methodSubmit       = serviceName + ".Submit"
+	methodSubmitPacked = serviceName + ".SubmitPacked"
 	methodRead         = serviceName + ".ReadSince"
 	methodRequestToken = serviceName + ".Borrow"
 )
@@ -149,8 +150,12 @@
 	// EmptyRecord is a request without parameters.
 	EmptyRecord struct{}
 	// ReadRecord requests the desired state and names the version of the
-	// configuration that the sender has.
-	ReadRecord struct{ Version uint64 }
+	// configuration that the sender has. TakesPacked tells that it decodes a
+	// packed source, which hosts of earlier releases do not.
+	ReadRecord struct {
+		Version     uint64
+		TakesPacked bool
+	}
 	// PieceRequestRecord requests a piece of a configuration, see
 	// patch.Request.
 	PieceRequestRecord struct {
@@ -171,12 +176,15 @@
 		Checksum uint64
 	}
 	// StateRecord holds the desired state. In the reply to a ReadRecord with
-	// the same version, the source is empty.
+	// the same version, the source is empty. If Packed is set, it holds the
+	// source, and Digest is that of the source.
 	StateRecord struct {
 		Revision uint64
 		Version  uint64
 		Source   []byte
 		Zones    []string
+		Packed   []byte
+		Digest   patch.Digest
 	}
 	// TargetRecord is a target of the list. Cold is how much longer it stays
 	// cold, as of the time the list was read. Started is when its process
@@ -221,6 +229,11 @@
 	JoinReplyRecord struct{ Controls []string }
 	// SubmitRecord carries a command to the leader.
 	SubmitRecord struct{ Order []byte }
+	// PackedSubmitRecord carries a packed command and the digest of the command.
+	PackedSubmitRecord struct {
+		Packed []byte
+		Digest patch.Digest
+	}
 	// SubmitReplyRecord acknowledges a command.
 	SubmitReplyRecord struct{ Revision uint64 }
 )
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 
+	"rhubarbrack/patch"
 	"rhubarbrack/tasks"
 )
 
@@ -60,6 +61,15 @@
 	return nil
 }
 
+// SubmitPacked proposes a packed command on the leader.
+func (s *service) SubmitPacked(args *PackedSubmitRecord, reply *SubmitReplyRecord) error {
+	command, err := patch.Decode(nil, args.Packed, args.Digest)
+	if err != nil {
+		return fmt.Errorf("unpack command: %w", err)
+	}
+	return s.Submit(&SubmitRecord{Order: command}, reply)
+}
+
 // Read serves control hosts of earlier releases like ReadSince.
 func (s *service) Read(_ *EmptyRecord, reply *StateRecord) error {
 	return s.ReadSince(&ReadRecord{}, reply)
@@ -77,6 +87,11 @@
 	if r.Version == args.Version {
 		r.Source = nil
 	}
+	if args.TakesPacked {
+		if r, err = r.pack(); err != nil {
+			return fmt.Errorf("read: %w", err)
+		}
+	}
 	*reply = r
 	return nil
 }
