Take configurations of up to 2 MiB and refuse larger ones at once

An operator's change of more than 1 MiB was answered 503 until the operator gave up, and so were all later changes that were as large.

Cause: the replicated log took no entry of more than a message may carry, 1 MiB, and the refusal was retried like that of a leader that does not answer.

An entry may now have 3 MiB and is sent in a message of its own; unacknowledged appends to a follower are bounded by 4 MiB.

--- a/agree/effects.go
+++ b/agree/effects.go
@@ -12,7 +12,7 @@
 	// ErrBusy refuses a proposal while too many entries are uncommitted or not
 	// yet on the leader's disk.
 	ErrBusy = errors.ConstError("too many changes in flight")
-	// ErrTooLarge refuses a proposal that does not fit into a message.
+	// ErrTooLarge refuses a proposal that exceeds the size limit.
 	ErrTooLarge = errors.ConstError("change exceeds the size limit")
 	// ErrTransferring refuses a request during a leadership transfer.
 	ErrTransferring = errors.ConstError("leadership is being transferred")
--- a/agree/leader.go
+++ b/agree/leader.go
@@ -21,19 +21,38 @@
 
 // progress is what a leader knows about the log of a peer: match is the last
 // revision known to be on its disk, next the first one to send. In probing mode,
-// paused is set while an append is unacknowledged. inFlight holds the last revision
-// of each unacknowledged append.
+// paused is set while an append is unacknowledged. inFlight holds the
+// unacknowledged appends.
 type progress struct {
 	mode           progressMode
 	match          ident.Revision
 	next           ident.Revision
 	paused         bool
-	inFlight       []ident.Revision
+	inFlight       inFlightAppends
 	lastContact    time.Time
 	confirmedRound uint64
 	snapshotSentAt time.Time
 }
 
+// inFlightAppend is an unacknowledged append: its last revision and the size of
+// its entries.
+type inFlightAppend struct {
+	last  ident.Revision
+	bytes int
+}
+
+// inFlightAppends are the unacknowledged appends to a peer, the oldest first.
+type inFlightAppends []inFlightAppend
+
+// isFull reports whether no further append may be sent.
+func (list inFlightAppends) isFull(o options) bool {
+	bytes := 0
+	for _, a := range list {
+		bytes += a.bytes
+	}
+	return len(list) >= o.maxInFlight || bytes >= o.maxInFlightBytes
+}
+
 // leaderState is the volatile state of a leader. It is empty in other roles.
 // termStart is the revision of the no-op entry that started the term, and
 // uncommittedBytes the size of the uncommitted entries.
@@ -159,7 +178,7 @@
 		switch {
 		case p.mode == installingSnapshot, p.mode == probing && p.paused:
 			return
-		case p.mode == streaming && (p.next > n.log.last() || len(p.inFlight) >= n.options.maxInFlight):
+		case p.mode == streaming && (p.next > n.log.last() || p.inFlight.isFull(n.options)):
 			return
 		}
 		if _, ok := n.log.term(p.next - 1); !ok {
@@ -173,7 +192,7 @@
 			return
 		}
 		p.next += ident.Revision(len(entries))
-		p.inFlight = append(p.inFlight, p.next-1)
+		p.inFlight = append(p.inFlight, inFlightAppend{last: p.next - 1, bytes: sizeOf(entries)})
 	}
 }
 
@@ -242,7 +261,7 @@
 		p.mode, p.paused, p.inFlight = streaming, false, nil
 		p.next = p.match + 1
 	}
-	for len(p.inFlight) > 0 && p.inFlight[0] <= p.match {
+	for len(p.inFlight) > 0 && p.inFlight[0].last <= p.match {
 		p.inFlight = p.inFlight[1:]
 	}
 	n.advanceCommit()
@@ -304,7 +323,7 @@
 		return ErrNotLeader
 	case n.leaderState.transfer.active:
 		return ErrTransferring
-	case len(p.data)+entryOverhead > n.options.maxMessageBytes:
+	case len(p.data)+entryOverhead > n.options.maxProposalBytes:
 		return ErrTooLarge
 	case int(n.log.last()-n.commit) >= n.options.maxUncommittedEntries, n.leaderState.uncommittedBytes >= n.options.maxUncommittedBytes:
 		return ErrBusy
--- a/agree/node_test.go
+++ b/agree/node_test.go
@@ -26,7 +26,7 @@
 		term = entries[len(entries)-1].term
 	}
 	r := NewPersistentState(1, NewHardState(term, "", threeVoters), ident.None[Snapshot](), entries)
-	return &nodeDriver{Node: New("a", r, WithMaxMessageBytes(100), WithMaxUncommitted(3, 1000)), t: t, clock: time.Unix(0, 0)}
+	return &nodeDriver{Node: New("a", r, WithMaxMessageBytes(100), WithMaxProposalBytes(100), WithMaxUncommitted(3, 1000)), t: t, clock: time.Unix(0, 0)}
 }
 
 func (d *nodeDriver) stepWith(input Input) Effects {
@@ -212,6 +212,21 @@
 			d.stepWith(NewPropose(NewProposal(1, make([]byte, 100))))
 			return errors.Is(d.refusal(), ErrTooLarge)
 		}},
+		{name: "a follower that does not respond gets a bounded number of bytes", run: func(d *nodeDriver) bool {
+			d.options.maxUncommittedEntries, d.options.maxUncommittedBytes, d.options.maxInFlightBytes = 100, 10_000, 300
+			d.winElection()
+			d.confirmLog(1)
+			sent := 0
+			for i := range 50 {
+				effects := d.stepWith(NewPropose(NewProposal(Tag(i), make([]byte, 60))))
+				for _, m := range effects.messages {
+					if m.to == "b" {
+						sent += sizeOf(m.entries)
+					}
+				}
+			}
+			return sent >= 300 && sent <= 400
+		}},
 		{name: "too many uncommitted proposals are refused", run: func(d *nodeDriver) bool {
 			d.winElection()
 			d.stepWith(NewPropose(NewProposal(1, nil), NewProposal(2, nil), NewProposal(3, nil)))
--- a/agree/options.go
+++ b/agree/options.go
@@ -13,8 +13,14 @@
 	defaultHeartbeatInterval = 100 * time.Millisecond
 	// defaultMaxMessageBytes bounds the total size of the entries of a message.
 	defaultMaxMessageBytes = 1 << 20
+	// defaultMaxProposalBytes bounds one proposal. An entry that exceeds
+	// defaultMaxMessageBytes is sent in a message of its own.
+	defaultMaxProposalBytes = 3 << 20
 	// defaultMaxInFlight bounds the unacknowledged appends to one peer.
 	defaultMaxInFlight = 16
+	// defaultMaxInFlightBytes bounds the size of the entries of these appends,
+	// but for a single append.
+	defaultMaxInFlightBytes = 4 << 20
 	// defaultMaxUncommittedEntries bounds the number of uncommitted entries.
 	defaultMaxUncommittedEntries = 16384
 	// defaultMaxUncommittedBytes bounds the size of the uncommitted entries.
@@ -34,7 +40,9 @@
 	electionTimeout       time.Duration
 	heartbeatInterval     time.Duration
 	maxMessageBytes       int
+	maxProposalBytes      int
 	maxInFlight           int
+	maxInFlightBytes      int
 	maxUncommittedEntries int
 	maxUncommittedBytes   int
 	retainedEntries       int
@@ -54,13 +62,20 @@
 	return func(o *options) { o.heartbeatInterval = d }
 }
 
-// WithMaxMessageBytes bounds the total size of the entries of a message, and
-// the size of a proposal.
+// WithMaxMessageBytes bounds the total size of the entries of a message. A larger
+// entry is sent in a message of its own.
 func WithMaxMessageBytes(n int) Option { return func(o *options) { o.maxMessageBytes = n } }
 
+// WithMaxProposalBytes bounds the size of a proposal.
+func WithMaxProposalBytes(n int) Option { return func(o *options) { o.maxProposalBytes = n } }
+
 // WithMaxInFlight bounds the number of unacknowledged appends to one peer.
 func WithMaxInFlight(n int) Option { return func(o *options) { o.maxInFlight = n } }
 
+// WithMaxInFlightBytes bounds the size of the entries of these appends. A single
+// append may be larger.
+func WithMaxInFlightBytes(n int) Option { return func(o *options) { o.maxInFlightBytes = n } }
+
 // WithMaxUncommitted bounds the number and the total size of the uncommitted
 // entries.
 func WithMaxUncommitted(entries, bytes int) Option {
@@ -86,7 +101,9 @@
 		electionTimeout:       defaultElectionTimeout,
 		heartbeatInterval:     defaultHeartbeatInterval,
 		maxMessageBytes:       defaultMaxMessageBytes,
+		maxProposalBytes:      defaultMaxProposalBytes,
 		maxInFlight:           defaultMaxInFlight,
+		maxInFlightBytes:      defaultMaxInFlightBytes,
 		maxUncommittedEntries: defaultMaxUncommittedEntries,
 		maxUncommittedBytes:   defaultMaxUncommittedBytes,
 		retainedEntries:       defaultRetainedEntries,
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -23,6 +23,13 @@
 // command may take effect nevertheless.
 const ErrUnavailable = errors.ConstError("no control host could serve the call")
 
+// ErrTooLarge means that a configuration exceeds MaxConfigBytes.
+const ErrTooLarge = errors.ConstError("configuration is too large")
+
+// MaxConfigBytes is the size of the largest configuration. Every control host
+// holds several versions, and every entry host decodes it.
+const MaxConfigBytes = 2 << 20
+
 const (
 	// callTimeout bounds one call between hosts.
 	callTimeout = 900 * time.Millisecond
@@ -102,8 +109,11 @@
 }
 
 // Put makes a configuration the current one unless a newer one exists. A nil
-// error means that the command is durable.
+// error means that the command is durable. ErrTooLarge means that it was refused.
 func (c *Control) Put(ctx context.Context, version uint64, source []byte) error {
+	if len(source) > MaxConfigBytes {
+		return fmt.Errorf("put configuration %d: %w: %d bytes, the limit is %d", version, ErrTooLarge, len(source), MaxConfigBytes)
+	}
 	command, err := board.EncodePut(version, source)
 	if err == nil {
 		err = c.timed(ctx, "order-put", func(ctx context.Context) error { return c.submit(ctx, command) })
