Log for which order a revision was proposed

Cause: when an evacuation is undone, no log tells which host proposed the revision, for which call, and when that call came.

Change: an order gets an ID where it is received, with a line at its receipt and at its end. Its command carries the ID, the host and the time; each control host logs them when it applies the command. Hosts of earlier releases skip the new fields of a command and record none of their own.

--- a/board/board.go
+++ b/board/board.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -14,12 +15,16 @@
 )
 
 // commandRecord is a command as encoded in the log. Exactly one of Source and
-// Zone is set.
+// Zone is set. Order, Host and ReceivedAt, in Unix milliseconds, are the origin;
+// hosts of earlier releases skip them.
 type commandRecord struct {
-	Version uint64 `msgpack:"version,omitempty"`
-	Source  []byte `msgpack:"source,omitempty"`
-	Zone    string `msgpack:"zone,omitempty"`
-	Begin   bool   `msgpack:"begin,omitempty"`
+	Version    uint64 `msgpack:"version,omitempty"`
+	Source     []byte `msgpack:"source,omitempty"`
+	Zone       string `msgpack:"zone,omitempty"`
+	Begin      bool   `msgpack:"begin,omitempty"`
+	Order      string `msgpack:"order,omitempty"`
+	Host       string `msgpack:"host,omitempty"`
+	ReceivedAt int64  `msgpack:"received-at,omitempty"`
 }
 
 // snapshotRecord is the desired state as encoded in a snapshot.
@@ -30,13 +35,13 @@
 }
 
 // EncodePut encodes the command to put a configuration.
-func EncodePut(version uint64, source []byte) ([]byte, error) {
-	return encode(commandRecord{Version: version, Source: source})
+func EncodePut(version uint64, source []byte, origin Origin) ([]byte, error) {
+	return encode(origin.addTo(commandRecord{Version: version, Source: source}))
 }
 
 // EncodeEvacuate encodes the command to begin or end the evacuation of a zone.
-func EncodeEvacuate(zone ident.Zone, begin bool) ([]byte, error) {
-	return encode(commandRecord{Zone: string(zone), Begin: begin})
+func EncodeEvacuate(zone ident.Zone, begin bool, origin Origin) ([]byte, error) {
+	return encode(origin.addTo(commandRecord{Zone: string(zone), Begin: begin}))
 }
 
 func encode(record any) ([]byte, error) {
@@ -56,12 +61,26 @@
 type Board struct {
 	state  scheme.DesiredState
 	notify Listener
+	log    *slog.Logger
 }
 
 var _ ctrl.StateMachine = (*Board)(nil)
 
+// Option sets an optional property of a Board.
+type Option func(*Board)
+
+// WithLogger sets the logger for applied commands. By default they are not
+// logged.
+func WithLogger(log *slog.Logger) Option { return func(b *Board) { b.log = log } }
+
 // New returns a board with an empty state.
-func New(notify Listener) *Board { return &Board{notify: notify} }
+func New(notify Listener, options ...Option) *Board {
+	b := &Board{notify: notify, log: slog.New(slog.DiscardHandler)}
+	for _, apply := range options {
+		apply(b)
+	}
+	return b
+}
 
 // Apply implements ctrl.StateMachine. The result is true if the command changed
 // the state, and an error if it cannot be decoded.
@@ -73,8 +92,12 @@
 	var changed bool
 	if command.Zone != "" {
 		b.state, changed = b.state.Evacuate(ident.Zone(command.Zone), command.Begin)
+		b.log.Info("board: evacuation applied", "revision", revision, "zone", command.Zone, "begin", command.Begin,
+			"changed", changed, "origin", command.origin())
 	} else {
 		b.state, changed = b.state.Put(command.Version, command.Source)
+		b.log.Info("board: configuration applied", "revision", revision, "version", command.Version,
+			"changed", changed, "origin", command.origin())
 	}
 	b.notify(revision, b.state)
 	return changed
--- a/board/board_test.go
+++ b/board/board_test.go
@@ -21,13 +21,13 @@
 		return data
 	}
 	commands := []testCommand{
-		{must(EncodePut(5, []byte("five"))), true},
-		{must(EncodePut(4, []byte("four"))), false},
-		{must(EncodeEvacuate("a", true)), true},
-		{must(EncodeEvacuate("a", true)), false},
-		{must(EncodePut(9, []byte("nine"))), true},
-		{must(EncodeEvacuate("b", true)), true},
-		{must(EncodeEvacuate("a", false)), true},
+		{must(EncodePut(5, []byte("five"), Origin{})), true},
+		{must(EncodePut(4, []byte("four"), Origin{})), false},
+		{must(EncodeEvacuate("a", true, Origin{})), true},
+		{must(EncodeEvacuate("a", true, Origin{})), false},
+		{must(EncodePut(9, []byte("nine"), Origin{})), true},
+		{must(EncodeEvacuate("b", true, Origin{})), true},
+		{must(EncodeEvacuate("a", false, Origin{})), true},
 	}
 	var last scheme.DesiredState
 	notify := func(_ ident.Revision, s scheme.DesiredState) { last = s }
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -114,10 +114,12 @@
 	if len(source) > MaxConfigBytes {
 		return fmt.Errorf("put configuration %d: %w: %d bytes, the limit is %d", version, ErrTooLarge, len(source), MaxConfigBytes)
 	}
-	command, err := board.EncodePut(version, source)
+	origin := c.receive("put", "version", version)
+	command, err := board.EncodePut(version, source, origin)
 	if err == nil {
 		err = c.timed(ctx, "order-put", func(ctx context.Context) error { return c.submit(ctx, command) })
 	}
+	c.logEnd(origin, err)
 	if err != nil {
 		return fmt.Errorf("put configuration %d: %w", version, err)
 	}
@@ -127,10 +129,12 @@
 // Evacuate begins or ends the evacuation of a zone. A nil error means that the
 // command is durable.
 func (c *Control) Evacuate(ctx context.Context, zone ident.Zone, begin bool) error {
-	command, err := board.EncodeEvacuate(zone, begin)
+	origin := c.receive("evacuate", "zone", zone, "begin", begin)
+	command, err := board.EncodeEvacuate(zone, begin, origin)
 	if err == nil {
 		err = c.timed(ctx, "order-evacuate", func(ctx context.Context) error { return c.submit(ctx, command) })
 	}
+	c.logEnd(origin, err)
 	if err != nil {
 		return fmt.Errorf("evacuate zone %s: %w", zone, err)
 	}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -245,7 +245,7 @@
 		return fmt.Errorf("control host: %w", err)
 	}
 	server := rpc.NewServer()
-	replica, err := ctrl.StartReplica(taskCtx, system, server, name, c.dataDirectory, board.New(control.Publish),
+	replica, err := ctrl.StartReplica(taskCtx, system, server, name, c.dataDirectory, board.New(control.Publish, board.WithLogger(c.log)),
 		ctrl.WithClock(c.clock), ctrl.WithLogger(c.log), ctrl.WithInitialPeers(c.initialPeers(name)...),
 		ctrl.WithNodeOptions(agree.WithElectionTimeout(electionTimeout)))
 	if err != nil {
