Show that late copies of orders undo an evacuation

Cause: a copy of an order that reaches the leader after a newer order was acknowledged is applied after it. So is an order that a host reads after its caller has left, since it is proposed before the end of the call is noticed.

Change: tests whose proxy holds a copy back until the newer order is acknowledged.

--- a/mesh/control_host_test.go
+++ b/mesh/control_host_test.go
@@ -29,7 +29,9 @@
 	directory string
 	replica   *ctrl.Replica
 	control   *Control
-	stop      func()
+	// proxy passes calls of other hosts on, if the cluster has proxies.
+	proxy *holdingProxy
+	stop  func()
 }
 
 // controlCluster runs control hosts on loopback, which maintain the membership
@@ -39,6 +41,9 @@
 	ctx     context.Context
 	hosts   map[string]*controlHost
 	options []Option
+	// heldMethod is the method of which the proxies of the hosts hold calls back. If
+	// it is empty, there are no proxies.
+	heldMethod string
 }
 
 func newControlCluster(t *testing.T, names ...string) *controlCluster {
@@ -91,11 +96,7 @@
 	if err := control.Register(ctx, server, replica); err != nil {
 		cluster.t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", h.address)
-	if err != nil {
-		cluster.t.Fatal(err)
-	}
-	served := wire.Serve(ctx, listener, server)
+	served := wire.Serve(ctx, cluster.listen(h), server)
 	maintained := tasks.Go(ctx, control.MaintainMembership)
 	h.replica, h.control = replica, control
 	h.stop = func() {
@@ -108,6 +109,23 @@
 	return h
 }
 
+// listen returns the listener of a host, which is behind a proxy if the cluster has
+// proxies.
+func (cluster *controlCluster) listen(h *controlHost) net.Listener {
+	address := h.address
+	if cluster.heldMethod != "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		cluster.t.Fatal(err)
+	}
+	if cluster.heldMethod != "" {
+		h.proxy = startHoldingProxy(cluster.t, h.address, listener.Addr().String(), cluster.heldMethod)
+	}
+	return listener
+}
+
 func (cluster *controlCluster) stop(h *controlHost) {
 	if h.stop != nil {
 		h.stop()
--- /dev/null
+++ b/mesh/order_test.go
@@ -0,0 +1,138 @@
+package mesh
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+const (
+	// orderedZone is the zone of the orders in tests.
+	orderedZone = ident.Zone("zone-1")
+	// shortWait is how long the callers of orders that get no answer wait.
+	shortWait = 300 * time.Millisecond
+)
+
+// order sends an order to a host until it is acknowledged.
+func (cluster *controlCluster) order(h *controlHost, begin bool) {
+	cluster.t.Helper()
+	cluster.waitUntil("acknowledgement of an order", func() bool {
+		return h.control.Evacuate(cluster.ctx, orderedZone, begin) == nil
+	})
+}
+
+// checkEvacuated checks whether the zone is evacuated.
+func (cluster *controlCluster) checkEvacuated(h *controlHost, want bool) {
+	cluster.t.Helper()
+	state, err := h.control.Read(cluster.ctx)
+	if err != nil {
+		cluster.t.Fatal(err)
+	}
+	if got := slices.Contains(state.Evacuated(), orderedZone); got != want {
+		cluster.t.Errorf("zone is evacuated: %v, want %v", got, want)
+	}
+}
+
+// startLeaderAndFollower starts three hosts and returns the leader and another one.
+func (cluster *controlCluster) startLeaderAndFollower() (leader, follower *controlHost) {
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		cluster.start(name, names, names)
+	}
+	cluster.waitForVoters(names...)
+	cluster.waitUntil("a leader", func() bool {
+		leader, _ = cluster.leader()
+		return leader != nil
+	})
+	for _, h := range cluster.hosts {
+		if h != leader {
+			return leader, h
+		}
+	}
+	return nil, nil
+}
+
+// TestLateCopyOfOrder guards against an evacuation that is undone, or begun again,
+// by a copy of an earlier order that reaches the leader after a newer one was
+// acknowledged.
+func TestLateCopyOfOrder(t *testing.T) {
+	cases := []struct {
+		name string
+		// late is the order of which a copy is late.
+		late bool
+		// resend sends the late order again until it is acknowledged, before the
+		// newer one.
+		resend bool
+	}{
+		{name: "end, acknowledged by another host", late: false, resend: true},
+		{name: "begin, acknowledged by another host", late: true, resend: true},
+		{name: "end, never acknowledged", late: false},
+		{name: "begin, never acknowledged", late: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newControlCluster(t, "a", "b", "c")
+			cluster.heldMethod = methodSubmit
+			leader, follower := cluster.startLeaderAndFollower()
+			cluster.order(leader, !c.late)
+
+			leader.proxy.hold(1)
+			ctx, cancel := context.WithTimeout(cluster.ctx, shortWait)
+			defer cancel()
+			if follower.control.Evacuate(ctx, orderedZone, c.late) == nil {
+				t.Fatal("an order was acknowledged whose copy was held back")
+			}
+			<-leader.proxy.held
+			if c.resend {
+				cluster.order(leader, c.late)
+			}
+			cluster.order(leader, !c.late)
+			close(leader.proxy.release)
+			<-leader.proxy.answered
+			leader.proxy.answered <- struct{}{}
+			cluster.checkEvacuated(leader, !c.late)
+			cluster.checkEvacuated(follower, !c.late)
+		})
+	}
+}
+
+// TestRepeatedOrderOfHost guards against an evacuation that is undone by the first
+// copy of an order of which the same host has sent a second one.
+func TestRepeatedOrderOfHost(t *testing.T) {
+	cluster := newControlCluster(t, "a", "b", "c")
+	cluster.heldMethod = methodSubmit
+	leader, follower := cluster.startLeaderAndFollower()
+	cluster.order(leader, true)
+	leader.proxy.hold(1)
+	cluster.order(follower, false)
+	<-leader.proxy.held
+	cluster.order(follower, true)
+	close(leader.proxy.release)
+	<-leader.proxy.answered
+	leader.proxy.answered <- struct{}{}
+	cluster.checkEvacuated(leader, true)
+}
+
+// TestOrderAfterCallerLeft guards against an order that takes effect although its
+// caller had left before the host took it up.
+func TestOrderAfterCallerLeft(t *testing.T) {
+	cluster := newControlCluster(t, "a", "b", "c")
+	leader, follower := cluster.startLeaderAndFollower()
+	cluster.order(leader, true)
+	left, leave := context.WithCancel(cluster.ctx)
+	leave()
+	for _, h := range []*controlHost{leader, follower} {
+		if h.control.Evacuate(left, orderedZone, false) == nil {
+			t.Error("an order of a caller that has left was acknowledged")
+		}
+	}
+	// What the leader had been asked for before is committed before this.
+	if err := leader.control.Put(cluster.ctx, 1, []byte("one")); err != nil {
+		t.Fatal(err)
+	}
+	cluster.checkEvacuated(leader, true)
+}
