Make orders for zones conditional on the state at their receipt

Callers saw requests in a zone long after its evacuation had been acknowledged; no operator had ended it.

Cause: beginning and ending an evacuation are each idempotent, but do not commute. A copy of an order was applied whenever it reached the leader, also after a newer one: one that its sender repeated, that waited for a connection, or that the kernel sent again. The same holds for an order whose context had ended before it was proposed.

Change: the host that receives an order reads a confirmed revision first. The leader proposes the order only if the last order for the zone, which the replicated state now records, is not newer than that revision. Orders are proposed one at a time, so that the state that an order is compared with includes all earlier ones. Every order counts, also one that changes nothing: it may be the answer to a change of mind. Why it works: an order that was acknowledged later was received later, so it is after the revision.

Releases: log entries and their meaning are as before, since only the leader compares; replicas of different releases cannot diverge.

TestOrderToEarlierLeader, TestOrderOfEarlierHost and TestSnapshotBetweenReleases cover both directions of an upgrade.

--- a/board/board.go
+++ b/board/board.go
@@ -27,11 +27,40 @@
 	ReceivedAt int64  `msgpack:"received-at,omitempty"`
 }
 
-// snapshotRecord is the desired state as encoded in a snapshot.
+// snapshotRecord is the desired state as encoded in a snapshot. The snapshots of
+// earlier releases have no orders, and these releases skip them.
 type snapshotRecord struct {
-	Version uint64   `msgpack:"version"`
-	Source  []byte   `msgpack:"source"`
-	Zones   []string `msgpack:"zones"`
+	Version uint64        `msgpack:"version"`
+	Source  []byte        `msgpack:"source"`
+	Zones   []string      `msgpack:"zones"`
+	Orders  *ordersRecord `msgpack:"orders,omitempty"`
+}
+
+// ordersRecord holds the last orders for zones, see scheme.ZoneOrders.
+type ordersRecord struct {
+	Last         map[string]uint64 `msgpack:"last"`
+	CompleteFrom uint64            `msgpack:"complete-from"`
+}
+
+func newOrdersRecord(o scheme.ZoneOrders) *ordersRecord {
+	r := &ordersRecord{Last: map[string]uint64{}, CompleteFrom: uint64(o.CompleteFrom())}
+	for zone, revision := range o.Known() {
+		r.Last[string(zone)] = uint64(revision)
+	}
+	return r
+}
+
+// zoneOrders returns the last orders as of the revision of the snapshot. In a
+// snapshot of an earlier release all of them are unknown.
+func (r *ordersRecord) zoneOrders(snapshot ident.Revision) scheme.ZoneOrders {
+	if r == nil {
+		return scheme.NewZoneOrders(nil, snapshot)
+	}
+	last := map[ident.Zone]ident.Revision{}
+	for zone, revision := range r.Last {
+		last[ident.Zone(zone)] = ident.Revision(revision)
+	}
+	return scheme.NewZoneOrders(last, ident.Revision(r.CompleteFrom))
 }
 
 // EncodePut encodes the command to put a configuration.
@@ -91,7 +120,7 @@
 	}
 	var changed bool
 	if command.Zone != "" {
-		b.state, changed = b.state.Evacuate(ident.Zone(command.Zone), command.Begin)
+		b.state, changed = b.state.Evacuate(ident.Zone(command.Zone), command.Begin, revision)
 		b.log.Info("board: evacuation applied", "revision", revision, "zone", command.Zone, "begin", command.Begin,
 			"changed", changed, "origin", command.origin())
 	} else {
@@ -107,7 +136,7 @@
 func (b *Board) Snapshot() func() ([]byte, error) {
 	s := b.state
 	return func() ([]byte, error) {
-		record := snapshotRecord{Version: s.Version(), Source: s.Source()}
+		record := snapshotRecord{Version: s.Version(), Source: s.Source(), Orders: newOrdersRecord(s.Orders())}
 		for _, z := range s.Evacuated() {
 			record.Zones = append(record.Zones, string(z))
 		}
@@ -125,7 +154,7 @@
 	for i, z := range record.Zones {
 		zones[i] = ident.Zone(z)
 	}
-	b.state = scheme.NewDesiredState(record.Version, record.Source, zones)
+	b.state = scheme.NewDesiredState(record.Version, record.Source, zones).WithOrders(record.Orders.zoneOrders(revision))
 	b.notify(revision, b.state)
 	return nil
 }
--- a/board/origin_test.go
+++ b/board/origin_test.go
@@ -63,3 +63,52 @@
 		t.Errorf("an earlier release decodes %+v, %v", got, err)
 	}
 }
+
+// TestSnapshotBetweenReleases guards against a snapshot that another release cannot
+// read, and against orders that are taken for the last ones of their zones although
+// a snapshot of an earlier release may hide later ones.
+func TestSnapshotBetweenReleases(t *testing.T) {
+	type earlierRecord struct {
+		Version uint64   `msgpack:"version"`
+		Source  []byte   `msgpack:"source"`
+		Zones   []string `msgpack:"zones"`
+	}
+	earlier, err := msgpack.Marshal(earlierRecord{Version: 4, Source: []byte("four"), Zones: []string{"a"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var state scheme.DesiredState
+	b := New(func(_ ident.Revision, s scheme.DesiredState) { state = s })
+	if err := b.Restore(20, earlier); err != nil {
+		t.Fatal(err)
+	}
+	order, err := EncodeEvacuate("b", true, Origin{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.Apply(21, order)
+	later, err := b.Snapshot()()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got earlierRecord
+	if err := msgpack.Unmarshal(later, &got); err != nil || got.Version != 4 || len(got.Zones) != 2 {
+		t.Errorf("an earlier release reads %+v, %v", got, err)
+	}
+	if err := New(func(_ ident.Revision, s scheme.DesiredState) { state = s }).Restore(30, later); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		zone ident.Zone
+		want ident.Revision
+	}{
+		{"a", 20},
+		{"b", 21},
+		{"c", 20},
+	}
+	for _, c := range cases {
+		if got := state.Orders().Last(c.zone); got != c.want {
+			t.Errorf("last order for zone %s: %d, want %d", c.zone, got, c.want)
+		}
+	}
+}
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -42,6 +42,7 @@
 type Control struct {
 	ref        *tasks.Ref
 	archive    *tasks.Ref
+	orders     *tasks.Ref
 	replica    *ctrl.Replica
 	clock      clock.Clock
 	log        *slog.Logger
@@ -88,6 +89,10 @@
 	for _, apply := range options {
 		apply(control)
 	}
+	control.orders, err = startOrderQueue(ctx, system, control.compareAndPropose)
+	if err != nil {
+		return nil, fmt.Errorf("start mesh: %w", err)
+	}
 	ref.Tell(setRegion{region: control.region})
 	return control, nil
 }
@@ -117,7 +122,9 @@
 	origin := c.receive("put", "version", version)
 	command, err := board.EncodePut(version, source, origin)
 	if err == nil {
-		err = c.timed(ctx, "order-put", func(ctx context.Context) error { return c.submit(ctx, command) })
+		err = c.timed(ctx, "order-put", func(ctx context.Context) error {
+			return c.submit(ctx, command, ident.None[ident.Revision]())
+		})
 	}
 	c.logEnd(origin, err)
 	if err != nil {
@@ -126,21 +133,6 @@
 	return nil
 }
 
-// Evacuate begins or ends the evacuation of a zone. A nil error means that the
-// command is durable.
-func (c *Control) Evacuate(ctx context.Context, zone ident.Zone, begin bool) error {
-	origin := c.receive("evacuate", "zone", zone, "begin", begin)
-	command, err := board.EncodeEvacuate(zone, begin, origin)
-	if err == nil {
-		err = c.timed(ctx, "order-evacuate", func(ctx context.Context) error { return c.submit(ctx, command) })
-	}
-	c.logEnd(origin, err)
-	if err != nil {
-		return fmt.Errorf("evacuate zone %s: %w", zone, err)
-	}
-	return nil
-}
-
 // Read returns a desired state that includes every command acknowledged before
 // the call.
 func (c *Control) Read(ctx context.Context) (scheme.DesiredState, error) {
@@ -201,18 +193,20 @@
 	return r, nil
 }
 
-// submit proposes a command at the leader.
-func (c *Control) submit(ctx context.Context, command []byte) error {
+// submit proposes a command at the leader. An order for a zone is conditional on
+// the revision asOf.
+func (c *Control) submit(ctx context.Context, command []byte, asOf ident.Option[ident.Revision]) error {
 	return c.callLeader(ctx, func(ctx context.Context) error {
-		if _, _, err := c.replica.Propose(ctx, command); err != nil {
-			return fmt.Errorf("propose order: %w", err)
+		if _, err := c.proposeCommand(ctx, command, asOf); err != nil {
+			return fmt.Errorf("propose on the leader: %w", err)
 		}
 		return nil
-	}, func(ctx context.Context, client *wire.Client) error { return submitTo(ctx, client, command) })
+	}, func(ctx context.Context, client *wire.Client) error { return submitTo(ctx, client, command, asOf) })
 }
 
-// callLeader runs the call on this host or, if another host leads, on that
-// one. It retries until ctx ends, since all commands are idempotent.
+// callLeader runs the call on this host or, if another host leads, on that one. It
+// retries until ctx ends: a configuration has a version and an order for a zone is
+// conditional, so that copies have no effect.
 func (c *Control) callLeader(
 	ctx context.Context, local func(context.Context) error, remote func(context.Context, *wire.Client) error,
 ) error {
@@ -229,6 +223,9 @@
 		if err == nil {
 			return nil
 		}
+		if errors.Is(err, ErrSuperseded) {
+			return err
+		}
 		if !clock.Sleep(ctx, c.clock, leaderRetryPause) {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
--- a/mesh/order_test.go
+++ b/mesh/order_test.go
@@ -1,12 +1,19 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
+	"net"
+	"net/rpc"
 	"slices"
 	"testing"
 	"time"
 
+	"rhubarbrack/board"
 	"rhubarbrack/ident"
+	"rhubarbrack/tasks"
+	"rhubarbrack/wire"
 )
 
 const (
@@ -136,3 +143,75 @@
 	}
 	cluster.checkEvacuated(leader, true)
 }
+
+// The records of releases without conditional orders.
+type (
+	EarlierSubmitRecord      struct{ Order []byte }
+	EarlierSubmitReplyRecord struct{ Revision uint64 }
+)
+
+// earlierOrderLeader is a leader of a release without conditional orders.
+type earlierOrderLeader struct{ received chan []byte }
+
+// Submit receives a command.
+func (l earlierOrderLeader) Submit(args *EarlierSubmitRecord, reply *EarlierSubmitReplyRecord) error {
+	l.received <- args.Order
+	reply.Revision = 1
+	return nil
+}
+
+// TestOrderToEarlierLeader guards against orders that a leader of an earlier
+// release does not understand.
+func TestOrderToEarlierLeader(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	leader := earlierOrderLeader{received: make(chan []byte, 1)}
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, leader); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := wire.Serve(ctx, listener, server)
+	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
+	client, err := wire.StartClient(ctx, system, "leader", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	command, err := board.EncodeEvacuate(orderedZone, true, board.NewOrigin("order", "host", time.Unix(1, 0)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := submitTo(ctx, client, command, ident.Some(ident.Revision(7))); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-leader.received; !bytes.Equal(got, command) {
+		t.Errorf("the leader received %q", got)
+	}
+	cancel()
+	<-served
+	system.Shutdown()
+}
+
+// TestOrderOfEarlierHost guards against orders of hosts of earlier releases that
+// are refused, since they are not conditional.
+func TestOrderOfEarlierHost(t *testing.T) {
+	cluster := newControlCluster(t, "a", "b", "c")
+	leader, follower := cluster.startLeaderAndFollower()
+	client := follower.control.client(cluster.ctx, leader.address)
+	for _, begin := range []bool{true, false, true} {
+		command, err := board.EncodeEvacuate(orderedZone, begin, board.Origin{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		var reply EarlierSubmitReplyRecord
+		call, cancel := context.WithTimeout(cluster.ctx, testTimeout)
+		err = client.Call(call, methodSubmit, &EarlierSubmitRecord{Order: command}, &reply)
+		cancel()
+		if err != nil || reply.Revision == 0 {
+			t.Fatalf("revision %d, %v", reply.Revision, err)
+		}
+		cluster.checkEvacuated(follower, begin)
+	}
+}
--- a/mesh/packed_command.go
+++ b/mesh/packed_command.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/rpc"
 
+	"rhubarbrack/ident"
 	"rhubarbrack/patch"
 	"rhubarbrack/wire"
 )
@@ -16,8 +17,9 @@
 const minPackedBytes = 64 << 10
 
 // submitTo submits a command to the leader. A leader of an earlier release takes
-// no packed commands and gets it as it is.
-func submitTo(ctx context.Context, client *wire.Client, command []byte) error {
+// no packed commands and gets it as it is. It takes a conditional order as an
+// unconditional one.
+func submitTo(ctx context.Context, client *wire.Client, command []byte, asOf ident.Option[ident.Revision]) error {
 	var reply SubmitReplyRecord
 	if len(command) >= minPackedBytes {
 		packed, err := patch.Encode(nil, command)
@@ -30,7 +32,13 @@
 			return wrapSubmit(err)
 		}
 	}
-	return wrapSubmit(client.Call(ctx, methodSubmit, &SubmitRecord{Order: command}, &reply))
+	if err := client.Call(ctx, methodSubmit, newSubmitRecord(command, asOf), &reply); err != nil {
+		return wrapSubmit(err)
+	}
+	if reply.Superseded {
+		return wrapSubmit(ErrSuperseded)
+	}
+	return nil
 }
 
 func wrapSubmit(err error) error {
--- a/mesh/packed_command_test.go
+++ b/mesh/packed_command_test.go
@@ -8,6 +8,7 @@
 	"net/rpc"
 	"testing"
 
+	"rhubarbrack/ident"
 	"rhubarbrack/scheme"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -74,7 +75,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if err := submitTo(ctx, client, c.command); err != nil {
+			if err := submitTo(ctx, client, c.command, ident.None[ident.Revision]()); err != nil {
 				t.Fatal(err)
 			}
 			if c.packed {
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -227,17 +227,40 @@
 	}
 	// JoinReplyRecord lists the control hosts.
 	JoinReplyRecord struct{ Controls []string }
-	// SubmitRecord carries a command to the leader.
-	SubmitRecord struct{ Order []byte }
+	// SubmitRecord carries a command to the leader. A conditional order for a zone
+	// has no effect if another one was accepted after the revision AsOf. Leaders of
+	// earlier releases ignore the condition.
+	SubmitRecord struct {
+		Order       []byte
+		Conditional bool
+		AsOf        uint64
+	}
 	// PackedSubmitRecord carries a packed command and the digest of the command.
 	PackedSubmitRecord struct {
 		Packed []byte
 		Digest patch.Digest
 	}
-	// SubmitReplyRecord acknowledges a command.
-	SubmitReplyRecord struct{ Revision uint64 }
+	// SubmitReplyRecord acknowledges a command, or tells that a conditional order
+	// had no effect.
+	SubmitReplyRecord struct {
+		Revision   uint64
+		Superseded bool
+	}
 )
 
+func newSubmitRecord(command []byte, asOf ident.Option[ident.Revision]) *SubmitRecord {
+	revision, conditional := asOf.Get()
+	return &SubmitRecord{Order: command, Conditional: conditional, AsOf: uint64(revision)}
+}
+
+// asOf returns the revision that the command is conditional on.
+func (r SubmitRecord) asOf() ident.Option[ident.Revision] {
+	if !r.Conditional {
+		return ident.None[ident.Revision]()
+	}
+	return ident.Some(ident.Revision(r.AsOf))
+}
+
 func newPieceRequestRecord(r patch.Request) PieceRequestRecord {
 	return PieceRequestRecord{Version: r.Version(), Base: r.Base(), Offset: r.Offset(), Size: r.Size()}
 }
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -89,7 +89,11 @@
 	// changeEncoded carries a difference between two configurations.
 	changeEncoded struct{ piece patch.Piece }
 	getState      struct{ reply tasks.Reply[StateRecord] }
-	getTargets    struct {
+	getZoneState  struct {
+		zone  ident.Zone
+		reply tasks.Reply[zoneState]
+	}
+	getTargets struct {
 		have        uint64
 		takesPacked bool
 		reply       tasks.Reply[ListRecord]
@@ -121,6 +125,13 @@
 	}
 )
 
+// zoneState tells whether a zone is evacuated, and the revision of the last order
+// for it.
+type zoneState struct {
+	evacuated bool
+	lastOrder ident.Revision
+}
+
 var _ tasks.Task = (*registry)(nil)
 
 func newRegistry(
@@ -163,6 +174,10 @@
 		m.reply.Send(r.heartbeat(m.record))
 	case getState:
 		m.reply.Send(newStateRecord(r.revision, r.state))
+	case getZoneState:
+		m.reply.Send(zoneState{
+			evacuated: slices.Contains(r.state.Evacuated(), m.zone), lastOrder: r.state.Orders().Last(m.zone),
+		})
 	case getTargets:
 		if m.takesPacked {
 			m.reply.Send(r.packedListRecord(m.have))
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 
 	"rhubarbrack/patch"
@@ -53,7 +54,11 @@
 func (s *service) Submit(args *SubmitRecord, reply *SubmitReplyRecord) error {
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
-	revision, _, err := s.control.replica.Propose(ctx, args.Order)
+	revision, err := s.control.proposeCommand(ctx, args.Order, args.asOf())
+	if errors.Is(err, ErrSuperseded) {
+		reply.Superseded = true
+		return nil
+	}
 	if err != nil {
 		return fmt.Errorf("submit: %w", err)
 	}
--- a/scheme/config_test.go
+++ b/scheme/config_test.go
@@ -94,11 +94,11 @@
 			t.Errorf("%s: %s in force, want %s", c.name, got.Source(), c.want)
 		}
 	}
-	state, _ = state.Evacuate("z", true)
-	if repeated, changed := state.Evacuate("z", true); changed || len(repeated.Evacuated()) != 1 {
+	state, _ = state.Evacuate("z", true, 1)
+	if repeated, changed := state.Evacuate("z", true, 1); changed || len(repeated.Evacuated()) != 1 {
 		t.Errorf("repeated evacuation: %v, changed %v", repeated.Evacuated(), changed)
 	}
-	if ended, changed := state.Evacuate("z", false); !changed || len(ended.Evacuated()) != 0 {
+	if ended, changed := state.Evacuate("z", false, 1); !changed || len(ended.Evacuated()) != 0 {
 		t.Errorf("ended evacuation: %v, changed %v", ended.Evacuated(), changed)
 	}
 }
--- a/scheme/desired_state.go
+++ b/scheme/desired_state.go
@@ -1,6 +1,7 @@
 package scheme
 
 import (
+	"maps"
 	"slices"
 
 	"rhubarbrack/ident"
@@ -13,6 +14,41 @@
 	version uint64
 	source  []byte
 	zones   []ident.Zone
+	orders  ZoneOrders
+}
+
+// ZoneOrders tells at which revisions the last orders for zones were applied. It is
+// immutable.
+type ZoneOrders struct {
+	last map[ident.Zone]ident.Revision
+	// completeFrom is the revision from which on all orders are known.
+	completeFrom ident.Revision
+}
+
+// NewZoneOrders returns the given last orders. Orders up to completeFrom may be
+// missing.
+func NewZoneOrders(last map[ident.Zone]ident.Revision, completeFrom ident.Revision) ZoneOrders {
+	return ZoneOrders{last: last, completeFrom: completeFrom}
+}
+
+// Known returns the known last orders. The map must not be modified.
+func (o ZoneOrders) Known() map[ident.Zone]ident.Revision { return o.last }
+
+// CompleteFrom returns the revision up to which orders may be missing.
+func (o ZoneOrders) CompleteFrom() ident.Revision { return o.completeFrom }
+
+// Last returns the revision of the last order for a zone. If it is unknown, it
+// returns the latest revision that the order may have.
+func (o ZoneOrders) Last(zone ident.Zone) ident.Revision { return max(o.last[zone], o.completeFrom) }
+
+// with returns the orders with another one for a zone.
+func (o ZoneOrders) with(zone ident.Zone, revision ident.Revision) ZoneOrders {
+	last := maps.Clone(o.last)
+	if last == nil {
+		last = map[ident.Zone]ident.Revision{}
+	}
+	last[zone] = revision
+	return ZoneOrders{last: last, completeFrom: o.completeFrom}
 }
 
 // NewDesiredState returns a state with the given content. An empty source
@@ -32,6 +68,15 @@
 // ascending order. The slice must not be modified.
 func (s DesiredState) Evacuated() []ident.Zone { return s.zones }
 
+// Orders returns the last orders for zones.
+func (s DesiredState) Orders() ZoneOrders { return s.orders }
+
+// WithOrders returns the state with the given last orders for zones.
+func (s DesiredState) WithOrders(orders ZoneOrders) DesiredState {
+	s.orders = orders
+	return s
+}
+
 // Put returns the state with the given configuration, and whether it changed.
 // A configuration only replaces one with a smaller version, so that duplicate
 // and delayed commands have no effect.
@@ -43,9 +88,10 @@
 	return s, true
 }
 
-// Evacuate returns the state after the evacuation of a zone begins or ends,
-// and whether it changed.
-func (s DesiredState) Evacuate(zone ident.Zone, begin bool) (DesiredState, bool) {
+// Evacuate returns the state after the order at a revision to begin or end the
+// evacuation of a zone, and whether the evacuated zones changed.
+func (s DesiredState) Evacuate(zone ident.Zone, begin bool, revision ident.Revision) (DesiredState, bool) {
+	s.orders = s.orders.with(zone, revision)
 	i, found := slices.BinarySearch(s.zones, zone)
 	switch {
 	case begin == found:
