Refuse orders whose caller may have left before they were read

Callers saw requests in a zone whose evacuation had been acknowledged. The host that undid it had stood still for some seconds.

Cause: a host that goes on reads the orders that its callers sent before they gave up. It proposed them before it noticed that the callers had left, so that an old order came after a newer one that another host had acknowledged. The condition on the state at the receipt of an order does not cover this: the state is read too late.

--- a/mesh/control.go
+++ b/mesh/control.go
@@ -43,6 +43,7 @@
 	ref        *tasks.Ref
 	archive    *tasks.Ref
 	orders     *tasks.Ref
+	pauses     *tasks.Ref
 	replica    *ctrl.Replica
 	clock      clock.Clock
 	log        *slog.Logger
@@ -93,6 +94,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("start mesh: %w", err)
 	}
+	control.pauses, err = startPauseDetector(ctx, system, c, log)
+	if err != nil {
+		return nil, fmt.Errorf("start mesh: %w", err)
+	}
 	ref.Tell(setRegion{region: control.region})
 	return control, nil
 }
