Send no message for a caller that has left

Callers saw orders, and calls between hosts, that took effect although they had given up before the host sent them on: a host that stood still does so with everything that waited.

Cause: tasks.Ask and wire.Client.Call sent their message before they looked at the context, and a call that waited for a connection was sent whenever that was open.

Change: both look first and say so with ErrNotSent and ErrExpired; a call whose caller leaves while it waits for the connection is dropped. A proposal that was not sent is no longer reported as one of unknown outcome.

--- a/ctrl/replica.go
+++ b/ctrl/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/rpc"
 	"sync/atomic"
@@ -100,10 +101,13 @@
 
 // Propose commits a command and returns its revision and the result of
 // StateMachine.Apply. The error matches ErrNotLeader, agree.ErrBusy,
-// agree.ErrTooLarge, agree.ErrTransferring or ErrNotCommitted if the command had
-// no effect, and ErrUnknown if it may still be committed.
+// agree.ErrTooLarge, agree.ErrTransferring, tasks.ErrNotSent or ErrNotCommitted if
+// the command had no effect, and ErrUnknown if it may still be committed.
 func (r *Replica) Propose(ctx context.Context, data []byte) (ident.Revision, any, error) {
 	result, err := askTask(ctx, r, func(reply tasks.Reply[requestResult]) any { return propose{data: data, reply: reply} })
+	if errors.Is(err, tasks.ErrNotSent) {
+		return 0, nil, fmt.Errorf("propose: %w", err)
+	}
 	if err != nil {
 		return 0, nil, fmt.Errorf("propose: %w: %w", ErrUnknown, err)
 	}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -43,8 +43,8 @@
 func (p *Peers) Done() <-chan struct{} { return p.ref.Done() }
 
 // Call invokes a method of an entry host. The context must have a deadline.
-// Errors match ErrNoPeer, wire.ErrUnreachable or wire.ErrBusy when the call
-// was certainly not sent, and wire.ErrResponseLost when it may have run.
+// Errors match ErrNoPeer, wire.ErrUnreachable, wire.ErrBusy or wire.ErrExpired when
+// the call was certainly not sent, and wire.ErrResponseLost when it may have run.
 func (p *Peers) Call(ctx context.Context, h ident.Host, method string, args, reply any) error {
 	to, err := tasks.Ask(ctx, p.ref, func(r tasks.Reply[peerEndpoint]) any { return endpointRequest{name: h, reply: r} })
 	if err != nil {
--- a/tasks/task.go
+++ b/tasks/task.go
@@ -10,8 +10,13 @@
 	"github.com/juju/errors"
 )
 
-// ErrStopped is returned by Ask when the task stopped before it replied.
-const ErrStopped = errors.ConstError("task stopped")
+const (
+	// ErrStopped is returned by Ask when the task stopped before it replied.
+	ErrStopped = errors.ConstError("task stopped")
+	// ErrNotSent is returned by Ask when the caller had left before the message was
+	// sent.
+	ErrNotSent = errors.ConstError("message was not sent")
+)
 
 // Task handles the messages of one actor, one at a time.
 type Task interface {
@@ -107,11 +112,15 @@
 
 // Ask sends the message that build returns and waits for the reply. It returns
 // the error of ctx when that ends first, and ErrStopped when the task stops
-// without a reply.
+// without a reply. If ctx has ended already, it sends nothing and the error matches
+// ErrNotSent too.
 func Ask[T any](ctx context.Context, r *Ref, build func(Reply[T]) any) (T, error) {
+	var zero T
+	if err := ctx.Err(); err != nil {
+		return zero, fmt.Errorf("ask task %s: %w: %w", r.pid.GetId(), ErrNotSent, err)
+	}
 	reply := NewReply[T]()
 	r.Tell(build(reply))
-	var zero T
 	select {
 	case v := <-reply.values:
 		return v, nil
--- a/tasks/task_test.go
+++ b/tasks/task_test.go
@@ -73,6 +73,26 @@
 	}
 }
 
+// Guards against a message that takes effect although its sender had left before.
+func TestAskAfterCallerLeft(t *testing.T) {
+	s := NewSystem(discardLog())
+	defer s.Shutdown()
+	r, err := Spawn(context.Background(), s, "counter", &counter{stopped: make(chan struct{})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	_, err = Ask(left, r, func(Reply[int]) any { return 1 })
+	if !errors.Is(err, ErrNotSent) || !errors.Is(err, context.Canceled) {
+		t.Errorf("Ask = %v, want %v", err, ErrNotSent)
+	}
+	sum, err := Ask(context.Background(), r, func(reply Reply[int]) any { return sumRequest{reply: reply} })
+	if err != nil || sum != 0 {
+		t.Errorf("the task received %d, %v", sum, err)
+	}
+}
+
 // Guards against a panic that the owner of the task never learns of.
 func TestPanicIsReported(t *testing.T) {
 	s := NewSystem(discardLog())
--- a/wire/client.go
+++ b/wire/client.go
@@ -22,6 +22,8 @@
 	// ErrBusy means that the call was not sent because too many calls are in
 	// flight.
 	ErrBusy = errors.ConstError("too many calls in flight")
+	// ErrExpired means that the call was not sent because its caller had left.
+	ErrExpired = errors.ConstError("call has expired")
 	// ErrResponseLost means that the call may have been sent and that no
 	// response arrived.
 	ErrResponseLost = errors.ConstError("answer lost")
@@ -71,12 +73,15 @@
 
 // Call invokes a method of the peer. The context must have a deadline, which
 // limits the call. The reply is written only when there is no error, even if a
-// response arrives late. Errors match ErrUnreachable or ErrBusy when the call
-// was certainly not sent, and ErrResponseLost when it may have run.
+// response arrives late. Errors match ErrUnreachable, ErrBusy or ErrExpired when
+// the call was certainly not sent, and ErrResponseLost when it may have run.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	if _, ok := ctx.Deadline(); !ok {
 		return fmt.Errorf("call %s: context has no deadline", method)
 	}
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("call %s of %s: %w: %w", method, c.address, ErrExpired, err)
+	}
 	select {
 	case c.slots <- struct{}{}:
 		defer func() { <-c.slots }()
@@ -86,7 +91,7 @@
 	result := make(chan error, 1)
 	// net/rpc still writes to the reply after the call was cancelled.
 	received := reflect.New(reflect.TypeOf(reply).Elem()).Interface()
-	c.ref.Tell(invoke{method: method, args: args, reply: received, result: result})
+	c.ref.Tell(invoke{ctx: ctx, method: method, args: args, reply: received, result: result})
 	select {
 	case err := <-result:
 		if err == nil {
@@ -105,8 +110,9 @@
 }
 
 type (
-	// invoke requests a call from the connection task.
+	// invoke requests a call from the connection task, unless ctx has ended.
 	invoke struct {
+		ctx         context.Context
 		method      string
 		args, reply any
 		result      chan<- error
@@ -249,8 +255,12 @@
 }
 
 // send starts a call and a goroutine that passes on its result. The goroutine
-// ends with the call, which ends at the latest with the connection.
+// ends with the call, which ends at the latest with the connection. A call whose
+// caller has left, for example while it waited for the connection, is not sent.
 func (c *connection) send(m invoke) {
+	if m.ctx.Err() != nil {
+		return
+	}
 	client := c.client
 	call := client.Go(m.method, m.args, m.reply, make(chan *rpc.Call, 1))
 	go func() {
