--- a/mesh/control.go
+++ b/mesh/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"rhubarbrack/agree"
 	"rhubarbrack/board"
 	"rhubarbrack/clock"
 	"rhubarbrack/ctrl"
@@ -19,9 +20,13 @@
 	"rhubarbrack/wire"
 )
 
-// ErrUnavailable means that no leader could serve the call in time. The
-// command may take effect nevertheless.
-const ErrUnavailable = errors.ConstError("no control host could serve the call")
+const (
+	// ErrUnavailable means that no leader could serve the call in time.
+	ErrUnavailable = errors.ConstError("no control host could serve the call")
+	// ErrOutcomeUnknown means that an order may have taken effect, or may still do
+	// so. After any other error it has none.
+	ErrOutcomeUnknown = errors.ConstError("outcome unknown")
+)
 
 // ErrTooLarge means that a configuration exceeds MaxConfigBytes.
 const ErrTooLarge = errors.ConstError("configuration is too large")
@@ -119,7 +124,8 @@
 }
 
 // Put makes a configuration the current one unless a newer one exists. A nil
-// error means that the command is durable. ErrTooLarge means that it was refused.
+// error means that the command is durable. ErrTooLarge means that it was refused,
+// and ErrOutcomeUnknown that it may be committed.
 func (c *Control) Put(ctx context.Context, version uint64, source []byte) error {
 	if len(source) > MaxConfigBytes {
 		return fmt.Errorf("put configuration %d: %w: %d bytes, the limit is %d", version, ErrTooLarge, len(source), MaxConfigBytes)
@@ -199,14 +205,38 @@
 }
 
 // submit proposes a command at the leader. An order for a zone is conditional on
-// the revision asOf.
+// the revision asOf. The error matches ErrOutcomeUnknown unless no copy of the
+// command was submitted.
 func (c *Control) submit(ctx context.Context, command []byte, asOf ident.Option[ident.Revision]) error {
-	return c.callLeader(ctx, func(ctx context.Context) error {
-		if _, err := c.proposeCommand(ctx, command, asOf); err != nil {
-			return fmt.Errorf("propose on the leader: %w", err)
+	maySucceed := false
+	record := func(err error) error {
+		maySucceed = maySucceed || err != nil && !hasNoEffect(err)
+		return err
+	}
+	err := c.callLeader(ctx, func(ctx context.Context) error {
+		_, err := c.proposeCommand(ctx, command, asOf)
+		return record(err)
+	}, func(ctx context.Context, client *wire.Client) error {
+		return record(submitTo(ctx, client, command, asOf))
+	})
+	if err != nil && maySucceed {
+		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	}
+	return err
+}
+
+// hasNoEffect reports whether an error proves that a command is not committed and
+// never will be. An error of another host does not: only its text arrives.
+func hasNoEffect(err error) bool {
+	for _, proof := range []error{
+		ErrSuperseded, errNotProposed, tasks.ErrNotSent, ctrl.ErrNotLeader, ctrl.ErrNotCommitted, agree.ErrBusy,
+		agree.ErrTooLarge, agree.ErrTransferring, wire.ErrUnreachable, wire.ErrBusy, wire.ErrExpired,
+	} {
+		if errors.Is(err, proof) {
+			return true
 		}
-		return nil
-	}, func(ctx context.Context, client *wire.Client) error { return submitTo(ctx, client, command, asOf) })
+	}
+	return false
 }
 
 // callLeader runs the call on this host or, if another host leads, on that one. It
--- a/mesh/order.go
+++ b/mesh/order.go
@@ -30,8 +30,9 @@
 )
 
 // Evacuate begins or ends the evacuation of a zone. The context must end when the
-// caller leaves. A nil error means that the command is durable. After an error the
-// order may still take effect, until another order for the zone is acknowledged.
+// caller leaves. A nil error means that the command is durable. After an error that
+// matches ErrOutcomeUnknown the order may still take effect, until another order for
+// the zone is acknowledged; after any other one it never does.
 func (c *Control) Evacuate(ctx context.Context, zone ident.Zone, begin bool) error {
 	origin := c.receive("evacuate", "zone", zone, "begin", begin)
 	err := c.timed(ctx, "order-evacuate", func(ctx context.Context) error { return c.evacuate(ctx, zone, begin, origin) })
--- a/mesh/order_queue.go
+++ b/mesh/order_queue.go
@@ -11,9 +11,13 @@
 	"rhubarbrack/tasks"
 )
 
-// ErrSuperseded means that a conditional order had no effect, because another one
-// for the zone was accepted after the revision that it is conditional on.
-const ErrSuperseded = errors.ConstError("superseded by another order for the zone")
+const (
+	// ErrSuperseded means that a conditional order had no effect, because another
+	// one for the zone was accepted after the revision that it is conditional on.
+	ErrSuperseded = errors.ConstError("superseded by another order for the zone")
+	// errNotProposed means that the leader did not propose an order.
+	errNotProposed = errors.ConstError("order was not proposed")
+)
 
 // proposeOrder requests the proposal of an order on the leader.
 type proposeOrder struct {
@@ -121,13 +125,13 @@
 // It returns once the order is committed or never will be.
 func (c *Control) compareAndPropose(ctx context.Context, m proposeOrder) orderResult {
 	if _, err := c.replica.Barrier(m.ctx); err != nil {
-		return orderResult{err: fmt.Errorf("confirm leadership: %w", err)}
+		return orderResult{err: fmt.Errorf("%w: confirm leadership: %w", errNotProposed, err)}
 	}
 	state, err := tasks.Ask(m.ctx, c.ref, func(reply tasks.Reply[zoneState]) any {
 		return getZoneState{zone: m.order.Zone(), reply: reply}
 	})
 	if err != nil {
-		return orderResult{err: fmt.Errorf("read state of zone: %w", err)}
+		return orderResult{err: fmt.Errorf("%w: read state of zone: %w", errNotProposed, err)}
 	}
 	if asOf, ok := m.asOf.Get(); ok && state.lastOrder > asOf {
 		return c.supersede(m.order, asOf, state)
--- a/mesh/order_test.go
+++ b/mesh/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/rpc"
@@ -90,8 +91,8 @@
 			leader.proxy.hold(1)
 			ctx, cancel := context.WithTimeout(cluster.ctx, shortWait)
 			defer cancel()
-			if follower.control.Evacuate(ctx, orderedZone, c.late) == nil {
-				t.Fatal("an order was acknowledged whose copy was held back")
+			if err := follower.control.Evacuate(ctx, orderedZone, c.late); !errors.Is(err, ErrOutcomeUnknown) {
+				t.Fatalf("an order whose copy was held back ended with %v", err)
 			}
 			<-leader.proxy.held
 			if c.resend {
@@ -144,6 +145,36 @@
 	cluster.checkEvacuated(leader, true)
 }
 
+// TestOrderWithoutLeader guards against an order whose outcome is called unknown
+// although it was never submitted.
+func TestOrderWithoutLeader(t *testing.T) {
+	cases := []struct {
+		name  string
+		order func(ctx context.Context, h *controlHost) error
+	}{
+		{"configuration", func(ctx context.Context, h *controlHost) error { return h.control.Put(ctx, 1, []byte("one")) }},
+		{"evacuation", func(ctx context.Context, h *controlHost) error { return h.control.Evacuate(ctx, orderedZone, true) }},
+	}
+	cluster := newControlCluster(t, "a", "b", "c")
+	_, follower := cluster.startLeaderAndFollower()
+	for _, h := range cluster.hosts {
+		if h != follower {
+			cluster.stop(h)
+		}
+	}
+	cluster.waitUntil("a follower without a leader", func() bool {
+		status, err := follower.replica.Status(cluster.ctx)
+		return err == nil && status.Leader() == ""
+	})
+	for _, c := range cases {
+		ctx, cancel := context.WithTimeout(cluster.ctx, shortWait)
+		if err := c.order(ctx, follower); !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOutcomeUnknown) {
+			t.Errorf("%s: the order ended with %v", c.name, err)
+		}
+		cancel()
+	}
+}
+
 // The records of releases without conditional orders.
 type (
 	EarlierSubmitRecord      struct{ Order []byte }
