--- a/mesh/control.go
+++ b/mesh/control.go
@@ -139,7 +139,7 @@
 	}
 	c.logEnd(origin, err)
 	if err != nil {
-		return fmt.Errorf("put configuration %d: %w", version, err)
+		return fmt.Errorf("order %s: put configuration %d: %w", origin.Order(), version, err)
 	}
 	return nil
 }
--- a/mesh/order.go
+++ b/mesh/order.go
@@ -38,7 +38,7 @@
 	err := c.timed(ctx, "order-evacuate", func(ctx context.Context) error { return c.evacuate(ctx, zone, begin, origin) })
 	c.logEnd(origin, err)
 	if err != nil {
-		return fmt.Errorf("evacuate zone %s: %w", zone, err)
+		return fmt.Errorf("order %s: evacuate zone %s: %w", origin.Order(), zone, err)
 	}
 	return nil
 }
