Confirm a join request before its predecessor is removed

Found by looking for the cause of undone evacuations elsewhere: a request of a sender that is gone is taken for a current one. No caller has reported it.

Cause: a join request for the address of a member under another name means that the member has lost its disk, so it was removed at once. A request that a control host reads after it stood still may come from an earlier process; the member may be the later one, and a healthy voter.

--- a/ctrl/replica_member.go
+++ b/ctrl/replica_member.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// Confirm asks the host at an address for its name. The error matches
+// ErrIdentityMismatch if another host answers.
+func (r *Replica) Confirm(ctx context.Context, host ident.Host, address string) error {
+	if _, err := r.identify(ctx, host, address); err != nil {
+		return fmt.Errorf("confirm host %s: %w", host, err)
+	}
+	return nil
+}
+
 // identify asks a host for the identity of its disk.
 func (r *Replica) identify(ctx context.Context, host ident.Host, address string) (agree.DiskID, error) {
 	client, err := r.dial(ctx, address)
--- a/mesh/membership.go
+++ b/mesh/membership.go
@@ -157,7 +157,12 @@
 		old, taken := byAddress[j.address]
 		if taken && old.Host() != j.host {
 			// The host came back with an empty disk. The old member's votes and
-			// log entries are lost, so it must not remain a member.
+			// log entries are lost, so it must not remain a member. The request
+			// may be late, and the host have lost its disk again since then.
+			if err := c.replica.Confirm(ctx, j.host, j.address); err != nil {
+				c.log.Warn("mesh: join request not confirmed", "host", j.host, "address", j.address, "error", err)
+				continue
+			}
 			return "remove", old.Host(), c.remove(ctx, old.Host())
 		}
 		if !taken || !old.IsVoter() {
--- a/mesh/membership_test.go
+++ b/mesh/membership_test.go
@@ -1,6 +1,11 @@
 package mesh
 
-import "testing"
+import (
+	"testing"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/tasks"
+)
 
 // TestRemovedMemberJoinsAgain guards against a host that is removed while it is
 // down and never takes part again, because its own copy of the log still has it
@@ -51,3 +56,31 @@
 		})
 	}
 }
+
+// TestLateJoinRequest guards against a voter that is removed because of a join
+// request that an earlier host at its address has sent, before it lost its disk
+// again.
+func TestLateJoinRequest(t *testing.T) {
+	cluster := newControlCluster(t, "a", "b", "c")
+	leader, follower := cluster.startLeaderAndFollower()
+	cluster.waitForExpiredRequests()
+	lastRevision := func() ident.Revision {
+		status, err := leader.replica.Status(cluster.ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return status.LastRevision()
+	}
+	before := lastRevision()
+	_, err := tasks.Ask(cluster.ctx, leader.control.ref, func(r tasks.Reply[[]string]) any {
+		return requestJoin{record: JoinRecord{Host: "earlier-host", Address: follower.address}, reply: r}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The leader checks the membership several times before the request expires.
+	cluster.waitForExpiredRequests()
+	if after := lastRevision(); after != before {
+		t.Errorf("the membership changed: the log ends at revision %d, before at %d", after, before)
+	}
+}
