Keep a majority of voters through every replacement of a control host

Cause: a successor became a voter at once, while its predecessor, which was gone, remained one for 6 s of silence, counted anew by each leader. Of six voters one was gone; with two disks lost three of six were left. A host that stopped as planned remained a voter in the same way.

Change: package quorum plans one change at a time. A silent voter is removed after 1 s if more voters than the five that the loss of two disks calls for remain, and a removed host that returns joins again. Changes that are due follow each other without a pause, and the addition of a host that has not caught up no longer blocks others for 5 s. A control host that is about to stop asks the leader to remove it if a successor has joined. Weighed: joint consensus (it would also allow several changes at once, which are not needed), and one change for successor and predecessor (a successor is known as such only once its predecessor is gone).

Releases: an earlier leader lacks the call to leave, and the host then stops as before.

--- a/mesh/control.go
+++ b/mesh/control.go
@@ -15,6 +15,7 @@
 	"rhubarbrack/ctrl"
 	"rhubarbrack/ident"
 	"rhubarbrack/patch"
+	"rhubarbrack/quorum"
 	"rhubarbrack/scheme"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -56,6 +57,7 @@
 	ownAddress string
 	region     ident.Region
 	rotation   *rotation
+	planner    quorum.Planner
 	meter      Meter
 }
 
@@ -90,7 +92,7 @@
 	ref.Tell(setArchive{ref: archive})
 	control := &Control{
 		ref: ref, archive: archive, clock: c, log: log, host: host, ownAddress: ownAddress, rotation: newRotation(),
-		meter: noMeter{},
+		planner: quorum.NewPlanner(host), meter: noMeter{},
 	}
 	for _, apply := range options {
 		apply(control)
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -188,6 +188,10 @@
 	return list
 }
 
+// controlHostTimeout is how long a control host that is no longer listed may be
+// silent before it is forgotten.
+const controlHostTimeout = 6 * time.Second
+
 // updateControlHosts adds the control hosts at the given addresses, and removes
 // silent ones that are not listed.
 func (t *controlClientTask) updateControlHosts(addresses []string) {
@@ -207,7 +211,7 @@
 	now := t.clock.Now()
 	for a, p := range t.peers {
 		// A control host that responds is kept even if others do not list it.
-		if !known[a] && now.Sub(p.lastHeard) > memberTimeout {
+		if !known[a] && now.Sub(p.lastHeard) > controlHostTimeout {
 			p.client.Close()
 			delete(t.peers, a)
 			t.fetcher.Tell(forgetPeer{address: a})
--- a/mesh/control_host_test.go
+++ b/mesh/control_host_test.go
@@ -193,8 +193,10 @@
 		if h == nil {
 			return false
 		}
-		list, err := tasks.Ask(cluster.ctx, h.control.ref, func(r tasks.Reply[[]joiner]) any { return getJoiners{reply: r} })
-		return err == nil && len(list) == 0
+		requests, err := tasks.Ask(cluster.ctx, h.control.ref, func(r tasks.Reply[memberRequests]) any {
+			return getMemberRequests{reply: r}
+		})
+		return err == nil && len(requests.joiners) == 0
 	})
 }
 
--- /dev/null
+++ b/mesh/departure_test.go
@@ -0,0 +1,62 @@
+package mesh
+
+import (
+	"slices"
+	"testing"
+
+	"rhubarbrack/ident"
+)
+
+// isMember reports whether the leader has a host as a member.
+func (cluster *controlCluster) isMember(host ident.Host) bool {
+	cluster.t.Helper()
+	var members []ident.Host
+	cluster.waitUntil("a leader", func() bool {
+		h, s := cluster.leader()
+		members = nil
+		for _, m := range s.Members() {
+			members = append(members, m.Member().Host())
+		}
+		return h != nil
+	})
+	return slices.Contains(members, host)
+}
+
+// TestLeave guards against a host that stops for good and remains a voter, so that
+// the loss of two disks leaves no majority, and against one that is removed although
+// the log needs it.
+func TestLeave(t *testing.T) {
+	five := []string{"a", "b", "c", "d", "e"}
+	cases := []struct {
+		name string
+		// hasSuccessor is set if another host has joined before the stop.
+		hasSuccessor bool
+		// isLeader is set if the host that leaves is the leader.
+		isLeader   bool
+		wantMember bool
+	}{
+		{name: "successor has joined", hasSuccessor: true},
+		{name: "no successor", wantMember: true},
+		{name: "leader", hasSuccessor: true, isLeader: true, wantMember: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newControlCluster(t, append(slices.Clone(five), "f")...)
+			for _, name := range five {
+				cluster.start(name, five, five)
+			}
+			cluster.waitForVoters(five...)
+			cluster.lead(map[bool]string{true: "e", false: "a"}[c.isLeader])
+			if c.hasSuccessor {
+				cluster.start("f", five, nil)
+				cluster.waitForVoters("a", "b", "c", "d", "e", "f")
+			}
+			h := cluster.hosts["e"]
+			h.control.Leave(cluster.ctx)
+			if got := cluster.isMember(h.name); got != c.wantMember {
+				t.Errorf("the host is a member after it has left: %v, want %v", got, c.wantMember)
+			}
+		})
+	}
+}
--- a/mesh/membership.go
+++ b/mesh/membership.go
@@ -3,23 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"rhubarbrack/agree"
 	"rhubarbrack/clock"
 	"rhubarbrack/ctrl"
-	"rhubarbrack/ident"
+	"rhubarbrack/quorum"
 	"rhubarbrack/tasks"
 )
 
 const (
 	// membershipInterval is the interval between two checks of the membership.
 	membershipInterval = 200 * time.Millisecond
-	// memberTimeout is how long a member may be silent before it is removed,
-	// if enough other members are in contact.
-	memberTimeout = 6 * time.Second
-	// changeTimeout bounds one membership change.
-	changeTimeout = 5 * time.Second
+	// changeTimeout bounds one membership change. A host that is added and has not
+	// caught up by then is looked at again, after changes that are more urgent.
+	changeTimeout = time.Second
+	// maxChangesPerCheck bounds the changes between two checks of the leadership.
+	maxChangesPerCheck = 4
 )
 
 // MaintainMembership maintains the membership of the replicated log until ctx
@@ -117,88 +118,93 @@
 	}
 }
 
-// updateMembership applies the next membership change, if one is due.
+// updateMembership applies the membership changes that are due, one after the
+// other: as soon as a successor is a voter, its predecessor must not remain one.
 func (c *Control) updateMembership(ctx context.Context, status ctrl.Status) {
-	joiners, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[[]joiner]) any { return getJoiners{reply: reply} })
-	if err != nil {
-		c.log.Info("mesh: membership not checked", "error", err)
-		return
-	}
-	change, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	action, host, err := c.applyNextChange(change, status, joiners)
-	switch {
-	case err != nil:
-		c.log.Warn("mesh: membership change failed", "change", action, "member", host, "error", err)
-	case action != "":
-		c.log.Info("mesh: membership changed", "change", action, "member", host, "silent", silences(c.clock.Now(), status))
+	requests, err := tasks.Ask(ctx, c.ref, func(reply tasks.Reply[memberRequests]) any {
+		return getMemberRequests{reply: reply}
+	})
+	for range maxChangesPerCheck {
+		if err != nil {
+			c.log.Info("mesh: membership not checked", "error", err)
+			return
+		}
+		if status.Role() != agree.Leader || !c.updateMember(ctx, status, &requests) {
+			return
+		}
+		status, err = c.replica.Status(ctx)
 	}
 }
 
-// silences returns how long each member has been silent, by host.
-func silences(now time.Time, status ctrl.Status) map[string]string {
-	list := map[string]string{}
-	for _, m := range status.Members() {
-		list[string(m.Member().Host())] = now.Sub(m.LastContact()).Truncate(time.Millisecond).String()
+// updateMember applies the next membership change. It reports whether there was
+// one that succeeded.
+func (c *Control) updateMember(ctx context.Context, status ctrl.Status, requests *memberRequests) bool {
+	change, ok := c.nextChange(ctx, status, requests)
+	if !ok {
+		return false
 	}
-	return list
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	if err := c.applyChange(ctx, change); err != nil {
+		c.log.Warn("mesh: membership change failed", "change", change.Kind(), "reason", change.Reason(),
+			"member", change.Host(), "error", err)
+		return false
+	}
+	c.log.Info("mesh: membership changed", "change", change.Kind(), "reason", change.Reason(),
+		"member", change.Host(), "silent", silences(c.clock.Now(), status))
+	return true
 }
 
-// applyNextChange returns the change that it attempted and the host concerned,
-// or empty values if no change is due.
-func (c *Control) applyNextChange(
-	ctx context.Context, status ctrl.Status, joiners []joiner,
-) (string, ident.Host, error) {
-	byAddress := map[string]agree.Member{}
-	for _, m := range status.Members() {
-		byAddress[m.Member().Address()] = m.Member()
-	}
-	for _, j := range joiners {
-		old, taken := byAddress[j.address]
-		if taken && old.Host() != j.host {
-			// The host came back with an empty disk. The old member's votes and
-			// log entries are lost, so it must not remain a member. The request
-			// may be late, and the host have lost its disk again since then.
-			if err := c.replica.Confirm(ctx, j.host, j.address); err != nil {
-				c.log.Warn("mesh: join request not confirmed", "host", j.host, "address", j.address, "error", err)
-				continue
-			}
-			return "remove", old.Host(), c.remove(ctx, old.Host())
+// nextChange returns the next membership change that is due. It drops requests that
+// their senders no longer confirm.
+func (c *Control) nextChange(ctx context.Context, status ctrl.Status, requests *memberRequests) (quorum.Change, bool) {
+	members := quorumMembers(c.clock.Now(), status)
+	for {
+		change, ok := c.planner.Next(members, requests.joiners, requests.leavers)
+		if !ok || change.Reason() != quorum.DiskLost {
+			return change, ok
 		}
-		if !taken || !old.IsVoter() {
-			if err := c.replica.AddMember(ctx, j.host, j.address); err != nil {
-				return "add", j.host, fmt.Errorf("add member: %w", err)
-			}
-			return "add", j.host, nil
+		// The request may be late, and the host have lost its disk again since
+		// then.
+		i := slices.IndexFunc(requests.joiners, func(j quorum.Joiner) bool { return j.Address() == change.Address() })
+		host := requests.joiners[i].Host()
+		err := c.replica.Confirm(ctx, host, change.Address())
+		if err == nil {
+			return change, true
 		}
+		c.log.Warn("mesh: join request not confirmed", "host", host, "address", change.Address(), "error", err)
+		requests.joiners = slices.Delete(slices.Clone(requests.joiners), i, i+1)
 	}
-	if host, ok := c.removableMember(status); ok {
-		return "remove", host, c.remove(ctx, host)
+}
+
+// quorumMembers returns the members as the leader sees them.
+func quorumMembers(now time.Time, status ctrl.Status) []quorum.Member {
+	var list []quorum.Member
+	for _, m := range status.Members() {
+		member := m.Member()
+		list = append(list, quorum.NewMember(member.Host(), member.Address(), member.IsVoter(), now.Sub(m.LastContact())))
 	}
-	return "", "", nil
+	return list
 }
 
-func (c *Control) remove(ctx context.Context, host ident.Host) error {
-	if err := c.replica.RemoveMember(ctx, host); err != nil {
-		return fmt.Errorf("remove member: %w", err)
+func (c *Control) applyChange(ctx context.Context, change quorum.Change) error {
+	if change.Kind() == quorum.Remove {
+		if err := c.replica.RemoveMember(ctx, change.Host()); err != nil {
+			return fmt.Errorf("remove member: %w", err)
+		}
+		return nil
+	}
+	if err := c.replica.AddMember(ctx, change.Host(), change.Address()); err != nil {
+		return fmt.Errorf("add member: %w", err)
 	}
 	return nil
 }
 
-// minLiveMembers is the number of live members from which silent ones are
-// removed. As voters, five tolerate the loss of two disks.
-const minLiveMembers = 5
-
-// removableMember returns a silent member if enough others are in contact.
-func (c *Control) removableMember(status ctrl.Status) (ident.Host, bool) {
-	now := c.clock.Now()
-	live, silent := 0, ident.Host("")
+// silences returns how long each member has been silent, by host.
+func silences(now time.Time, status ctrl.Status) map[string]string {
+	list := map[string]string{}
 	for _, m := range status.Members() {
-		if now.Sub(m.LastContact()) < memberTimeout {
-			live++
-		} else if m.Member().Host() != c.host {
-			silent = m.Member().Host()
-		}
+		list[string(m.Member().Host())] = now.Sub(m.LastContact()).Truncate(time.Millisecond).String()
 	}
-	return silent, silent != "" && live >= minLiveMembers
+	return list
 }
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -16,6 +16,7 @@
 	methodPiece        = serviceName + ".Piece"
 	methodTargets      = serviceName + ".Targets"
 	methodJoin         = serviceName + ".Join"
+	methodLeave        = serviceName + ".Leave"
 	methodSubmit       = serviceName + ".Submit"
 	methodSubmitPacked = serviceName + ".SubmitPacked"
 	methodRead         = serviceName + ".ReadSince"
@@ -227,6 +228,10 @@
 	}
 	// JoinReplyRecord lists the control hosts.
 	JoinReplyRecord struct{ Controls []string }
+	// LeaveRecord tells the leader that a control host is about to stop.
+	LeaveRecord struct{ Host string }
+	// LeaveReplyRecord tells whether the host is no longer a member.
+	LeaveReplyRecord struct{ Removed bool }
 	// SubmitRecord carries a command to the leader. A conditional order for a zone
 	// has no effect if another one was accepted after the revision AsOf. Leaders of
 	// earlier releases ignore the condition.
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"slices"
@@ -28,9 +27,10 @@
 	// leadershipValidity is how long this host may grant leases and tokens
 	// after its leadership was confirmed.
 	leadershipValidity = time.Second
-	// joinRequestLifetime is how long a join request is valid. A host repeats
-	// its request until it is a voter.
-	joinRequestLifetime = 2 * time.Second
+	// memberRequestLifetime is how long the request of a control host to join, or to
+	// be removed before it stops, is valid. A host repeats its request until it is
+	// met.
+	memberRequestLifetime = 2 * time.Second
 )
 
 // registry is the task that owns a control host's knowledge of the fleet.
@@ -49,7 +49,9 @@
 	hosts        map[ident.Host]EntryHost
 	controlHosts map[string]bool
 	joiners      map[string]joiner
-	list         *listing
+	// leavers holds when control hosts that are about to stop last said so.
+	leavers map[ident.Host]time.Time
+	list    *listing
 	// earlier holds the previous lists, the oldest first.
 	earlier []*listing
 	ready   readyHistory
@@ -67,13 +69,6 @@
 	totals *statsTotals
 }
 
-// joiner is a control host that requests to become a member.
-type joiner struct {
-	host      ident.Host
-	address   string
-	lastHeard time.Time
-}
-
 // The messages of the registry.
 type (
 	published struct {
@@ -114,8 +109,10 @@
 	leadershipConfirmed struct{ at time.Time }
 	listRead            struct{ targets []ListedTarget }
 	getEntryHosts       struct{ reply tasks.Reply[[]EntryHost] }
-	getJoiners          struct{ reply tasks.Reply[[]joiner] }
-	getClient           struct {
+	// addLeaver records that a control host is about to stop.
+	addLeaver         struct{ host ident.Host }
+	getMemberRequests struct{ reply tasks.Reply[memberRequests] }
+	getClient         struct {
 		address string
 		reply   tasks.Reply[*wire.Client]
 	}
@@ -139,7 +136,7 @@
 ) *registry {
 	r := &registry{
 		ctx: ctx, system: system, clock: c, log: log, ownAddress: ownAddress, hosts: map[ident.Host]EntryHost{},
-		controlHosts: map[string]bool{}, joiners: map[string]joiner{}, clients: map[string]*wire.Client{},
+		controlHosts: map[string]bool{}, joiners: map[string]joiner{}, leavers: map[ident.Host]time.Time{}, clients: map[string]*wire.Client{},
 		reports: map[ident.Host]statsReport{}, suspects: guard.NewSuspects(),
 	}
 	for _, s := range seeds {
@@ -201,8 +198,10 @@
 		r.updateList(m.targets)
 	case getEntryHosts:
 		m.reply.Send(r.readyHosts())
-	case getJoiners:
-		m.reply.Send(r.currentJoiners())
+	case addLeaver:
+		r.addLeaver(m.host)
+	case getMemberRequests:
+		m.reply.Send(r.memberRequests())
 	case getClient:
 		m.reply.Send(r.client(m.address))
 	case getControlHosts:
@@ -349,14 +348,6 @@
 	return list
 }
 
-func (r *registry) addJoiner(record JoinRecord) {
-	if old, ok := r.joiners[record.Address]; !ok || old.host != ident.Host(record.Host) {
-		r.log.Info("mesh: control host requests to join", "host", record.Host, "address", record.Address)
-	}
-	r.joiners[record.Address] = joiner{host: ident.Host(record.Host), address: record.Address, lastHeard: r.clock.Now()}
-	r.controlHosts[record.Address] = true
-}
-
 // updateMembers sets the addresses of the members of the replicated log.
 func (r *registry) updateMembers(addresses []string) {
 	if len(addresses) == 0 {
@@ -378,19 +369,6 @@
 	}
 }
 
-func (r *registry) currentJoiners() []joiner {
-	var list []joiner
-	for address, j := range r.joiners {
-		if r.clock.Now().Sub(j.lastHeard) > joinRequestLifetime {
-			delete(r.joiners, address)
-			continue
-		}
-		list = append(list, j)
-	}
-	slices.SortFunc(list, func(a, b joiner) int { return cmp.Compare(a.address, b.address) })
-	return list
-}
-
 // updateList applies a newly read list of targets.
 func (r *registry) updateList(list []ListedTarget) {
 	now := r.clock.Now()
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"rhubarbrack/ident"
 	"rhubarbrack/patch"
 	"rhubarbrack/tasks"
 )
@@ -45,6 +46,16 @@
 	return askRegistry(s, &reply.Controls, func(r tasks.Reply[[]string]) any { return requestJoin{record: *args, reply: r} })
 }
 
+// Leave receives the announcement of a control host that is about to stop, on the
+// leader.
+func (s *service) Leave(args *LeaveRecord, reply *LeaveReplyRecord) error {
+	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
+	defer cancel()
+	removed, err := s.control.acceptDeparture(ctx, ident.Host(args.Host))
+	reply.Removed = removed
+	return err
+}
+
 // Borrow takes a token of a team's rate, on the leader.
 func (s *service) Borrow(args *TokenRequestRecord, reply *TokenReplyRecord) error {
 	return askRegistry(s, &reply.Granted, func(r tasks.Reply[bool]) any { return requestToken{record: *args, reply: r} })
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -267,6 +267,7 @@
 		case <-ctx.Done():
 			c.log.Info("node: control host stops", "host", c.host)
 			transferLeadership(ctx, replica, name, c.log)
+			control.Leave(context.WithoutCancel(ctx))
 		case <-replica.Done():
 			err = fmt.Errorf("replica ended: %w", replica.Err())
 		}
