Pass paths on that begin with two slashes

Cause: the path was passed on in URL.Opaque, to which net/http adds the empty scheme if it begins with two slashes.

Change: such a request is sent with its parsed path and query, which net/http writes as they came.

--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -198,7 +197,7 @@
 		header["User-Agent"] = []string{""}
 	}
 	r := &http.Request{
-		Method: rh.incoming.Method, URL: &url.URL{Opaque: rh.incoming.RequestURI}, Host: rh.incoming.Host, Header: header,
+		Method: rh.incoming.Method, URL: outboundURL(rh.incoming), Host: rh.incoming.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: rh.incoming.ContentLength,
 	}
 	switch {
