Report ends of evacuations to hosts that know a later revision

Found in the review by reading: an entry host that starts right after an evacuation ended, and whose first answer comes from a control host that has restarted too, sends to the zone's cold targets without its share of the bound (FAILBACK).

Cause: an end that other control hosts report was ignored if its revision was not above the one that the host knew. A control host that has restarted reports the revision, but no ends.

Change: an end is ignored only if this host has seen it itself, or has been told of it, at that revision or a later one.

Measured: the two new cases of TestMissedEvacuation fail without the change (heard first from a control host that had restarted, heard of a later revision first) and pass with it. The case of a host that saw the end now plays that host's replies instead of setting its revision.

--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -400,11 +400,12 @@
 	}
 }
 
-// applyReturned reports evacuations that have ended since the revision that this
-// host knows: it may have started, or been out of contact, meanwhile.
+// applyReturned reports the ends of evacuations that this host has not seen itself:
+// it may have started, or been out of contact, meanwhile. It may know a later
+// revision already, from a control host that has restarted and reports no ends.
 func (t *controlClientTask) applyReturned(sent time.Time, record HeartbeatReplyRecord) {
 	for _, r := range record.Returned {
-		if ident.Revision(r.Revision) <= t.revision {
+		if t.returned.includes(ident.Zone(r.Zone), ident.Revision(r.Revision)) {
 			continue
 		}
 		t.log.Info("mesh: zone has returned", "zone", r.Zone, "revision", r.Revision, "age", r.Age.String())
--- a/mesh/returned.go
+++ b/mesh/returned.go
@@ -43,6 +43,12 @@
 	return append(l, added)
 }
 
+// includes reports whether the end of a zone's evacuation at a revision, or a later
+// one, is recorded.
+func (l returnedZones) includes(zone ident.Zone, revision ident.Revision) bool {
+	return slices.ContainsFunc(l, func(r returnedZone) bool { return r.zone == zone && r.revision >= revision })
+}
+
 // records returns the zones to report to entry hosts.
 func (l returnedZones) records(now time.Time) []ReturnedZoneRecord {
 	var records []ReturnedZoneRecord
--- a/mesh/returned_test.go
+++ b/mesh/returned_test.go
@@ -20,6 +20,12 @@
 
 func (r *returnRecorder) ZoneReturned(zone ident.Zone, at time.Time) { r.at[zone] = at }
 
+// known returns the reply of a control host with the zones that are evacuated at a
+// revision.
+func known(revision uint64, zones []string) []HeartbeatReplyRecord {
+	return []HeartbeatReplyRecord{{HasState: true, Revision: revision, Zones: zones}}
+}
+
 // TestMissedEvacuation guards against a flood of requests to the cold targets of
 // a zone by entry hosts that never knew of its evacuation, because they started
 // or got in contact after its end.
@@ -27,15 +33,18 @@
 	state := func(zones ...ident.Zone) scheme.DesiredState { return scheme.NewDesiredState(1, nil, zones) }
 	cases := []struct {
 		name string
-		// revision is the one that the entry host knows.
-		revision ident.Revision
-		after    time.Duration
-		want     bool
+		// known are the replies of other control hosts, which report no ends, that
+		// the entry host has received before.
+		known []HeartbeatReplyRecord
+		after time.Duration
+		want  bool
 	}{
-		{"host that has just started", 0, time.Second, true},
-		{"host that was out of contact", 1, time.Second, true},
-		{"host that saw the end", 3, time.Second, false},
-		{"long after the end", 0, returnedLifetime, false},
+		{"host that has just started", nil, time.Second, true},
+		{"host that was out of contact", known(1, nil), time.Second, true},
+		{"host that saw the end", append(known(2, []string{"z"}), known(3, nil)...), time.Second, false},
+		{"host that heard first from a control host that had restarted", known(3, nil), time.Second, true},
+		{"host that heard of a later revision first", known(9, nil), time.Second, true},
+		{"long after the end", nil, returnedLifetime, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -50,8 +59,12 @@
 			discard := receiver(func(any) {})
 			client := &controlClientTask{
 				clock: manual, log: slog.New(slog.DiscardHandler), listener: l, peers: map[string]*peer{},
-				revision: c.revision, fetcher: spawn(t, discard),
+				fetcher: spawn(t, discard),
+			}
+			for _, record := range c.known {
+				client.applyState(&peer{}, record)
 			}
+			clear(l.at)
 			reply := r.heartbeat(testHeartbeat("a", true))
 			client.applyReturned(manual.Now(), reply)
 			at, got := l.at["z"]
