Take no reset of an attempt to connect for the end of a target

No target had ended.

Cause: the check whether a target has ended counted ECONNRESET like ECONNREFUSED. A reset comes from a listener or from a device on the way. It may come just after the connection is open, so that the reference target seemed to accept at the same moment.

Change: only a refusal proves that nobody listens. After a reset, or without an answer, the check is repeated as it is for a target that still accepts.

Measured: case reset of TestIsRefused fails without the change and passes with it.

--- a/link/probe.go
+++ b/link/probe.go
@@ -31,14 +31,15 @@
 
 // IsRefused reports whether the host at an address refuses a new connection, as
 // it does after the process there has ended. The error is not nil if the host
-// does not respond.
+// does not respond, or resets the connection: somebody listens then, or is about to
+// end.
 func (p *Pool) IsRefused(ctx context.Context, address string) (bool, error) {
 	c, err := p.open(ctx, address)
 	switch {
 	case err == nil:
 		c.close()
 		return false, nil
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+	case errors.Is(err, syscall.ECONNREFUSED):
 		return true, nil
 	}
 	return false, fmt.Errorf("check for a listener: %w", err)
--- a/link/probe_test.go
+++ b/link/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"syscall"
 	"testing"
 )
 
@@ -33,8 +34,8 @@
 	}
 }
 
-// TestIsRefused guards against taking a target for ended that does not respond or
-// that accepts connections.
+// TestIsRefused guards against taking a target for ended that does not respond,
+// that accepts connections, or whose connections are reset on the way.
 func TestIsRefused(t *testing.T) {
 	s := newTarget(t, serve(func(string) string { return "!" }))
 	ended, cancel := context.WithCancel(t.Context())
@@ -43,15 +44,22 @@
 		name    string
 		ctx     context.Context
 		address string
+		// dialErr is the error of the attempt to connect, if it is set.
+		dialErr error
 		want    bool
 		fails   bool
 	}{
-		{"listening", t.Context(), s.address(), false, false},
-		{"nobody listens", t.Context(), "127.0.0.1:1", true, false},
-		{"no answer in time", ended, "127.0.0.1:1", false, true},
+		{"listening", t.Context(), s.address(), nil, false, false},
+		{"nobody listens", t.Context(), "127.0.0.1:1", nil, true, false},
+		{"no answer in time", ended, "127.0.0.1:1", nil, false, true},
+		{"reset", t.Context(), s.address(), syscall.ECONNRESET, false, true},
 	}
 	for _, c := range cases {
-		got, err := newPool(t).IsRefused(c.ctx, c.address)
+		pool := newPool(t)
+		if c.dialErr != nil {
+			pool.dialer.Control = func(string, string, syscall.RawConn) error { return c.dialErr }
+		}
+		got, err := pool.IsRefused(c.ctx, c.address)
 		if got != c.want || (err != nil) != c.fails {
 			t.Errorf("%s: refused %v, error %v", c.name, got, err)
 		}
--- a/relay/crash.go
+++ b/relay/crash.go
@@ -110,17 +110,19 @@
 // hasEnded reports whether new connections to a target are refused although a
 // reference target accepts them.
 func (t *admissionTask) hasEnded(ctx context.Context, c admit.Check) (bool, error) {
+	var last error
 	for _, delay := range checkDelays {
 		if !clock.Sleep(ctx, t.clock, delay) {
 			return false, fmt.Errorf("check target: %w", ctx.Err())
 		}
 		isRefused, err := t.connections.IsRefused(ctx, c.Target().Address())
-		if err != nil {
-			return false, fmt.Errorf("check target: %w", err)
-		}
 		if isRefused {
 			return t.acceptsAny(ctx, c.References())
 		}
+		last = err
+	}
+	if last != nil {
+		return false, fmt.Errorf("check target: %w", last)
 	}
 	return false, nil
 }
