Add context to the errors of orders and departures

Cause: some errors of the new code were returned without context.

Change: each says which step failed; nothing else changes.

--- a/mesh/control.go
+++ b/mesh/control.go
@@ -221,10 +221,13 @@
 	}, func(ctx context.Context, client *wire.Client) error {
 		return record(submitTo(ctx, client, command, asOf))
 	})
-	if err != nil && maySucceed {
+	switch {
+	case err != nil && maySucceed:
 		return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+	case err != nil:
+		return fmt.Errorf("submit: %w", err)
 	}
-	return err
+	return nil
 }
 
 // hasNoEffect reports whether an error proves that a command is not committed and
@@ -261,7 +264,7 @@
 			return nil
 		}
 		if errors.Is(err, ErrSuperseded) {
-			return err
+			return fmt.Errorf("call the leader: %w", err)
 		}
 		if !clock.Sleep(ctx, c.clock, leaderRetryPause) {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
--- a/mesh/order.go
+++ b/mesh/order.go
@@ -75,7 +75,7 @@
 	defer cancel()
 	var state StateRecord
 	if err := c.readLeader(read, &state); err != nil {
-		return 0, err
+		return 0, fmt.Errorf("ask for the state: %w", err)
 	}
 	if age := c.clock.Now().Sub(origin.ReceivedAt()); age > maxOrderAge {
 		return 0, fmt.Errorf("%w: received %v ago", ErrOrderOutdated, age)
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -52,8 +52,11 @@
 	ctx, cancel := context.WithTimeout(s.ctx, callTimeout)
 	defer cancel()
 	removed, err := s.control.acceptDeparture(ctx, ident.Host(args.Host))
+	if err != nil {
+		return fmt.Errorf("leave: %w", err)
+	}
 	reply.Removed = removed
-	return err
+	return nil
 }
 
 // Borrow takes a token of a team's rate, on the leader.
