Share the stand-in for a leader between tests

Cause: two tests started the same stand-in for a leader with the same code.

Change: startLeaderStandIn serves both. Checks are as before.

--- a/mesh/order_test.go
+++ b/mesh/order_test.go
@@ -4,17 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"log/slog"
-	"net"
-	"net/rpc"
 	"slices"
 	"testing"
 	"time"
 
 	"rhubarbrack/board"
 	"rhubarbrack/ident"
-	"rhubarbrack/tasks"
-	"rhubarbrack/wire"
 )
 
 const (
@@ -194,22 +189,10 @@
 // TestOrderToEarlierLeader guards against orders that a leader of an earlier
 // release does not understand.
 func TestOrderToEarlierLeader(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
 	leader := earlierOrderLeader{received: make(chan []byte, 1)}
-	server := rpc.NewServer()
-	if err := server.RegisterName(serviceName, leader); err != nil {
-		t.Fatal(err)
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	served := wire.Serve(ctx, listener, server)
-	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
-	client, err := wire.StartClient(ctx, system, "leader", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
+	client := startLeaderStandIn(ctx, t, leader)
 	command, err := board.EncodeEvacuate(orderedZone, true, board.NewOrigin("order", "host", time.Unix(1, 0)))
 	if err != nil {
 		t.Fatal(err)
@@ -220,9 +203,6 @@
 	if got := <-leader.received; !bytes.Equal(got, command) {
 		t.Errorf("the leader received %q", got)
 	}
-	cancel()
-	<-served
-	system.Shutdown()
 }
 
 // TestOrderOfEarlierHost guards against orders of hosts of earlier releases that
--- a/mesh/packed_command_test.go
+++ b/mesh/packed_command_test.go
@@ -23,6 +23,33 @@
 	return nil
 }
 
+// startLeaderStandIn serves the calls of a stand-in for the leader until the test
+// ends, and returns a client of it.
+func startLeaderStandIn(ctx context.Context, t *testing.T, leader any) *wire.Client {
+	t.Helper()
+	ctx, cancel := context.WithCancel(ctx)
+	server := rpc.NewServer()
+	if err := server.RegisterName(serviceName, leader); err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := wire.Serve(ctx, listener, server)
+	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
+	t.Cleanup(func() {
+		cancel()
+		<-served
+		system.Shutdown()
+	})
+	client, err := wire.StartClient(ctx, system, "leader", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return client
+}
+
 // laterLeader takes packed commands too.
 type laterLeader struct {
 	earlierLeader
@@ -55,26 +82,11 @@
 			defer cancel()
 			earlier := earlierLeader{received: make(chan []byte, 1)}
 			later := laterLeader{earlierLeader: earlier, packed: make(chan *PackedSubmitRecord, 1)}
-			server := rpc.NewServer()
-			var err error
+			var leader any = earlier
 			if c.later {
-				err = server.RegisterName(serviceName, later)
-			} else {
-				err = server.RegisterName(serviceName, earlier)
-			}
-			if err != nil {
-				t.Fatal(err)
-			}
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			served := wire.Serve(ctx, listener, server)
-			system := tasks.NewSystem(slog.New(slog.DiscardHandler))
-			client, err := wire.StartClient(ctx, system, "leader", listener.Addr().String())
-			if err != nil {
-				t.Fatal(err)
+				leader = later
 			}
+			client := startLeaderStandIn(ctx, t, leader)
 			if err := submitTo(ctx, client, c.command, ident.None[ident.Revision]()); err != nil {
 				t.Fatal(err)
 			}
@@ -85,9 +97,6 @@
 			} else if got := <-earlier.received; !bytes.Equal(got, c.command) {
 				t.Errorf("command of %d bytes", len(got))
 			}
-			cancel()
-			<-served
-			system.Shutdown()
 		})
 	}
 }
