--- a/quorum/planner_test.go
+++ b/quorum/planner_test.go
@@ -7,7 +7,7 @@
 	"rhubarbrack/ident"
 )
 
-// members returns voters a, b, c... whose names are those of their addresses, each
+// voters returns voters a, b, c... whose names are those of their addresses, each
 // with its silence.
 func voters(silences ...time.Duration) []Member {
 	var list []Member
