Log the connection of each attempt and skipped responses

What was missing: when a request was refused although it ran, the log did not tell over which connection an attempt went, whether that connection had carried requests before, or which responses were skipped as belonging to others. Two attempts over one connection looked like two attempts at two targets.

Each line on an attempt or the end of a request now has the local address of its connection and the number of requests that it had carried, and each skipped response has a line and a counter. No decision depends on them.

--- a/link/conn.go
+++ b/link/conn.go
@@ -54,7 +54,8 @@
 	bounded *boundedReader
 	reader  *bufio.Reader
 	address string
-	reused  bool
+	// carried is the number of requests that the connection was handed out for.
+	carried int
 	// keepAlive is how long the connection may stay idle.
 	keepAlive time.Duration
 	idleSince time.Time
@@ -69,7 +70,15 @@
 }
 
 // IsReused reports whether the connection has carried an earlier request.
-func (c *Conn) IsReused() bool { return c.reused }
+func (c *Conn) IsReused() bool { return c.Carried() > 0 }
+
+// Carried returns the number of requests that the connection has carried before
+// the one that it was handed out for.
+func (c *Conn) Carried() int { return c.carried - 1 }
+
+// LocalAddress returns the address of this side, in the form host:port. It
+// identifies the connection, also after its end.
+func (c *Conn) LocalAddress() string { return c.socket.LocalAddr().String() }
 
 // close closes a connection that carries no request.
 func (c *Conn) close() { _ = c.socket.Close() }
--- a/link/pool.go
+++ b/link/pool.go
@@ -109,7 +109,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	return newConn(socket, address), nil
+	c := newConn(socket, address)
+	c.carried++
+	return c, nil
 }
 
 // Put returns a connection that carries no request to the pool.
@@ -171,7 +173,7 @@
 		list = list[:len(list)-1]
 		t.idle[address] = list
 		if now.Sub(c.idleSince) < c.keepAlive && c.isReusable() {
-			c.reused = true
+			c.carried++
 			return c
 		}
 		c.close()
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -66,7 +66,7 @@
 func (rh *requestHandler) forward(d admit.Decision, peer reach.Peer) (admit.Decision, bool) {
 	h := rh.handler
 	rh.forwardedAt = h.clock.Now()
-	conn, err := h.pool.Get(rh.ctx, peer.Address())
+	conn, err := rh.connect(peer.Address())
 	if err != nil {
 		result := spread.Unreachable
 		if rh.ctx.Err() != nil {
@@ -112,10 +112,19 @@
 	return rh.retry(d, afterPeer), false
 }
 
-// isResponse reports whether a response belongs to the request.
+// isResponse reports whether a response belongs to the request. It logs those
+// that do not, since such a response is the only trace of a target that responds
+// more often than it should.
 func (rh *requestHandler) isResponse(r *http.Response) bool {
-	response := rh.handler.dialect.DecodeResponse(r)
-	return response.request == rh.request.ID()
+	h := rh.handler
+	response := h.dialect.DecodeResponse(r)
+	if response.request == rh.request.ID() {
+		return true
+	}
+	h.log.Warn("relay: response skipped", "request", rh.request.ID(), "response-to", response.request,
+		"status", r.StatusCode, "not-run", response.notRun, rh.connectionAttr())
+	h.meter.Count("response-skipped", "", "", 1)
+	return false
 }
 
 // recordPeerResult reports the result of an attempt through another entry host to
--- a/relay/handler_test.go
+++ b/relay/handler_test.go
@@ -107,6 +107,8 @@
 		if err != nil {
 			return
 		}
+		// Scripts tell connections apart by their remote address.
+		q.RemoteAddr = c.RemoteAddr().String()
 		body, err := io.ReadAll(q.Body)
 		if err != nil {
 			return
@@ -145,6 +147,15 @@
 }
 
 func newTestHost(t testing.TB, script func(n int, r *http.Request) string) *testHost {
+	t.Helper()
+	s, address := startTestTarget(t, script)
+	h := newTestHostAt(t, address)
+	h.target = s
+	return h
+}
+
+// startTestTarget starts a target and returns its address.
+func startTestTarget(t testing.TB, script func(n int, r *http.Request) string) (*testTarget, string) {
 	t.Helper()
 	s := &testTarget{script: script}
 	l := listen(t)
@@ -158,9 +169,7 @@
 		}
 	}()
 	t.Cleanup(func() { _ = l.Close() })
-	h := newTestHostAt(t, l.Addr().String())
-	h.target = s
-	return h
+	return s, l.Addr().String()
 }
 
 // testConnections is the connection limit of a testHost.
@@ -168,10 +177,16 @@
 
 // newTestHostAt returns a host whose two targets have the given address.
 func newTestHostAt(t testing.TB, targets string) *testHost {
+	t.Helper()
+	return newLoggedTestHost(t, targets, slog.New(slog.DiscardHandler))
+}
+
+// newLoggedTestHost returns a host whose two targets have the given address and
+// whose request handler writes to a log.
+func newLoggedTestHost(t testing.TB, targets string, log *slog.Logger) *testHost {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	log := slog.New(slog.DiscardHandler)
-	system := tasks.NewSystem(log)
+	system := tasks.NewSystem(slog.New(slog.DiscardHandler))
 	pool, err := link.StartPool(ctx, system, clock.Wall())
 	if err != nil {
 		t.Fatal(err)
--- a/relay/report.go
+++ b/relay/report.go
@@ -36,7 +36,7 @@
 	}
 	rh.handler.log.Warn("relay: attempt failed", "request", rh.request.ID(), "target", c.Target().ID(),
 		"verdict", result.String(), "choice", c.Reason(), "load", c.Load(),
-		"load-age-ms", millis(min(c.LoadAge(), time.Hour)), "sends", d.State().Attempts(), peerAttr(d), errorAttr(err),
+		"load-age-ms", millis(min(c.LoadAge(), time.Hour)), "sends", d.State().Attempts(), peerAttr(d), rh.connectionAttr(), errorAttr(err),
 		slog.Group("", attrs...))
 	team, class := labels(d)
 	rh.handler.meter.Count("send-"+result.String(), team, class, 1)
@@ -59,7 +59,7 @@
 		fields = append(fields, "route", t.Route().Name(), "team", t.Team(), "service", t.Service(),
 			"version", t.ConfigVersion(), "took-ms", millis(took), "left-ms", millis(t.Deadline().Sub(h.clock.Now())),
 			"sends", t.Attempts(), "target", c.Target().ID(), "choice", c.Reason(), "load", c.Load(),
-			"load-age-ms", millis(min(c.LoadAge(), time.Hour)), peerAttr(d))
+			"load-age-ms", millis(min(c.LoadAge(), time.Hour)), peerAttr(d), rh.connectionAttr())
 	}
 	if _, ok := d.Peer().Get(); ok {
 		h.meter.Count("forwarded", team, class, 1)
@@ -74,6 +74,15 @@
 	h.log.Log(context.Background(), level, "relay: request ended", append(fields, attrs...)...)
 }
 
+// connectionAttr returns the log attributes of the last attempt's connection: its
+// local address, and how many requests it had carried before.
+func (rh *requestHandler) connectionAttr() slog.Attr {
+	if rh.connection == "" {
+		return slog.Attr{}
+	}
+	return slog.Group("", slog.String("connection", rh.connection), slog.Int("carried", rh.carried))
+}
+
 func millis(d time.Duration) int64 { return d.Milliseconds() }
 
 func errorAttr(err error) slog.Attr {
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -30,6 +30,10 @@
 	longBody bool
 	// newConnection is set if the last attempt opened a connection, or tried to.
 	newConnection bool
+	// connection is the local address of the last attempt's connection, or "" if
+	// there was none, and carried the number of earlier requests on it.
+	connection string
+	carried    int
 	// forwardedAt is when the last attempt through another entry host began.
 	forwardedAt time.Time
 	// wasLost is set once the connection to a target broke.
@@ -163,8 +167,8 @@
 	}
 	h := rh.handler
 	started := h.clock.Now()
-	conn, err := h.pool.Get(rh.ctx, d.Choice().Target().Address())
-	rh.newConnection = err != nil || !conn.IsReused()
+	conn, err := rh.connect(d.Choice().Target().Address())
+	rh.newConnection = rh.carried == 0
 	if err != nil {
 		result := spread.Unreachable
 		if rh.ctx.Err() != nil {
@@ -186,6 +190,17 @@
 	return rh.relayResponse(d, exchange)
 }
 
+// connect returns a connection to a target or another entry host.
+func (rh *requestHandler) connect(address string) (*link.Conn, error) {
+	rh.connection, rh.carried = "", 0
+	conn, err := rh.handler.pool.Get(rh.ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("connection for an attempt: %w", err)
+	}
+	rh.connection, rh.carried = conn.LocalAddress(), conn.Carried()
+	return conn, nil
+}
+
 // targetRequest returns the request to send to a target.
 func (rh *requestHandler) targetRequest(d admit.Decision) *http.Request {
 	header := rh.incoming.Header.Clone()
