Use a connection once per request ID

What callers see: 503 with the promise that a request has not run, although it ran at its second attempt; or the request runs on a second target as well.

Cause: responses are paired with requests by request ID, which all attempts of a request share. The pool hands out the connection that was used last, so a second attempt at an address went over the connection that had carried the refusal. A copy of the refusal that arrived there counted as the response to the second attempt.

Change: the pool remembers which IDs a connection has carried, and never hands it out for one of them again. On each connection an ID names one attempt, so a copy has the ID of another request and is skipped, whatever it is a copy of and however late it comes. A connection is replaced after 512 requests, which bounds the memory. Closing a connection after each refusal would open connections when targets are full, and would not cover copies of other responses.

TestRepeatedIDOnConnection and TestRequestsPerConnection check the pool.

--- a/link/conn.go
+++ b/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"hash/maphash"
 	"net"
 	"syscall"
 	"time"
@@ -54,18 +55,18 @@
 	bounded *boundedReader
 	reader  *bufio.Reader
 	address string
-	// carried is the number of requests that the connection was handed out for.
-	carried int
+	// requests are those that the connection was handed out for.
+	requests requestSet
 	// keepAlive is how long the connection may stay idle.
 	keepAlive time.Duration
 	idleSince time.Time
 }
 
-func newConn(socket net.Conn, address string) *Conn {
+func newConn(socket net.Conn, address string, seed maphash.Seed) *Conn {
 	bounded := &boundedReader{socket: socket, left: -1}
 	return &Conn{
 		socket: socket, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes), address: address,
-		keepAlive: defaultKeepAlive,
+		requests: requestSet{seed: seed}, keepAlive: defaultKeepAlive,
 	}
 }
 
@@ -74,7 +75,7 @@
 
 // Carried returns the number of requests that the connection has carried before
 // the one that it was handed out for.
-func (c *Conn) Carried() int { return c.carried - 1 }
+func (c *Conn) Carried() int { return c.requests.len() - 1 }
 
 // LocalAddress returns the address of this side, in the form host:port. It
 // identifies the connection, also after its end.
--- a/link/endless_test.go
+++ b/link/endless_test.go
@@ -69,7 +69,7 @@
 			p := newPool(t)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			conn, err := p.Get(ctx, s.address())
+			conn, err := p.Get(ctx, s.address(), "7")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -150,7 +150,7 @@
 			p := newPool(t)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			conn, err := p.Get(ctx, s.address())
+			conn, err := p.Get(ctx, s.address(), "7")
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -159,7 +159,7 @@
 				t.Fatal(err)
 			}
 			x.Discard()
-			next, err := p.Get(ctx, s.address())
+			next, err := p.Get(ctx, s.address(), "8")
 			if err != nil || next.IsReused() != c.reused {
 				t.Errorf("reused %v, want %v; error %v", next.IsReused(), c.reused, err)
 			}
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"rhubarbrack/clock"
+	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
 )
 
@@ -72,7 +73,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	c, err := p.Get(ctx, address)
+	c, err := p.Get(ctx, address, ident.RequestID(id))
 	if err != nil {
 		return "", false, err
 	}
@@ -220,7 +221,7 @@
 	p := newPool(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	c, err := p.Get(ctx, s.address())
+	c, err := p.Get(ctx, s.address(), "1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -270,7 +271,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := p.Get(t.Context(), l.Addr().String())
+	c, err := p.Get(t.Context(), l.Addr().String(), "1")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/link/pool.go
+++ b/link/pool.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"hash/maphash"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
 
 	"rhubarbrack/clock"
+	"rhubarbrack/ident"
 	"rhubarbrack/tasks"
 )
 
@@ -46,6 +49,7 @@
 	ref    *tasks.Ref
 	clock  clock.Clock
 	dialer net.Dialer
+	seed   maphash.Seed
 }
 
 // Option sets an optional property of a Pool.
@@ -64,7 +68,7 @@
 		return nil, fmt.Errorf("start pool: %w", err)
 	}
 	tasks.Every(ctx, c, sweepInterval, ref, closeExpired{})
-	p := &Pool{ref: ref, clock: c}
+	p := &Pool{ref: ref, clock: c, seed: maphash.MakeSeed()}
 	p.dialer = net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -91,26 +95,31 @@
 	return p, nil
 }
 
-// Get returns an idle connection to the address, or opens one. Its error wraps
-// ErrUnreachable: nothing was sent.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
-	c, err := tasks.Ask(ctx, p.ref, func(reply tasks.Reply[*Conn]) any { return get{address: address, reply: reply} })
+// Get returns a connection to the address for one request: an idle one that has
+// carried no request with the same ID, or a new one. A target may repeat an earlier
+// response late, and only the ID tells that it is not the one that is due. An empty
+// ID is an ID like any other. The error wraps ErrUnreachable: nothing was sent.
+func (p *Pool) Get(ctx context.Context, address string, id ident.RequestID) (*Conn, error) {
+	c, err := tasks.Ask(ctx, p.ref, func(reply tasks.Reply[*Conn]) any {
+		return get{address: address, id: id, reply: reply}
+	})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	if c != nil {
 		return c, nil
 	}
-	return p.open(ctx, address)
+	return p.open(ctx, address, id)
 }
 
-func (p *Pool) open(ctx context.Context, address string) (*Conn, error) {
+// open opens a connection for the request with an ID.
+func (p *Pool) open(ctx context.Context, address string, id ident.RequestID) (*Conn, error) {
 	socket, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	c := newConn(socket, address)
-	c.carried++
+	c := newConn(socket, address, p.seed)
+	c.requests.add(id)
 	return c, nil
 }
 
@@ -124,6 +133,7 @@
 type (
 	get struct {
 		address string
+		id      ident.RequestID
 		reply   tasks.Reply[*Conn]
 	}
 	put          struct{ conn *Conn }
@@ -146,7 +156,7 @@
 func (t *poolTask) Handle(message any) {
 	switch m := message.(type) {
 	case get:
-		m.reply.Send(t.get(m.address))
+		m.reply.Send(t.get(m.address, m.id))
 	case put:
 		t.put(m.conn)
 	case closeIdle:
@@ -163,17 +173,17 @@
 	}
 }
 
-// get returns the most recently used connection, since the target is least
-// likely to have closed it.
-func (t *poolTask) get(address string) *Conn {
+// get returns the most recently used connection that has carried no request with
+// the ID, since the target is least likely to have closed it.
+func (t *poolTask) get(address string, id ident.RequestID) *Conn {
 	now := t.clock.Now()
-	list := t.idle[address]
-	for len(list) > 0 {
-		c := list[len(list)-1]
-		list = list[:len(list)-1]
-		t.idle[address] = list
+	for i, c := range slices.Backward(t.idle[address]) {
+		if c.requests.contains(id) {
+			continue
+		}
+		t.idle[address] = slices.Delete(t.idle[address], i, i+1)
 		if now.Sub(c.idleSince) < c.keepAlive && c.isReusable() {
-			c.carried++
+			c.requests.add(id)
 			return c
 		}
 		c.close()
@@ -182,7 +192,7 @@
 }
 
 func (t *poolTask) put(c *Conn) {
-	if len(t.idle[c.address]) >= maxIdlePerTarget {
+	if c.requests.isFull() || len(t.idle[c.address]) >= maxIdlePerTarget {
 		c.close()
 		return
 	}
--- a/link/probe.go
+++ b/link/probe.go
@@ -7,13 +7,18 @@
 	"net/http"
 	"net/url"
 	"syscall"
+
+	"rhubarbrack/ident"
 )
 
+// noRequestID is the ID of a health check.
+const noRequestID ident.RequestID = ""
+
 // Probe sends a health check over a new connection, and returns an error if no
 // response arrives before the end of ctx. Its status does not matter: any response
 // shows that the target can be reached. The body of the response is closed.
 func (p *Pool) Probe(ctx context.Context, address, path string) (*http.Response, error) {
-	c, err := p.open(ctx, address)
+	c, err := p.open(ctx, address, noRequestID)
 	if err != nil {
 		return nil, fmt.Errorf("probe: %w", err)
 	}
@@ -34,7 +39,7 @@
 // does not respond, or resets the connection: somebody listens then, or is about to
 // end.
 func (p *Pool) IsRefused(ctx context.Context, address string) (bool, error) {
-	c, err := p.open(ctx, address)
+	c, err := p.open(ctx, address, noRequestID)
 	switch {
 	case err == nil:
 		c.close()
--- /dev/null
+++ b/link/request_set_test.go
@@ -0,0 +1,95 @@
+package link
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+
+	"rhubarbrack/ident"
+)
+
+// TestRepeatedIDOnConnection guards against a connection that carries two requests
+// with the same ID, so that the copy of the first response would be taken for the
+// response to the second request.
+func TestRepeatedIDOnConnection(t *testing.T) {
+	cases := []struct {
+		name string
+		ids  []string
+		// connections holds the number of the connection that each request uses.
+		connections []int
+	}{
+		{"different IDs", []string{"1", "2", "3"}, []int{0, 0, 0}},
+		{"same ID", []string{"1", "1"}, []int{0, 1}},
+		{"same ID after another", []string{"1", "2", "1"}, []int{0, 0, 1}},
+		{"every idle connection has carried the ID", []string{"1", "1", "1"}, []int{0, 1, 2}},
+		{"an idle connection is left", []string{"1", "1", "2", "2"}, []int{0, 1, 1, 0}},
+		{"no ID", []string{"", "", "1"}, []int{0, 1, 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTarget(t, serve(func(id string) string { return response(id, "ok") }))
+			p := newPool(t)
+			var connections []string
+			for i, id := range c.ids {
+				address := sendOver(t, p, s.address(), id)
+				if !slices.Contains(connections, address) {
+					connections = append(connections, address)
+				}
+				if n := slices.Index(connections, address); n != c.connections[i] {
+					t.Errorf("request %d used connection %d, want %d", i, n, c.connections[i])
+				}
+			}
+		})
+	}
+}
+
+// TestRequestsPerConnection guards against connections that are used without
+// end, so that the memory for the IDs of their requests grows without a bound.
+func TestRequestsPerConnection(t *testing.T) {
+	s := newTarget(t, serve(func(id string) string { return response(id, "ok") }))
+	p := newPool(t)
+	first := sendOver(t, p, s.address(), "first")
+	for i := 1; i < maxRequests; i++ {
+		if address := sendOver(t, p, s.address(), fmt.Sprint(i)); address != first {
+			t.Fatalf("request %d used another connection", i)
+		}
+	}
+	if address := sendOver(t, p, s.address(), "last"); address == first {
+		t.Errorf("the connection carried more than %d requests", maxRequests)
+	}
+}
+
+// TestConnectionOfHealthCheck guards against a late response to a health check that
+// is taken for the response to a request without an ID.
+func TestConnectionOfHealthCheck(t *testing.T) {
+	s := newTarget(t, serve(func(id string) string { return response(id, "ok") }))
+	for _, c := range []struct {
+		id     string
+		reused bool
+	}{{"", false}, {"1", true}} {
+		p := newPool(t)
+		if _, err := p.Probe(t.Context(), s.address(), "/health"); err != nil {
+			t.Fatal(err)
+		}
+		if _, reused, err := send(t, p, s.address(), c.id); err != nil || reused != c.reused {
+			t.Errorf("ID %q: reused %v, want %v; error %v", c.id, reused, c.reused, err)
+		}
+	}
+}
+
+// sendOver sends a request over a pooled connection and returns the local address
+// of the connection.
+func sendOver(t *testing.T, p *Pool, address, id string) string {
+	t.Helper()
+	c, err := p.Get(t.Context(), address, ident.RequestID(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, err := p.Send(t.Context(), c, request(id), func(r *http.Response) bool { return r.Header.Get("Id") == id })
+	if err != nil {
+		t.Fatal(err)
+	}
+	x.Discard()
+	return c.LocalAddress()
+}
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -193,7 +193,7 @@
 // connect returns a connection to a target or another entry host.
 func (rh *requestHandler) connect(address string) (*link.Conn, error) {
 	rh.connection, rh.carried = "", 0
-	conn, err := rh.handler.pool.Get(rh.ctx, address)
+	conn, err := rh.handler.pool.Get(rh.ctx, address, rh.request.ID())
 	if err != nil {
 		return nil, fmt.Errorf("connection for an attempt: %w", err)
 	}
