Bound the connections that a repeated ID opens

What callers see: a caller that repeats one ID, or uses none, leaves up to 64 idle connections to a target on each entry host, and other hosts get none when the target accepts no more.

Cause: a connection that has carried an ID is passed over for it but stays idle.

Change: when four idle connections to a target are passed over, the one used longest ago is closed for the new one. The ID is hashed once for each request instead of once for each idle connection.

TestIdleConnectionsOfRepeatedID allows 4.

--- a/link/conn.go
+++ b/link/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"hash/maphash"
 	"net"
 	"syscall"
 	"time"
@@ -62,11 +61,11 @@
 	idleSince time.Time
 }
 
-func newConn(socket net.Conn, address string, seed maphash.Seed) *Conn {
+func newConn(socket net.Conn, address string) *Conn {
 	bounded := &boundedReader{socket: socket, left: -1}
 	return &Conn{
 		socket: socket, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes), address: address,
-		requests: requestSet{seed: seed}, keepAlive: defaultKeepAlive,
+		keepAlive: defaultKeepAlive,
 	}
 }
 
@@ -77,8 +76,8 @@
 // the one that it was handed out for.
 func (c *Conn) Carried() int { return c.requests.len() - 1 }
 
-// LocalAddress returns the address of this side, in the form host:port. It
-// identifies the connection, also after its end.
+// LocalAddress returns the address of this side, in the form host:port. It tells
+// connections apart that are open at the same time.
 func (c *Conn) LocalAddress() string { return c.socket.LocalAddr().String() }
 
 // close closes a connection that carries no request.
--- a/link/pool.go
+++ b/link/pool.go
@@ -39,6 +39,9 @@
 	// maxIdlePerTarget is the largest number of idle connections to one
 	// target.
 	maxIdlePerTarget = 64
+	// maxIdlePerID is the number of idle connections to one target that may have
+	// carried requests with the same ID.
+	maxIdlePerID = 4
 	// tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, which
 	// package syscall does not define.
 	tcpUserTimeout = 18
@@ -101,7 +104,7 @@
 // ID is an ID like any other. The error wraps ErrUnreachable: nothing was sent.
 func (p *Pool) Get(ctx context.Context, address string, id ident.RequestID) (*Conn, error) {
 	c, err := tasks.Ask(ctx, p.ref, func(reply tasks.Reply[*Conn]) any {
-		return get{address: address, id: id, reply: reply}
+		return get{address: address, hash: p.hash(id), reply: reply}
 	})
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
@@ -118,11 +121,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	c := newConn(socket, address, p.seed)
-	c.requests.add(id)
+	c := newConn(socket, address)
+	c.requests.add(p.hash(id))
 	return c, nil
 }
 
+// hash returns the hash of a request ID. Callers cannot choose IDs with the same
+// hash, since the seed is random.
+func (p *Pool) hash(id ident.RequestID) uint64 { return maphash.String(p.seed, string(id)) }
+
 // Put returns a connection that carries no request to the pool.
 func (p *Pool) Put(c *Conn) { p.ref.Tell(put{conn: c}) }
 
@@ -133,7 +140,7 @@
 type (
 	get struct {
 		address string
-		id      ident.RequestID
+		hash    uint64
 		reply   tasks.Reply[*Conn]
 	}
 	put          struct{ conn *Conn }
@@ -156,7 +163,7 @@
 func (t *poolTask) Handle(message any) {
 	switch m := message.(type) {
 	case get:
-		m.reply.Send(t.get(m.address, m.id))
+		m.reply.Send(t.get(m.address, m.hash))
 	case put:
 		t.put(m.conn)
 	case closeIdle:
@@ -174,20 +181,26 @@
 }
 
 // get returns the most recently used connection that has carried no request with
-// the ID, since the target is least likely to have closed it.
-func (t *poolTask) get(address string, id ident.RequestID) *Conn {
+// the hash of an ID, since the target is least likely to have closed it.
+func (t *poolTask) get(address string, hash uint64) *Conn {
 	now := t.clock.Now()
 	for i, c := range slices.Backward(t.idle[address]) {
-		if c.requests.contains(id) {
+		if c.requests.contains(hash) {
 			continue
 		}
 		t.idle[address] = slices.Delete(t.idle[address], i, i+1)
 		if now.Sub(c.idleSince) < c.keepAlive && c.isReusable() {
-			c.requests.add(id)
+			c.requests.add(hash)
 			return c
 		}
 		c.close()
 	}
+	// The connection that is opened instead replaces the one used longest ago, so
+	// that an ID that is repeated does not use up the connections of a target.
+	if list := t.idle[address]; len(list) >= maxIdlePerID {
+		list[0].close()
+		t.idle[address] = slices.Delete(list, 0, 1)
+	}
 	return nil
 }
 
--- a/link/request_set_test.go
+++ b/link/request_set_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"testing"
 
+	"rhubarbrack/clock"
 	"rhubarbrack/ident"
 )
 
@@ -60,6 +62,39 @@
 	}
 }
 
+// TestIdleConnectionsOfRepeatedID guards against an ID that callers repeat and for
+// which connections are opened until a target accepts no more.
+func TestIdleConnectionsOfRepeatedID(t *testing.T) {
+	const requests = 3 * maxIdlePerTarget
+	cases := []struct {
+		name string
+		hash func(i int) uint64
+		idle int
+	}{
+		{"different IDs", func(i int) uint64 { return uint64(i) }, 1},
+		{"one ID", func(int) uint64 { return 7 }, maxIdlePerID},
+		{"two IDs in turn", func(i int) uint64 { return uint64(i % 2) }, maxIdlePerID},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			pool := &poolTask{clock: clock.Wall(), idle: map[string][]*Conn{}}
+			defer pool.Stop()
+			for i := range requests {
+				conn := pool.get("a", c.hash(i))
+				if conn == nil {
+					socket, _ := net.Pipe()
+					conn = newConn(socket, "a")
+					conn.requests.add(c.hash(i))
+				}
+				pool.put(conn)
+				if n := len(pool.idle["a"]); n > c.idle {
+					t.Fatalf("%d idle connections after %d requests, want at most %d", n, i+1, c.idle)
+				}
+			}
+		})
+	}
+}
+
 // TestConnectionOfHealthCheck guards against a late response to a health check that
 // is taken for the response to a request without an ID.
 func TestConnectionOfHealthCheck(t *testing.T) {
