Reject headers joined from two responses

What callers see: 503 with the promise that a request has not run, although it ran, when the beginning of an earlier refusal comes once more, without its end.

Cause: the rest of a line is completed by the status line of the response that is due, so that the status or the proof of the one counts with the ID of the other: "HTTP/1.1 421 Misd" and "HTTP/1.1 200 OK" are one line with status 421.

Change: on a connection that has carried a request, a response with a status line within its header is not a response to the request. A target whose headers contain status lines gets a connection for each request, on which that rule does not apply.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -80,6 +80,9 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
+		if x.conn.IsReused() && isJoined(response) {
+			return nil, fmt.Errorf("%w: header of two responses", ErrResponseMismatch)
+		}
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
@@ -104,6 +107,13 @@
 // Finish.
 func (x *Exchange) Response() *http.Response { return x.response }
 
+// isReusable reports whether the connection can carry another request after the
+// response. A target whose headers contain status lines gets a connection for
+// each request, on which no earlier response can come before the one that is due.
+func (x *Exchange) isReusable() bool {
+	return !x.response.Close && isDelimited(x.response) && !isJoined(x.response)
+}
+
 // Finish returns the connection to the pool after the response body was read
 // to the end, or closes it if it cannot be reused.
 func (x *Exchange) Finish() {
@@ -111,7 +121,7 @@
 		return
 	}
 	x.done = true
-	if !x.stopAbort() || x.response.Close || !isDelimited(x.response) {
+	if !x.stopAbort() || !x.isReusable() {
 		x.conn.close()
 		return
 	}
