Keep responses to HEAD apart from others

What callers see: a request is refused as not run, or tried at another target, because of text in the body of an earlier response.

Cause: a response is read as one to the request that is under way, but whether it has a body depends on the method of its own request. The body of a late response to GET is read as responses to a HEAD request, and a late response to HEAD takes the header of the next response for its body.

Change: during a HEAD request no response is skipped, and the connection is closed after it.

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -89,6 +89,9 @@
 		if matches(response) {
 			return response, nil
 		}
+		if r.Method == http.MethodHead {
+			return nil, fmt.Errorf("%w: its length is unknown after a request with the method HEAD", ErrResponseMismatch)
+		}
 		n, err := io.CopyN(io.Discard, response.Body, maxStrayBytes)
 		if err == nil || !errors.Is(err, io.EOF) || response.Close || !isDelimited(response) {
 			return nil, fmt.Errorf("%w: %d bytes of its body read", ErrResponseMismatch, n)
@@ -108,10 +111,12 @@
 func (x *Exchange) Response() *http.Response { return x.response }
 
 // isReusable reports whether the connection can carry another request after the
-// response. A target whose headers contain status lines gets a connection for
+// response. Whether a response has a body depends on the method of its request, so
+// a late response to HEAD cannot be skipped. A target whose headers contain status lines gets a connection for
 // each request, on which no earlier response can come before the one that is due.
 func (x *Exchange) isReusable() bool {
-	return !x.response.Close && isDelimited(x.response) && !isJoined(x.response)
+	isHead := x.response.Request.Method == http.MethodHead
+	return !x.response.Close && isDelimited(x.response) && !isJoined(x.response) && !isHead
 }
 
 // Finish returns the connection to the pool after the response body was read
