Keep connections whose request ends while they are handed out

What callers see: nothing at once; a target's connections are used up by ones that no request uses, until the collector closes them.

Cause: the pool hands an idle connection to a request whose context has ended since it asked, and the reply is dropped.

Change: the reply is taken in any case, and the connection goes back.

--- a/link/pool.go
+++ b/link/pool.go
@@ -103,9 +103,7 @@
 // response late, and only the ID tells that it is not the one that is due. An empty
 // ID is an ID like any other. The error wraps ErrUnreachable: nothing was sent.
 func (p *Pool) Get(ctx context.Context, address string, id ident.RequestID) (*Conn, error) {
-	c, err := tasks.Ask(ctx, p.ref, func(reply tasks.Reply[*Conn]) any {
-		return get{address: address, hash: p.hash(id), reply: reply}
-	})
+	c, err := p.idle(ctx, address, id)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -115,6 +113,26 @@
 	return p.open(ctx, address, id)
 }
 
+// idle returns an idle connection for the request with an ID, or nil. The pool
+// replies at once, and its reply is taken also at the end of ctx, so that no
+// connection is left without an owner.
+func (p *Pool) idle(ctx context.Context, address string, id ident.RequestID) (*Conn, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, fmt.Errorf("idle connection: %w", err)
+	}
+	c, err := tasks.Ask(context.WithoutCancel(ctx), p.ref, func(reply tasks.Reply[*Conn]) any {
+		return get{address: address, hash: p.hash(id), reply: reply}
+	})
+	if err != nil {
+		return nil, fmt.Errorf("idle connection: %w", err)
+	}
+	if err := ctx.Err(); err != nil && c != nil {
+		p.Put(c)
+		return nil, fmt.Errorf("idle connection: %w", err)
+	}
+	return c, nil
+}
+
 // open opens a connection for the request with an ID.
 func (p *Pool) open(ctx context.Context, address string, id ident.RequestID) (*Conn, error) {
 	socket, err := p.dialer.DialContext(ctx, "tcp", address)
--- a/link/request_set_test.go
+++ b/link/request_set_test.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -128,3 +130,37 @@
 	x.Discard()
 	return c.LocalAddress()
 }
+
+// endingContext is a context that ends right after it was looked at first.
+type endingContext struct {
+	context.Context
+	ended chan struct{}
+	looks int
+}
+
+// Done implements context.Context.
+func (c *endingContext) Done() <-chan struct{} { return c.ended }
+
+// Err implements context.Context.
+func (c *endingContext) Err() error {
+	if c.looks++; c.looks == 1 {
+		return nil
+	}
+	return context.Canceled
+}
+
+// TestContextEndsDuringGet guards against an idle connection that nobody owns,
+// because the request for which it is handed out ends at that moment.
+func TestContextEndsDuringGet(t *testing.T) {
+	s := newTarget(t, serve(func(id string) string { return response(id, "ok") }))
+	p := newPool(t)
+	first := sendOver(t, p, s.address(), "1")
+	ctx := &endingContext{Context: t.Context(), ended: make(chan struct{})}
+	close(ctx.ended)
+	if _, err := p.Get(ctx, s.address(), "2"); !errors.Is(err, ErrUnreachable) || !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v, want an error that nothing was sent", err)
+	}
+	if next := sendOver(t, p, s.address(), "3"); next != first {
+		t.Errorf("the idle connection is lost")
+	}
+}
