--- a/relay/forward.go
+++ b/relay/forward.go
@@ -112,6 +112,10 @@
 	return rh.retry(d, afterPeer), false
 }
 
+// maxLoggedID is the length in bytes up to which an ID that a target has sent is
+// logged.
+const maxLoggedID = 64
+
 // isResponse reports whether a response belongs to the request. It logs those
 // that do not, since such a response is the only trace of a target that responds
 // more often than it should.
@@ -121,7 +125,8 @@
 	if response.request == rh.request.ID() {
 		return true
 	}
-	h.log.Warn("relay: response skipped", "request", rh.request.ID(), "response-to", response.request,
+	h.log.Warn("relay: response skipped", "request", rh.request.ID(),
+		"response-to", response.request[:min(len(response.request), maxLoggedID)],
 		"status", r.StatusCode, "not-run", response.notRun, rh.connectionAttr())
 	h.meter.Count("response-skipped", "", "", 1)
 	return false
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -31,7 +31,7 @@
 	// newConnection is set if the last attempt opened a connection, or tried to.
 	newConnection bool
 	// connection is the local address of the last attempt's connection, or "" if
-	// there was none, and carried the number of earlier requests on it.
+	// there is none, and carried the number of earlier requests on it.
 	connection string
 	carried    int
 	// forwardedAt is when the last attempt through another entry host began.
@@ -168,7 +168,7 @@
 	h := rh.handler
 	started := h.clock.Now()
 	conn, err := rh.connect(d.Choice().Target().Address())
-	rh.newConnection = rh.carried == 0
+	rh.newConnection = err != nil || !conn.IsReused()
 	if err != nil {
 		result := spread.Unreachable
 		if rh.ctx.Err() != nil {
@@ -190,7 +190,8 @@
 	return rh.relayResponse(d, exchange)
 }
 
-// connect returns a connection to a target or another entry host.
+// connect returns a connection to a target or another entry host, and sets the
+// properties of the last attempt's connection.
 func (rh *requestHandler) connect(address string) (*link.Conn, error) {
 	rh.connection, rh.carried = "", 0
 	conn, err := rh.handler.pool.Get(rh.ctx, address, rh.request.ID())
