Round up the time to retry between entry hosts

What callers saw: a caller of a host that sends its requests through another one came back at the time that the refusal named, and was refused again.

Cause: the other host's time to retry went over in whole milliseconds, rounded down, so it came up to a millisecond before the rate limit of the target let the next request through.

Change: it is rounded up.

--- a/bridge/dialect.go
+++ b/bridge/dialect.go
@@ -57,10 +57,14 @@
 // WriteRefusal implements relay.Dialect.
 func (d Dialect) WriteRefusal(w http.ResponseWriter, r relay.Refusal) {
 	record := refusalRecord{
-		Outcome: uint8(r.Outcome()), Reason: string(r.Reason()), RetryAfterMs: r.RetryAfter().Milliseconds(), Sends: r.Sends(),
+		Outcome: uint8(r.Outcome()), Reason: string(r.Reason()), RetryAfterMs: ceilMillis(r.RetryAfter()), Sends: r.Sends(),
 	}
 	if err := setJSON(w.Header(), headerRefusal, record); err != nil {
 		d.log.Error("bridge: refusal is left out", "request", r.Request(), "error", err)
 	}
 	d.callers.WriteRefusal(w, r)
 }
+
+// ceilMillis returns a duration in whole milliseconds, rounded up, so that nobody
+// comes back too early.
+func ceilMillis(d time.Duration) int64 { return (d + time.Millisecond - 1).Milliseconds() }
--- a/bridge/forward_test.go
+++ b/bridge/forward_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -43,10 +44,16 @@
 
 func (dialect) DecodeResponse(r *http.Response) relay.Response {
 	return relay.NewResponse(ident.RequestID(r.Header.Get("Id")), r.Header.Get("Stamp") != "", r.Header.Get("Unrun") != "",
-		false, ident.None[spread.Load](), ident.None[time.Duration]())
+		false, ident.None[spread.Load](), ident.None[time.Duration](), relay.WithStatement(dialect{}.DecodeStatement(r)))
 }
 
-func (dialect) DecodeStatement(*http.Response) spread.Statement { return spread.NewStatement() }
+func (dialect) DecodeStatement(r *http.Response) spread.Statement {
+	rate, err := strconv.ParseFloat(r.Header.Get("Limit"), 64)
+	if err != nil {
+		return spread.NewStatement()
+	}
+	return spread.NewStatement(spread.WithLimit(spread.NewRateLimit(rate)))
+}
 
 func (dialect) SetResponseHeaders(http.Header, spread.Target) {}
 
@@ -54,6 +61,7 @@
 	w.Header().Set("Id", string(r.Request()))
 	w.Header().Set("Reason", string(r.Reason()))
 	w.Header().Set("Run", r.Outcome().String())
+	w.Header().Set("After", r.RetryAfter().String())
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -100,20 +108,20 @@
 // closedAddress is an address at which nothing listens.
 const closedAddress = "127.0.0.1:1"
 
-func newHost(t *testing.T, name ident.Host, region ident.Region, targets string) *host {
+func newHost(t *testing.T, c clock.Clock, name ident.Host, region ident.Region, targets string) *host {
 	t.Helper()
 	log := slog.New(slog.DiscardHandler)
 	system := tasks.NewSystem(log)
 	t.Cleanup(system.Shutdown)
 	ctx := t.Context()
-	pool, err := link.StartPool(ctx, system, clock.Wall())
+	pool, err := link.StartPool(ctx, system, c)
 	if err != nil {
 		t.Fatal(err)
 	}
 	controller := admit.NewController("z", region, admit.NewBounds(5*time.Second, 10*time.Second, 0.2, 1000, 1.5, 5))
 	controller.UsePeers(reach.NewPeers(name, region))
 	h := &host{}
-	if h.admission, err = relay.StartAdmission(ctx, system, clock.Wall(), log, controller, pool, dialect{}); err != nil {
+	if h.admission, err = relay.StartAdmission(ctx, system, c, log, controller, pool, dialect{}); err != nil {
 		t.Fatal(err)
 	}
 	services := []scheme.WeightedService{scheme.NewWeightedService("s", 1)}
@@ -136,14 +144,14 @@
 			spread.WithStart(7)))
 	}
 	h.admission.SetTargets(list)
-	h.handler = relay.NewHandler(h.admission, pool, dialect{}, noReserve{}, clock.Wall(), log, meter.New(), relay.WithPeers(bridge.Codec{}))
-	h.peerHandler = relay.NewHandler(h.admission, pool, bridge.NewDialect(dialect{}, log), noReserve{}, clock.Wall(), log, meter.New())
+	h.handler = relay.NewHandler(h.admission, pool, dialect{}, noReserve{}, c, log, meter.New(), relay.WithPeers(bridge.Codec{}))
+	h.peerHandler = relay.NewHandler(h.admission, pool, bridge.NewDialect(dialect{}, log), noReserve{}, c, log, meter.New())
 	serve := func(handler *relay.Handler) string {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		front, err := relay.StartFront(ctx, system, l, handler, 100, clock.Wall(), log)
+		front, err := relay.StartFront(ctx, system, l, handler, 100, c, log)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -247,8 +255,8 @@
 			if c.peerTargets != "" {
 				address = c.peerTargets
 			}
-			peer := newHost(t, "peer", "r", address)
-			cutOff := newHost(t, "cut-off", "r", closedAddress)
+			peer := newHost(t, clock.Wall(), "peer", "r", address)
+			cutOff := newHost(t, clock.Wall(), "cut-off", "r", closedAddress)
 			cutOff.admission.SetPeers([]reach.Peer{reach.NewPeer(peer.peers, "r")})
 			if c.prepare != nil {
 				c.prepare(peer)
@@ -285,7 +293,7 @@
 // request themselves.
 func TestForgedTerms(t *testing.T) {
 	server, address := newTarget(t, ok)
-	h := newHost(t, "h", "r", address)
+	h := newHost(t, clock.Wall(), "h", "r", address)
 	r, err := http.NewRequest(http.MethodGet, "http://"+h.callers+"/safe/1", nil)
 	if err != nil {
 		t.Fatal(err)
