Heed rate limits in answers that came through another host

What callers and targets saw: a host without a path to the targets passed on answers that state a rate limit, or no longer state one, and did not know it itself. When its path came back, it sent at its full rate until the leader or a first answer told it; and if only that host was in contact with the leader, no other host heard of the limit.

Cause: of a statement in an answer that came through another host, only that the target is leaving was applied.

Change: Table.ObserveForwarded applies all of the statement but a pause, which concerns the host that has sent the request. The statement counts as made when the request was handed over, so an answer that was under way for long does not take the place of a later statement.

--- a/bridge/limit_test.go
+++ b/bridge/limit_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"rhubarbrack/clock"
+	"rhubarbrack/ident"
 	"rhubarbrack/reach"
+	"rhubarbrack/spread"
 )
 
 // limitedPair is a host without a path to the targets, the peer through which it
@@ -57,6 +59,55 @@
 	return nil
 }
 
+// reports returns what a host reports of the limits of targets.
+func (h *host) reports(t *testing.T) map[ident.Target]spread.LimitReport {
+	t.Helper()
+	stats, err := h.admission.TargetStats(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	reports := map[ident.Target]spread.LimitReport{}
+	for _, s := range stats {
+		if report, ok := s.Limit().Get(); ok {
+			reports[s.Target()] = report
+		}
+	}
+	return reports
+}
+
+// TestStatedLimitThroughPeer guards against a rate limit, or its end, that only one
+// of the two hosts heeds and reports although both got the answer.
+func TestStatedLimitThroughPeer(t *testing.T) {
+	p := newLimitedPair(t, 2.5)
+	phases := []struct {
+		name  string
+		limit string
+		rate  float64
+		isSet bool
+	}{
+		{"stated", "2.5", 2.5, true},
+		{"lowered", "1", 1, true},
+		{"raised", "8", 8, true},
+		{"withdrawn", "", 0, false},
+		{"stated again", "4", 4, true},
+	}
+	for _, c := range phases {
+		p.limit = c.limit
+		p.clock.Advance(5 * time.Second)
+		if r := p.call(t); r.StatusCode != http.StatusOK {
+			t.Fatalf("%s: status %d", c.name, r.StatusCode)
+		}
+		arrivals := p.server.list()
+		target := ident.Target(arrivals[len(arrivals)-1].Get("Target"))
+		for name, h := range map[string]*host{"peer": p.peer, "host that is cut off": p.cutOff} {
+			report, ok := h.reports(t)[target]
+			if rate, isSet := report.Limit().Rate(); !ok || rate != c.rate || isSet != c.isSet {
+				t.Errorf("%s: the %s reports %v, %v, %v, want %v, %v", c.name, name, rate, isSet, ok, c.rate, c.isSet)
+			}
+		}
+	}
+}
+
 // TestRetryAfterLimitThroughPeer guards against a refusal that tells the caller to
 // come back before a target takes the request, and against leaving out a peer
 // because the targets are at their limit.
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -178,8 +178,9 @@
 		service ident.Service
 		began   time.Time
 		result  reach.PeerResult
-		// leaving is the target that responded, if it said that it is leaving.
-		leaving ident.Option[ForwardedTarget]
+		// target is the target that responded, if one did, with its statement.
+		target    ident.Option[ForwardedTarget]
+		statement spread.Statement
 	}
 	// probesDue is sent by the task to itself while probes may be due.
 	probesDue struct{}
@@ -305,14 +306,14 @@
 
 // observe applies what a target said of itself.
 func (t *admissionTask) observe(now time.Time, choice spread.Choice, statement spread.Statement) {
-	t.logChanges(choice.Target(), statement, t.controller.Table().Observe(now, choice, statement))
+	t.logChanges(choice.Target().ID(), statement, t.controller.Table().Observe(now, choice, statement))
 }
 
 // logChanges logs what has changed by a statement of a target.
-func (t *admissionTask) logChanges(target spread.Target, statement spread.Statement, changes []spread.Change) {
+func (t *admissionTask) logChanges(target ident.Target, statement spread.Statement, changes []spread.Change, attrs ...any) {
 	rate, _ := statement.Limit().Rate()
 	for _, change := range changes {
-		t.log.Info("relay: statement of a target", "target", target.ID(), "change", change, "rate", rate,
-			"pause-ms", statement.Pause().Milliseconds())
+		t.log.Info("relay: statement of a target", "target", target, "change", change, "rate", rate,
+			"pause-ms", statement.Pause().Milliseconds(), slog.Group("", attrs...))
 	}
 }
--- a/relay/forward.go
+++ b/relay/forward.go
@@ -142,8 +142,8 @@
 	case spread.Unreachable, spread.Lost, spread.Silent:
 		m.result = reach.Unavailable
 	}
-	if stated, ok := response.stated(result).Get(); ok && stated.IsLeaving() {
-		m.leaving = response.target
+	if stated, ok := response.stated(result).Get(); ok {
+		m.target, m.statement = response.target, stated
 	}
 	rh.handler.admission.ref.Tell(m)
 }
--- a/relay/probing.go
+++ b/relay/probing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"rhubarbrack/admit"
@@ -61,7 +62,7 @@
 func (t *admissionTask) recordProbe(now time.Time, m probeDone) {
 	statement, responded := m.statement.Get()
 	if responded {
-		t.logChanges(m.target, statement, t.controller.Table().ObserveProbe(now, m.target, statement))
+		t.logChanges(m.target.ID(), statement, t.controller.Table().ObserveProbe(now, m.target, statement))
 	}
 	t.applyReach(t.controller.RecordProbe(now, m.target, responded))
 }
@@ -69,7 +70,12 @@
 // recordPeer applies the result of an attempt through another entry host.
 func (t *admissionTask) recordPeer(now time.Time, m peerResult) {
 	t.controller.RecordPeer(now, m.peer, m.service, m.began, m.result)
-	if target, ok := m.leaving.Get(); ok && t.controller.Table().ObserveLeaving(now, target.id, target.startedAt) {
-		t.log.Info("relay: statement of a target", "target", target.id, "change", "leaving", "peer", m.peer.Address())
+	target, ok := m.target.Get()
+	if !ok {
+		return
 	}
+	// The answer may have been under way for long, but not since before the
+	// request was sent.
+	changes := t.controller.Table().ObserveForwarded(now, m.began, target.id, target.startedAt, m.statement)
+	t.logChanges(target.id, m.statement, changes, slog.String("peer", m.peer.Address()))
 }
--- a/spread/limit.go
+++ b/spread/limit.go
@@ -133,6 +133,9 @@
 	s.limiter.state(now, statedAt, limit, t.hostShare)
 }
 
+// isLimited reports whether the target has a rate limit.
+func (s *targetState) isLimited() bool { return s.limiter != nil && s.limiter.limit.isSet }
+
 // admitsLimited reports whether the rate limit of a target, if it has one,
 // admits a request of this host now.
 func (t *Table) admitsLimited(now time.Time, s *targetState) bool {
--- a/spread/statement.go
+++ b/spread/statement.go
@@ -63,14 +63,20 @@
 	if !ok || s != c.state {
 		return nil
 	}
+	return t.observe(now, now, s, statement)
+}
+
+// observe applies a statement of the given time.
+func (t *Table) observe(now, statedAt time.Time, s *targetState, statement Statement) []Change {
 	var changes []Change
-	if wasSet := s.limiter != nil && s.limiter.limit.isSet; wasSet != statement.limit.isSet {
+	wasLimited := s.isLimited()
+	t.applyLimit(now, statedAt, s, statement.limit)
+	switch {
+	case s.isLimited() && !wasLimited:
+		changes = append(changes, LimitBegan)
+	case wasLimited && !s.isLimited():
 		changes = append(changes, LimitEnded)
-		if !wasSet {
-			changes[0] = LimitBegan
-		}
 	}
-	t.applyLimit(now, now, s, statement.limit)
 	return append(changes, s.applyStatement(now, statement)...)
 }
 
@@ -99,16 +105,16 @@
 	return changes
 }
 
-// ObserveLeaving records that a target's process has said, in an answer that came
-// through another host, that it is about to end. It returns false if that is known
-// or the process has been replaced.
-func (t *Table) ObserveLeaving(now time.Time, id ident.Target, startedAt int64) bool {
+// ObserveForwarded applies what a target's process stated in an answer that came
+// through another host, and returns the changes. The statement is not older than
+// the given time. A pause concerns only the host that has sent the request.
+func (t *Table) ObserveForwarded(now, notBefore time.Time, id ident.Target, startedAt int64, statement Statement) []Change {
 	s, ok := t.targets[id]
-	if !ok || s.startedAt != startedAt || s.isLeaving() {
-		return false
+	if !ok || s.startedAt != startedAt {
+		return nil
 	}
-	s.leavingSince = now
-	return true
+	statement.pause = 0
+	return t.observe(now, notBefore, s, statement)
 }
 
 // WithDrainTime sets for how long a target that is leaving may get requests after
--- a/spread/statement_test.go
+++ b/spread/statement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -135,9 +136,13 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			table := newTestTable(2, 100)
-			if got := table.ObserveLeaving(start, c.id, c.startedAt); got != c.want {
+			changes := table.ObserveForwarded(start, start, c.id, c.startedAt, NewStatement(WithLeaving()))
+			if got := slices.Contains(changes, LeavingBegan); got != c.want {
 				t.Errorf("observed %v, want %v", got, c.want)
 			}
+			if changes := table.ObserveForwarded(start, start, c.id, c.startedAt, NewStatement(WithLeaving())); len(changes) > 0 {
+				t.Errorf("observed again: %v", changes)
+			}
 			used := map[ident.Target]bool{}
 			for i := range 100 {
 				used[table.Choose(start, query(fmt.Sprint(i))).Target().ID()] = true
@@ -148,3 +153,46 @@
 		})
 	}
 }
+
+// TestForwardedStatement guards against a rate limit that a host does not heed
+// because it was stated in an answer through another host, against an answer that
+// was under way for long and takes the place of a later statement, and against
+// pauses that concern the other host.
+func TestForwardedStatement(t *testing.T) {
+	limited := NewStatement(WithLimit(NewRateLimit(8)))
+	cases := []struct {
+		name      string
+		statement Statement
+		startedAt int64
+		// age is how long before a statement of a limit of 4 the answer began.
+		age       time.Duration
+		rate      float64
+		isLimited bool
+		changes   []Change
+	}{
+		{"another limit", limited, 0, -time.Second, 8, true, nil},
+		{"no limit", NewStatement(), 0, -time.Second, 0, false, []Change{LimitEnded}},
+		{"another limit, earlier", limited, 0, time.Second, 4, true, nil},
+		{"no limit, earlier", NewStatement(), 0, time.Second, 4, true, nil},
+		{"an earlier process", limited, 7, -time.Second, 4, true, nil},
+		{"pause", NewStatement(WithLimit(NewRateLimit(8)), WithPause(time.Minute)), 0, -time.Second, 8, true, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTestTable(1, 100)
+			first := NewStatement(WithLimit(NewRateLimit(4)))
+			if got := table.ObserveForwarded(start, start, "a-0", 0, first); !slices.Equal(got, []Change{LimitBegan}) {
+				t.Errorf("first statement: %v", got)
+			}
+			now := start.Add(time.Second)
+			changes := table.ObserveForwarded(now, start.Add(-c.age), "a-0", c.startedAt, c.statement)
+			s := table.targets["a-0"]
+			if rate, isLimited := s.limiter.limit.Rate(); rate != c.rate || isLimited != c.isLimited || !slices.Equal(changes, c.changes) {
+				t.Errorf("limit %v, %v, changes %v; want %v, %v, %v", rate, isLimited, changes, c.rate, c.isLimited, c.changes)
+			}
+			if now.Before(s.pauseAskedUntil) {
+				t.Error("the target pauses")
+			}
+		})
+	}
+}
