Count a request once towards the share of a rate limit

What callers saw: a host that refuses requests without an affinity key because a target is at its limit got a larger share of the limit than one that refuses as many requests with a key, at the expense of the other hosts' callers.

Cause: the rule for the least loaded target and the one for the shortest queue both count the request as wanted, so a refused one counts twice.

Change: the limiter counts a request once for each choice.

--- a/bridge/limit_test.go
+++ b/bridge/limit_test.go
@@ -108,6 +108,38 @@
 	}
 }
 
+// TestForwardedRequestsCountTowardsLimit guards against requests that count towards
+// the share of no host, or of both, so that the leader assigns a part of the limit
+// to a host that sends nothing.
+func TestForwardedRequestsCountTowardsLimit(t *testing.T) {
+	p := newLimitedPair(t, 0.5)
+	p.exhaust(t)
+	arrivals := len(p.server.list())
+	const more = 5
+	before := wanted(p.peer.reports(t))
+	for range more {
+		p.call(t)
+	}
+	if n := len(p.server.list()); n != arrivals {
+		t.Errorf("%d requests reach targets at their limit", n-arrivals)
+	}
+	// Each of the four targets is considered for each request.
+	if got := wanted(p.peer.reports(t)) - before; got != 4*more {
+		t.Errorf("the peer reports %v requests more, want %d", got, 4*more)
+	}
+	if got := wanted(p.cutOff.reports(t)); got != 0 {
+		t.Errorf("the host that is cut off reports %v requests, want none", got)
+	}
+}
+
+func wanted(reports map[ident.Target]spread.LimitReport) float64 {
+	sum := 0.0
+	for _, r := range reports {
+		sum += r.Wanted()
+	}
+	return sum
+}
+
 // TestRetryAfterLimitThroughPeer guards against a refusal that tells the caller to
 // come back before a target takes the request, and against leaving out a peer
 // because the targets are at their limit.
--- a/spread/limit.go
+++ b/spread/limit.go
@@ -59,8 +59,10 @@
 	shareUntil time.Time
 	tokens     float64
 	refilledAt time.Time
-	// wanted counts the requests that considered the target.
-	wanted *quota.Window
+	// wanted counts the requests that considered the target, and lastChoice is
+	// the number of the last choice that did.
+	wanted     *quota.Window
+	lastChoice uint64
 }
 
 // newRateLimiter returns a limiter that has the given part of a token. It
@@ -95,13 +97,16 @@
 	l.refilledAt = now
 }
 
-// admits reports whether a request may be sent now. It counts the request as
-// wanted.
-func (l *rateLimiter) admits(now time.Time, equalShare float64) bool {
+// admits reports whether a request may be sent now. It counts the request of the
+// numbered choice as wanted, once.
+func (l *rateLimiter) admits(now time.Time, equalShare float64, choice uint64) bool {
 	if !l.limit.isSet {
 		return true
 	}
-	l.wanted.Add(now, 1)
+	if choice != l.lastChoice {
+		l.lastChoice = choice
+		l.wanted.Add(now, 1)
+	}
 	l.refill(now, equalShare)
 	return l.tokens >= 1
 }
@@ -139,5 +144,5 @@
 // admitsLimited reports whether the rate limit of a target, if it has one,
 // admits a request of this host now.
 func (t *Table) admitsLimited(now time.Time, s *targetState) bool {
-	return s.limiter == nil || s.limiter.admits(now, t.hostShare)
+	return s.limiter == nil || s.limiter.admits(now, t.hostShare, t.choices)
 }
--- a/spread/limit_test.go
+++ b/spread/limit_test.go
@@ -217,3 +217,23 @@
 		t.Error("a target whose limit has ended got no request")
 	}
 }
+
+// TestWantedRequests guards against requests that count more than once towards a
+// host's share of a rate limit because several rules consider the target.
+func TestWantedRequests(t *testing.T) {
+	for _, object := range []string{"", "x"} {
+		t.Run("object "+object, func(t *testing.T) {
+			h := newLimitedFleet(1).hosts[0]
+			h.ApplyLimits(start, []LimitShare{NewLimitShare("i", NewRateLimit(0.25), 0, 0.001)})
+			const refused = 5
+			for range refused {
+				if h.Choose(start, NewQuery("s", object, time.Second, false, nil, nil, nil)).IsFound() {
+					t.Fatal("a request was admitted")
+				}
+			}
+			if got, ok := h.Stats(start)[0].Limit().Get(); !ok || got.Wanted() != refused {
+				t.Errorf("%v requests, %v, want %d", got.Wanted(), ok, refused)
+			}
+		})
+	}
+}
--- a/spread/table.go
+++ b/spread/table.go
@@ -67,6 +67,8 @@
 	typicalLatency map[ident.Service]float64
 	// nextProbe counts the targets that were considered for probes.
 	nextProbe int
+	// choices counts the calls of Choose.
+	choices uint64
 	// rtts holds the shortest observed round-trip time per region.
 	rtts map[ident.Region]time.Duration
 }
@@ -211,6 +213,7 @@
 // Choose selects a target and counts the request as in flight there. The
 // caller must pass the choice to RecordResult when the attempt ends.
 func (t *Table) Choose(now time.Time, q Query) Choice {
+	t.choices++
 	list := t.candidates(now, q, false)
 	if len(list) == 0 {
 		list = t.candidates(now, q, true)
