Simulate hosts that hand requests over in the tests of rate limits

Cause: the bound of a target's rate limit was tested with hosts that send themselves, not with hosts that send their requests through others.

Change: the hosts of the simulated fleet decide by their admission controllers and hand requests to peers while they have no path to the targets; a host hands the answer on to the one that sent it the request.

--- a/mesh/limit_fleet_test.go
+++ b/mesh/limit_fleet_test.go
@@ -5,74 +5,88 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
-	"testing"
+	"slices"
 	"time"
 
+	"rhubarbrack/admit"
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
+	"rhubarbrack/reach"
+	"rhubarbrack/scheme"
 	"rhubarbrack/spread"
 	"rhubarbrack/tasks"
 )
 
 const (
 	limitStep = 10 * time.Millisecond
-	// limitAnswerTime is how long a target takes to answer.
+	// limitAnswerTime is how long a target takes to answer, and limitHopTime how
+	// long an answer is under way from one entry host to another.
 	limitAnswerTime = 50 * time.Millisecond
-	// limitBindsAfter is how long after its first statement, or after a change, a
-	// limit binds, and limitSpan the span in which requests are counted. A target
-	// may get limitOverage times its limit, and limitSlack requests.
-	limitBindsAfter = 3 * time.Second
-	limitSpan       = 4 * time.Second
-	limitOverage    = 1.5
-	limitSlack      = 5
+	limitHopTime    = 20 * time.Millisecond
 )
 
-// limitHost is an entry host of a limitFleet: its table of targets and its
+// limitHost is an entry host of a limitFleet: its admission controller and its
 // heartbeats to the leader.
 type limitHost struct {
-	name  string
-	table *spread.Table
+	name       string
+	controller *admit.Controller
 	// until is when a host that is cut off from the leader is in contact again.
 	until time.Time
+	// isCutOff is set while the host has no path to the targets.
+	isCutOff bool
+	// restartedAt is when the host last restarted, or zero, and passedOn holds
+	// when it then first passed on an answer of a target.
+	restartedAt time.Time
+	passedOn    map[ident.Target]time.Time
 }
 
-// limitTarget is a target that states a rate limit.
-type limitTarget struct {
-	id        ident.Target
-	limit     spread.RateLimit
-	changedAt time.Time
-	// arrivals holds the times of the requests that it got.
-	arrivals []time.Time
-}
-
+// limitAnswer is the answer of a target to a request that a host has sent.
 type limitAnswer struct {
 	at     time.Time
 	host   *limitHost
 	target *limitTarget
 	choice spread.Choice
 	stated spread.RateLimit
+	// handedOver is present if another host has handed the request over.
+	handedOver ident.Option[limitHandover]
 }
 
-// limitFleet simulates entry hosts, a leader and targets with rate limits.
+// limitHandover is a request that a host sends through a peer.
+type limitHandover struct {
+	host  *limitHost
+	peer  reach.Peer
+	began time.Time
+}
+
+// limitFleet simulates entry hosts, a leader and targets with rate limits. Hosts
+// without a path to the targets hand their requests to the others.
 type limitFleet struct {
 	random   *rand.Rand
 	registry *registry
 	clock    *clock.Manual
+	config   *scheme.Config
 	list     []spread.Target
 	hosts    []*limitHost
 	targets  []*limitTarget
+	// callers is the number of hosts that have callers, the first ones.
+	callers int
+	// answers are on their way to the hosts that have sent the requests, and
+	// passedOn from these to the hosts that have handed them over.
 	answers  []limitAnswer
+	passedOn []limitAnswer
+	// sent and handedOver count the requests that targets got.
+	sent, handedOver int
 }
 
 func newLimitFleet(seed uint64, hosts, targets int) *limitFleet {
 	manual := clock.NewManual(time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC))
 	log := slog.New(slog.DiscardHandler)
-	f := &limitFleet{random: rand.New(rand.NewPCG(seed, 21)), clock: manual}
+	f := &limitFleet{random: rand.New(rand.NewPCG(seed, 21)), clock: manual, config: limitConfig(), callers: hosts}
 	f.registry = newRegistry(context.Background(), tasks.NewSystem(log), manual, log, "own:1", nil)
 	var listed []ListedTarget
 	for i := range targets {
 		id := ident.Target(fmt.Sprintf("i-%d", i))
-		f.targets = append(f.targets, &limitTarget{id: id})
+		f.targets = append(f.targets, newLimitTarget(id, manual.Now()))
 		f.list = append(f.list, spread.NewTarget(id, "s", fmt.Sprintf("i:%d", 80+i), "z", "r", 1000, false, time.Time{}))
 		listed = append(listed, NewListedTarget(id, "s", fmt.Sprintf("i:%d", 80+i), "z", 1000, false, 0))
 	}
@@ -82,20 +96,53 @@
 	}
 	for _, h := range f.hosts {
 		f.restart(h)
+		h.restartedAt = time.Time{}
 	}
 	return f
 }
 
+// limitConfig returns a configuration with a route with affinity and one without.
+func limitConfig() *scheme.Config {
+	services := []scheme.WeightedService{scheme.NewWeightedService("s", 1)}
+	config, err := scheme.New(1, scheme.Limits{}, nil, []*scheme.Route{
+		scheme.NewRoute("object", "h", "/object/", scheme.Retryable, services, 2*time.Second, 2, scheme.WithAffinity(true)),
+		scheme.NewRoute("any", "h", "/any/", scheme.Retryable, services, 2*time.Second, 2),
+	}, []scheme.Service{scheme.NewService("s", "/health", 1000, 0, 0)})
+	if err != nil {
+		panic(err)
+	}
+	return config
+}
+
 // restart replaces the process of a host, which knows no limits.
 func (f *limitFleet) restart(h *limitHost) {
-	h.table = spread.NewTable("z", "r", spread.NewColdBounds(1.5, 5), spread.WithHost(ident.Host(h.name)))
-	h.table.SetShare(1 / float64(len(f.hosts)))
-	h.table.Update(f.list)
+	bounds := admit.NewBounds(5*time.Second, 10*time.Second, 0.2, 1000, 1.5, 5)
+	h.controller = admit.NewController("z", "r", bounds, spread.WithHost(ident.Host(h.name)))
+	h.controller.UsePeers(reach.NewPeers(ident.Host(h.name), "r"))
+	h.controller.Configure(f.config)
+	h.controller.SetHostCount(len(f.hosts))
+	h.controller.Table().Update(f.list)
+	var peers []reach.Peer
+	for _, other := range f.hosts {
+		if other != h {
+			peers = append(peers, reach.NewPeer(other.name, "r"))
+		}
+	}
+	h.controller.SetPeers(peers)
+	h.restartedAt, h.passedOn = f.clock.Now(), map[ident.Target]time.Time{}
 }
 
 // setLimit changes the limit that a target states.
 func (f *limitFleet) setLimit(target int, limit spread.RateLimit) {
-	f.targets[target].limit, f.targets[target].changedAt = limit, f.clock.Now()
+	f.targets[target].setLimit(f.clock.Now(), limit)
+}
+
+// cutOff takes the path to the targets from the given number of hosts, and gives
+// it back to the others.
+func (f *limitFleet) cutOff(hosts int) {
+	for i, h := range f.hosts {
+		h.isCutOff = i < hosts
+	}
 }
 
 // run lets time pass with a demand in requests per second of all hosts.
@@ -105,6 +152,9 @@
 		f.registry.confirmLeadership(now)
 		f.deliverAnswers(now)
 		for i, h := range f.hosts {
+			for _, p := range h.controller.TakeProbes(now) {
+				h.controller.RecordProbe(now, p.Target(), !h.isCutOff)
+			}
 			// The heartbeats of the hosts are spread over their interval.
 			if (now.UnixMilli()/limitStep.Milliseconds()+int64(i))%int64(heartbeatInterval/limitStep) == 0 && now.After(h.until) {
 				f.exchange(now, h)
@@ -112,7 +162,7 @@
 		}
 		for n := demand * limitStep.Seconds(); n > 0; n-- {
 			if f.random.Float64() < n {
-				f.request(now, f.hosts[f.random.IntN(len(f.hosts))])
+				f.request(now, f.hosts[f.random.IntN(f.callers)])
 			}
 		}
 	}
@@ -122,167 +172,111 @@
 func (f *limitFleet) exchange(now time.Time, h *limitHost) {
 	record := testHeartbeat(h.name, true)
 	record.ListTag = f.registry.list.tag
-	for _, s := range h.table.Stats(now) {
+	for _, s := range h.controller.TargetStats(now) {
 		record.Counts = append(record.Counts, newTargetStatsRecord(s))
 	}
 	shares, err := decodeLimits(f.registry.heartbeat(record).Limits, f.registry.list.targets)
 	if err == nil {
-		h.table.ApplyLimits(now, shares)
+		h.controller.Table().ApplyLimits(now, shares)
 	}
 }
 
+// request makes a request at a host, on one of the routes.
 func (f *limitFleet) request(now time.Time, h *limitHost) {
-	object := fmt.Sprint(f.random.IntN(50))
-	c := h.table.Choose(now, spread.NewQuery("s", object, time.Second, false, nil, nil, nil))
-	if !c.IsFound() {
-		return
+	path := "/object/"
+	if f.random.IntN(4) == 0 {
+		path = "/any/"
 	}
-	for _, target := range f.targets {
-		if target.id == c.Target().ID() {
-			target.arrivals = append(target.arrivals, now)
-			f.answers = append(f.answers, limitAnswer{
-				at: now.Add(limitAnswerTime), host: h, target: target, choice: c, stated: target.limit,
-			})
+	object := fmt.Sprint(f.random.IntN(50))
+	d := h.controller.Admit(now, admit.NewRequest("q", "h", path, "", object, time.Second))
+	f.carryOut(now, h, d, ident.None[limitHandover]())
+}
+
+// carryOut carries out a decision of a host and those that follow, and returns the
+// last one.
+func (f *limitFleet) carryOut(now time.Time, h *limitHost, d admit.Decision, handedOver ident.Option[limitHandover]) admit.Decision {
+	for {
+		if _, refused := d.Refused(); refused {
+			return d
+		}
+		if peer, ok := d.Peer().Get(); ok {
+			next, sent := f.forward(now, h, d, peer)
+			if sent {
+				return next
+			}
+			d = next
+			continue
 		}
+		if !h.isCutOff {
+			f.arrive(now, h, d.Choice(), handedOver)
+			return d
+		}
+		h.controller.RecordResult(now, d.Choice(), spread.Unreachable, ident.None[spread.Load]())
+		h.controller.RecordReach(now, d.Choice(), spread.Unreachable, true)
+		d = h.controller.RetryUnreachable(now, d.State())
 	}
 }
 
-func (f *limitFleet) deliverAnswers(now time.Time) {
-	for len(f.answers) > 0 && !f.answers[0].at.After(now) {
-		a := f.answers[0]
-		f.answers = f.answers[1:]
-		a.host.table.RecordResult(now, a.choice, spread.Served, ident.None[spread.Load]())
-		a.host.table.Observe(now, a.choice, spread.NewStatement(spread.WithLimit(a.stated)))
+// forward sends a request through a peer. It returns the next decision, and
+// whether a target got the request.
+func (f *limitFleet) forward(now time.Time, h *limitHost, d admit.Decision, peer reach.Peer) (admit.Decision, bool) {
+	other := f.hosts[slices.IndexFunc(f.hosts, func(o *limitHost) bool { return o.name == peer.Address() })]
+	r := admit.NewForwardedRequest("q", d.State().Terms(), time.Second)
+	handover := limitHandover{host: h, peer: peer, began: now}
+	end := f.carryOut(now, other, other.controller.Admit(now, r), ident.Some(handover))
+	reason, refused := end.Refused()
+	if !refused {
+		return d, true
 	}
+	if reason == admit.NoTarget {
+		h.controller.RecordPeer(now, peer, "s", now, reach.Unavailable)
+		return h.controller.RetryPeer(now, d.State()), false
+	}
+	h.controller.RecordPeer(now, peer, "s", now, reach.Available)
+	return d.WithPeerRefusal(reason, end.RetryAfter()), false
 }
 
-// inSpan returns the largest number of requests that a target got in a span that
-// began after its limit was binding, and the number that it may get.
-func (l *limitTarget) inSpan() (got, allowed int) {
-	rate, _ := l.limit.Rate()
-	binds := l.changedAt.Add(limitBindsAfter)
-	for i, first := range l.arrivals {
-		if first.Before(binds) {
-			continue
-		}
-		n := 0
-		for _, at := range l.arrivals[i:] {
-			if at.Sub(first) < limitSpan {
-				n++
-			}
-		}
-		got = max(got, n)
+// arrive lets a target get a request.
+func (f *limitFleet) arrive(now time.Time, h *limitHost, c spread.Choice, handedOver ident.Option[limitHandover]) {
+	target := f.targets[slices.IndexFunc(f.targets, func(l *limitTarget) bool { return l.id == c.Target().ID() })]
+	f.sent++
+	if _, ok := handedOver.Get(); ok {
+		f.handedOver++
 	}
-	return got, int(limitOverage*rate*limitSpan.Seconds()) + limitSlack
+	target.arrive(now, h)
+	f.answers = append(f.answers, limitAnswer{
+		at: now.Add(limitAnswerTime), host: h, target: target, choice: c, stated: target.limit, handedOver: handedOver,
+	})
 }
 
-// TestLimitOfFleet guards against targets that get more requests than 1.5 times
-// the limit that they state, summed over all hosts, in each phase of a series of
-// changes of the limits and disturbances of the hosts.
-func TestLimitOfFleet(t *testing.T) {
-	type phase struct {
-		name string
-		do   func(f *limitFleet)
-	}
-	limits := func(rates ...float64) func(f *limitFleet) {
-		return func(f *limitFleet) {
-			for i := range f.targets {
-				f.setLimit(i, spread.NewRateLimit(rates[i%len(rates)]))
-			}
+func (f *limitFleet) deliverAnswers(now time.Time) {
+	for len(f.answers) > 0 && !f.answers[0].at.After(now) {
+		a := f.answers[0]
+		f.answers = f.answers[1:]
+		c := a.host.controller
+		c.RecordResult(now, a.choice, spread.Served, ident.None[spread.Load]())
+		c.RecordReach(now, a.choice, spread.Served, false)
+		c.Table().Observe(now, a.choice, spread.NewStatement(spread.WithLimit(a.stated)))
+		a.host.passOn(now, a.target)
+		if _, ok := a.handedOver.Get(); ok {
+			a.at = now.Add(limitHopTime)
+			f.passedOn = append(f.passedOn, a)
 		}
 	}
-	cases := []struct {
-		name           string
-		hosts, targets int
-		demand         float64
-		phases         []phase
-	}{
-		{name: "lowered and raised", hosts: 8, targets: 1, demand: 60, phases: []phase{
-			{"first", limits(20)}, {"lowered", limits(4)}, {"raised", limits(12)}, {"lowered to nothing", limits(0)},
-		}},
-		{name: "withdrawn and stated again", hosts: 8, targets: 1, demand: 60, phases: []phase{
-			{"first", limits(8)},
-			{"withdrawn", func(f *limitFleet) { f.setLimit(0, spread.RateLimit{}); f.run(20*time.Second, 60) }},
-			{"again", limits(8)},
-		}},
-		{name: "several targets", hosts: 8, targets: 6, demand: 200, phases: []phase{
-			{"first", limits(3, 9.5, 20)}, {"exchanged", limits(20, 3, 9.5)},
-		}},
-		{name: "hosts restart", hosts: 10, targets: 2, demand: 100, phases: []phase{
-			{"first", limits(10)},
-			{"one after the other", func(f *limitFleet) {
-				for _, h := range f.hosts {
-					f.restart(h)
-					f.run(500*time.Millisecond, 100)
-				}
-				f.setLimit(0, f.targets[0].limit)
-				f.setLimit(1, f.targets[1].limit)
-			}},
-		}},
-		{name: "hosts hear late", hosts: 10, targets: 2, demand: 100, phases: []phase{
-			{"first", limits(10)},
-			{"half of them cut off from the leader", func(f *limitFleet) {
-				for _, h := range f.hosts[:5] {
-					h.until = f.clock.Now().Add(30 * time.Second)
-				}
-			}},
-			{"lowered meanwhile", limits(4)},
-		}},
-		{name: "many hosts", hosts: 71, targets: 3, demand: 150, phases: []phase{{"first", limits(2.5, 9.5)}}},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			f := newLimitFleet(1, c.hosts, c.targets)
-			f.run(2*time.Second, c.demand)
-			for _, p := range c.phases {
-				p.do(f)
-				f.run(limitBindsAfter+20*time.Second, c.demand)
-				for _, target := range f.targets {
-					if _, isLimited := target.limit.Rate(); !isLimited {
-						continue
-					}
-					if got, allowed := target.inSpan(); got > allowed {
-						t.Errorf("%s: %s got %d requests in %v, at most %d are allowed", p.name, target.id, got, limitSpan, allowed)
-					}
-				}
-			}
-		})
+	for len(f.passedOn) > 0 && !f.passedOn[0].at.After(now) {
+		a := f.passedOn[0]
+		f.passedOn = f.passedOn[1:]
+		handover, _ := a.handedOver.Get()
+		c := handover.host.controller
+		c.RecordPeer(now, handover.peer, "s", handover.began, reach.Available)
+		c.Table().ObserveForwarded(now, handover.began, a.target.id, 0, spread.NewStatement(spread.WithLimit(a.stated)))
+		handover.host.passOn(now, a.target)
 	}
 }
 
-// BenchmarkLimitUse reports how many requests targets get of those that their
-// limits allow, with enough demand.
-func BenchmarkLimitUse(b *testing.B) {
-	cases := []struct {
-		hosts, targets int
-		rate           float64
-	}{
-		{8, 1, 20},
-		{8, 4, 5},
-		{71, 4, 9.5},
-		{295, 4, 9.5},
-	}
-	for _, c := range cases {
-		b.Run(fmt.Sprintf("hosts-%d-targets-%d-rate-%v", c.hosts, c.targets, c.rate), func(b *testing.B) {
-			got, allowed := 0.0, 0.0
-			for i := range b.N {
-				f := newLimitFleet(uint64(i), c.hosts, c.targets)
-				for target := range f.targets {
-					f.setLimit(target, spread.NewRateLimit(c.rate))
-				}
-				demand := 3 * c.rate * float64(c.targets)
-				f.run(limitBindsAfter, demand)
-				for _, target := range f.targets {
-					target.arrivals = nil
-				}
-				const d = 20 * time.Second
-				f.run(d, demand)
-				for _, target := range f.targets {
-					got += float64(len(target.arrivals))
-					allowed += c.rate * d.Seconds()
-				}
-			}
-			b.ReportMetric(got/allowed, "admitted/allowed")
-		})
+// passOn records that the host passes on an answer of a target.
+func (h *limitHost) passOn(now time.Time, target *limitTarget) {
+	if _, ok := h.passedOn[target.id]; !ok {
+		h.passedOn[target.id] = now
 	}
 }
