Record that little demand lets hosts save up requests

What targets see: after a time with little or no demand, a target with a small rate limit gets a request of each host at once when demand rises.

Cause: each host may save up one token of its share, however small that is. On 71 hosts these are 71 requests, whatever the limit.

The cases of TestLimitOfFleet run by a function that both tests use.

--- a/mesh/limit_phases_test.go
+++ b/mesh/limit_phases_test.go
@@ -69,21 +69,45 @@
 		{name: "many hosts", hosts: 71, targets: 3, demand: 150, phases: []limitPhase{{"first", limits(2.5, 9.5)}}},
 	}
 	for _, c := range append(cases, handoverCases...) {
-		t.Run(c.name, func(t *testing.T) {
-			f := newLimitFleet(1, c.hosts, c.targets)
-			f.run(2*time.Second, c.demand)
-			for _, p := range c.phases {
-				p.do(f)
-				f.run(limitBindsAfter+20*time.Second, c.demand)
-				for _, target := range f.targets {
-					if _, isLimited := target.limit.Rate(); !isLimited {
-						continue
-					}
-					if got, allowed := target.inSpan(); got > allowed {
-						t.Errorf("%s: %s got %d requests in %v, at most %d are allowed", p.name, target.id, got, limitSpan, allowed)
-					}
-				}
+		t.Run(c.name, c.check)
+	}
+}
+
+// TestLimitAfterLittleDemand guards against targets that get a request of each host
+// at once when demand rises, since each host has saved up one.
+func TestLimitAfterLittleDemand(t *testing.T) {
+	cases := []limitCase{
+		{name: "many hosts after little demand", hosts: 71, targets: 2, demand: 200, phases: []limitPhase{
+			{"first", limits(2.5, 9.5)},
+			{"no demand", func(f *limitFleet) { f.run(2*time.Minute, 0) }},
+			{"little demand", func(f *limitFleet) { f.run(2*time.Minute, 1) }},
+			{"cut off", func(f *limitFleet) { f.run(time.Minute, 1); f.cutOff(35) }},
+		}},
+		{name: "hosts after little demand", hosts: 20, targets: 2, demand: 100, phases: []limitPhase{
+			{"first", limits(1, 4)},
+			{"no demand", func(f *limitFleet) { f.run(2*time.Minute, 0) }},
+			{"little demand", func(f *limitFleet) { f.run(2*time.Minute, 0.3) }},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, c.check)
+	}
+}
+
+// check runs the phases and compares what the targets get with their limits.
+func (c limitCase) check(t *testing.T) {
+	f := newLimitFleet(1, c.hosts, c.targets)
+	f.run(2*time.Second, c.demand)
+	for _, p := range c.phases {
+		p.do(f)
+		f.run(limitBindsAfter+20*time.Second, c.demand)
+		for _, target := range f.targets {
+			if _, isLimited := target.limit.Rate(); !isLimited {
+				continue
+			}
+			if got, allowed := target.inSpan(); got > allowed {
+				t.Errorf("%s: %s got %d requests in %v, at most %d are allowed", p.name, target.id, got, limitSpan, allowed)
 			}
-		})
+		}
 	}
 }
