Keep the share of a rate limit while a host waits for its next request

What callers saw: refusals although the targets took fewer requests than their limits allow: with 8 hosts and a limit of 20 a second, 0.67 of the limit.

Cause: with a small share a host saves up one token at most, so the time from a full token to the next request is lost.

Change: a host saves up one token and half a second of its share.

--- a/spread/limit.go
+++ b/spread/limit.go
@@ -15,7 +15,8 @@
 	// limitMargin keeps the requests of all hosts below a rate limit, since hosts
 	// with small shares do not send evenly.
 	limitMargin = 0.8
-	// limitBurst is for how long a host may save up its share of a rate limit.
+	// limitBurst is for how long a host may save up its share of a rate limit,
+	// besides one request.
 	limitBurst = 500 * time.Millisecond
 	// limitWindow is the window over which a host counts the requests that it
 	// would send to a target with a rate limit.
@@ -92,7 +93,7 @@
 // refill adds the tokens of the time since the last call.
 func (l *rateLimiter) refill(now time.Time, equalShare float64) {
 	rate := l.rate(now, equalShare)
-	most := math.Max(1, rate*limitBurst.Seconds())
+	most := 1 + rate*limitBurst.Seconds()
 	l.tokens = math.Min(most, l.tokens+rate*max(0, now.Sub(l.refilledAt)).Seconds())
 	l.refilledAt = now
 }
--- a/spread/limit_test.go
+++ b/spread/limit_test.go
@@ -126,6 +126,36 @@
 	}
 }
 
+// TestUseOfShare guards against a share of a limit that is lost while a host waits
+// for its next request, and against one that is exceeded.
+func TestUseOfShare(t *testing.T) {
+	const limit, seconds = 2.5, 200
+	cases := []struct {
+		name string
+		// demand is in requests per second, as a multiple of the limit.
+		demand, least float64
+	}{
+		{"twice the limit", 2, 0.9},
+		{"four times the limit", 4, 0.95},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			random := rand.New(rand.NewPCG(3, 4))
+			f := newLimitedFleet(1)
+			now := start
+			for end := start.Add(seconds * time.Second); now.Before(end); {
+				f.request(now, 0)
+				now = now.Add(time.Duration(random.ExpFloat64() / (c.demand * limit) * float64(time.Second)))
+				f.answer(now, NewRateLimit(limit))
+			}
+			got := float64(len(f.sent)) / seconds
+			if want := limit * limitMargin; got < c.least*want || got > 1.02*want {
+				t.Errorf("%.2f requests per second of %.2f", got, want)
+			}
+		})
+	}
+}
+
 // TestRetryAfterRateLimit guards against refusals that tell callers to come back
 // before the target takes their request.
 func TestRetryAfterRateLimit(t *testing.T) {
