Replace the leader in the tests of rate limits

Cause: a leader that has no reports yet divides a limit among the hosts that have reported, while the others keep their shares of the earlier leader. The simulated fleet kept one leader.

Change: the random orders replace the leader, and a case with 71 hosts does, half of them cut off from the targets.

--- a/mesh/limit_fleet_test.go
+++ b/mesh/limit_fleet_test.go
@@ -66,6 +66,7 @@
 	clock    *clock.Manual
 	config   *scheme.Config
 	list     []spread.Target
+	listed   []ListedTarget
 	hosts    []*limitHost
 	targets  []*limitTarget
 	// callers is the number of hosts that have callers, the first ones.
@@ -80,17 +81,14 @@
 
 func newLimitFleet(seed uint64, hosts, targets int) *limitFleet {
 	manual := clock.NewManual(time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC))
-	log := slog.New(slog.DiscardHandler)
 	f := &limitFleet{random: rand.New(rand.NewPCG(seed, 21)), clock: manual, config: limitConfig(), callers: hosts}
-	f.registry = newRegistry(context.Background(), tasks.NewSystem(log), manual, log, "own:1", nil)
-	var listed []ListedTarget
 	for i := range targets {
 		id := ident.Target(fmt.Sprintf("i-%d", i))
 		f.targets = append(f.targets, newLimitTarget(id, manual.Now()))
 		f.list = append(f.list, spread.NewTarget(id, "s", fmt.Sprintf("i:%d", 80+i), "z", "r", 1000, false, time.Time{}))
-		listed = append(listed, NewListedTarget(id, "s", fmt.Sprintf("i:%d", 80+i), "z", 1000, false, 0))
+		f.listed = append(f.listed, NewListedTarget(id, "s", fmt.Sprintf("i:%d", 80+i), "z", 1000, false, 0))
 	}
-	f.registry.updateList(listed)
+	f.replaceLeader()
 	for i := range hosts {
 		f.hosts = append(f.hosts, &limitHost{name: fmt.Sprint("h", i)})
 	}
@@ -101,6 +99,13 @@
 	return f
 }
 
+// replaceLeader starts a leader that has no reports of hosts yet.
+func (f *limitFleet) replaceLeader() {
+	log := slog.New(slog.DiscardHandler)
+	f.registry = newRegistry(context.Background(), tasks.NewSystem(log), f.clock, log, "own:1", nil)
+	f.registry.updateList(f.listed)
+}
+
 // limitConfig returns a configuration with a route with affinity and one without.
 func limitConfig() *scheme.Config {
 	services := []scheme.WeightedService{scheme.NewWeightedService("s", 1)}
--- a/mesh/limit_handover_test.go
+++ b/mesh/limit_handover_test.go
@@ -51,6 +51,15 @@
 		}},
 		{"lowered", limits(4)}, {"raised", limits(12)},
 	}},
+	{name: "leaders are replaced", hosts: 71, targets: 3, demand: 150, phases: []limitPhase{
+		{"first", limits(2.5, 9.5)}, {"cut off", cutOff(35)},
+		{"one leader after the other", func(f *limitFleet) {
+			for range 6 {
+				f.replaceLeader()
+				f.run(5*time.Second, 150)
+			}
+		}},
+	}},
 	{name: "hosts that are cut off hear late", hosts: 6, targets: 2, demand: 80, phases: []limitPhase{
 		{"cut off", func(f *limitFleet) {
 			f.cutOff(3)
--- a/mesh/limit_random_test.go
+++ b/mesh/limit_random_test.go
@@ -19,7 +19,7 @@
 func (f *limitFleet) disturb() {
 	now := f.clock.Now()
 	h := f.hosts[f.random.IntN(len(f.hosts))]
-	switch f.random.IntN(8) {
+	switch f.random.IntN(9) {
 	case 0, 1:
 		f.setLimit(f.random.IntN(len(f.targets)), spread.NewRateLimit(0.5+25*f.random.Float64()))
 	case 2:
@@ -29,6 +29,8 @@
 	case 5:
 		f.restart(h)
 	case 6:
+		f.replaceLeader()
+	case 7:
 		f.hosts[f.random.IntN(len(f.hosts)/2)].until = now.Add(time.Duration(f.random.IntN(8000)) * time.Millisecond)
 	default:
 		f.callers = 1 + f.random.IntN(len(f.hosts))
