Do not count requests without a connection towards a rate limit

What callers saw: a host whose path to the targets is lost, or whose target restarts, spent its share of the target's limit on attempts to connect, and refused the next requests. A request that it then handed over counted at both hosts.

Cause: a token is taken when the target is chosen, and kept when no connection to it could be opened, although nothing was sent.

Change: the token is given back in that case, and in no other.

Measured: TestLimitWithoutConnection was refused the next request after an unreached target before the change.

--- a/spread/choice.go
+++ b/spread/choice.go
@@ -59,12 +59,14 @@
 type Choice struct {
 	target Target
 	// state is that of the target's process.
-	state      *targetState
-	reason     Reason
-	load       float64
-	loadAge    time.Duration
-	chosenAt   time.Time
-	found      bool
+	state    *targetState
+	reason   Reason
+	load     float64
+	loadAge  time.Duration
+	chosenAt time.Time
+	found    bool
+	// isLimited is set if the request counts towards the target's rate limit.
+	isLimited  bool
 	retryAfter time.Duration
 }
 
--- a/spread/limit.go
+++ b/spread/limit.go
@@ -121,13 +121,18 @@
 	return time.Duration(max(0, 1-l.tokens) / rate * float64(time.Second))
 }
 
-// take counts a request that is sent.
-func (l *rateLimiter) take() {
+// take counts a request that is sent, and reports whether it counts towards a
+// limit.
+func (l *rateLimiter) take() bool {
 	if l.limit.isSet {
 		l.tokens--
 	}
+	return l.limit.isSet
 }
 
+// giveBack takes back that a request was sent.
+func (l *rateLimiter) giveBack() { l.tokens++ }
+
 // applyLimit applies a statement of a target of the given time.
 func (t *Table) applyLimit(now, statedAt time.Time, s *targetState, limit RateLimit) {
 	if s.limiter == nil {
--- a/spread/limit_test.go
+++ b/spread/limit_test.go
@@ -156,6 +156,29 @@
 	}
 }
 
+// TestLimitWithoutConnection guards against requests that count towards a rate limit
+// although no connection to the target could be opened, and against other failed
+// ones that do not count.
+func TestLimitWithoutConnection(t *testing.T) {
+	for result := Served; result <= Abandoned; result++ {
+		t.Run(result.String(), func(t *testing.T) {
+			f := newLimitedFleet(1)
+			h := f.hosts[0]
+			h.ApplyLimits(start, []LimitShare{NewLimitShare("i", NewRateLimit(1), 0, 1)})
+			now := start.Add(time.Minute)
+			c := h.Choose(now, query("x"))
+			if !c.IsFound() {
+				t.Fatal("the first request was refused")
+			}
+			h.RecordResult(now, c, result, ident.None[Load]())
+			h.Resume("s")
+			if got := h.targets["i"].limiter.admits(now, 1, 0); got != (result == Unreachable) {
+				t.Errorf("the next request is admitted: %v", got)
+			}
+		})
+	}
+}
+
 // TestRetryAfterRateLimit guards against refusals that tell callers to come back
 // before the target takes their request.
 func TestRetryAfterRateLimit(t *testing.T) {
--- a/spread/result.go
+++ b/spread/result.go
@@ -79,6 +79,9 @@
 	case Unreachable:
 		s.failed.Add(now, 1)
 		s.pause(now)
+		if c.isLimited {
+			s.limiter.giveBack()
+		}
 	case Lost:
 		s.recordOutcome(now, true)
 		s.losses++
--- a/spread/table.go
+++ b/spread/table.go
@@ -396,9 +396,7 @@
 		s.nextProbe = now.Add(probeInterval)
 	}
 	s.startAttempt(now)
-	if s.limiter != nil {
-		s.limiter.take()
-	}
+	c.isLimited = s.limiter != nil && s.limiter.take()
 	if t.isCold(now, s) {
 		s.coldRequests.Add(now, 1)
 	}
