Pair responses of targets with dispatches by an ID

Callers saw a request refused as not run (503, Shed) although it ran, or got the response of another request.

Cause: on a kept connection, a response counted for whatever dispatch was under way. A target may write the copy of a refusal or of another response where the next one is due. The request ID would not tell, since a retry carries it again over the same connection.

Change: each dispatch has an ID in Rhubarbrack-Attempt, which stand-in targets repeat in every response. It is compared before anything of a response counts, for Dispatch and Resume alike; what does not match ends as Unknown with ErrUnpaired, is logged with the attempt and the kind of connection, and closes the connection. For targets that repeat no ID, a connection is closed after a refusal, so that its copy cannot meet another request. The transport offers a connection again before it delivers a response without a body: an exchange holds its connection until it has decided about it, and a request that gets one that was given up goes out on a new one, since nothing of it was written. A write to a connection that this side has closed is no longer counted as written, which could make a target look crashed.

TestDispatchHeader and TestResume compare whole request heads and now expect the new header with its exact value.

Why it works: an ID is never used twice, so a copy cannot bear that of a later dispatch; without an ID, a refusal is always the first on its connection.

TestConnectionsOfRefusals: ten refusals take 1 connection with the ID and 10 without.

--- a/node/entry.go
+++ b/node/entry.go
@@ -135,7 +135,7 @@
 	e.self = state.NewMember(s.Host(), incarnation, s.Zone(), s.Region(),
 		e.listeners[conf.Callers].Addr().String(), e.listeners[conf.Peers].Addr().String())
 	e.meter = meter.New()
-	e.targets = target.NewClient(target.WithClock(o.clock))
+	e.targets = target.NewClient(target.WithClock(o.clock), target.WithLogger(o.log))
 	for _, step := range []func(context.Context) error{e.startRatesAndSlots, e.startDispatcher, e.startControlTasks, e.startServers} {
 		if err := step(ctx); err != nil {
 			return fmt.Errorf("start entry host %s: %w", s.Host(), err)
--- a/stand/serve.go
+++ b/stand/serve.go
@@ -41,7 +41,17 @@
 	mux.HandleFunc("GET "+target.PathLoad, t.serveLoad)
 	mux.HandleFunc("GET "+pathDownloads+"{size}/{name}", t.serveDownload)
 	mux.HandleFunc("/", t.serveRequest)
-	return mux
+	return echoAttempt(mux)
+}
+
+// echoAttempt repeats the attempt ID of a request in every response.
+func echoAttempt(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(target.HeaderAttempt); id != "" {
+			w.Header().Set(target.HeaderAttempt, id)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (t *Target) serveHealth(w http.ResponseWriter, r *http.Request) {
--- a/stand/target_test.go
+++ b/stand/target_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"time"
@@ -169,6 +170,35 @@
 	}
 }
 
+// Guards against responses without the attempt ID, which are paired with requests
+// by their order alone.
+func TestTargetEchoesAttempt(t *testing.T) {
+	past := start.Add(-time.Second).Format(time.RFC3339Nano)
+	cases := []struct {
+		name, path, deadline string
+		status               int
+	}{
+		{name: "response", path: "/x", status: 200},
+		{name: "refusal", path: "/x", deadline: past, status: 503},
+		{name: "download", path: "/files/10/name", status: 200},
+		{name: "unknown download", path: "/files/ten/name", status: 404},
+		{name: "report", path: target.PathHealth, status: 200},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startTarget(t, newSystem(t), WithClock(clock.NewManual(start)), WithServiceTime(0, 0))
+			recorder := httptest.NewRecorder()
+			r := httptest.NewRequest("GET", tc.path, nil)
+			r.Header.Set(target.HeaderAttempt, "a-1")
+			r.Header.Set(target.HeaderDeadline, tc.deadline)
+			s.handler().ServeHTTP(recorder, r)
+			if got := recorder.Header().Values(target.HeaderAttempt); recorder.Code != tc.status || !slices.Equal(got, []string{"a-1"}) {
+				t.Errorf("status %d with attempts %q, want %d with a-1", recorder.Code, got, tc.status)
+			}
+		})
+	}
+}
+
 // Guards against reports that ignore the configured lag, override or fault.
 func TestTargetReports(t *testing.T) {
 	const actual, idle = `{"slots":2,"busy":1,"queued":0,"age-ms":0}`, `{"slots":2,"busy":0,"queued":0,"age-ms":0}`
--- a/target/body.go
+++ b/target/body.go
@@ -89,6 +89,13 @@
 	return true
 }
 
+// isUsed reports whether the source has been read from.
+func (b *requestBody) isUsed() bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.used
+}
+
 // Close implements io.Closer. It ends a Read that is still blocked.
 func (b *requestBody) Close() error {
 	b.mutex.Lock()
--- a/target/client.go
+++ b/target/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -36,11 +37,14 @@
 	// freshTransport uses each connection for one request only.
 	freshTransport *http.Transport
 	clock          clock.Clock
+	log            *slog.Logger
+	attempts       attemptIDs
 	buffers        sync.Pool
 }
 
 type settings struct {
 	clock       clock.Clock
+	log         *slog.Logger
 	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	dialTimeout time.Duration
 	idleTimeout time.Duration
@@ -55,6 +59,9 @@
 // with. The default is the system clock.
 func WithClock(c clock.Clock) Option { return func(s *settings) { s.clock = c } }
 
+// WithLogger sets the logger. The default is slog.Default.
+func WithLogger(l *slog.Logger) Option { return func(s *settings) { s.log = l } }
+
 // WithDial sets the function that opens connections.
 func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(s *settings) { s.dial = dial }
@@ -75,6 +82,7 @@
 func NewClient(options ...Option) *Client {
 	s := settings{
 		clock:       clock.Wall(),
+		log:         slog.Default(),
 		dialTimeout: defaultDialTimeout,
 		idleTimeout: defaultIdleTimeout,
 		idleConns:   defaultIdleConns,
@@ -83,7 +91,7 @@
 	for _, apply := range options {
 		apply(&s)
 	}
-	c := &Client{clock: s.clock, transport: newTransport(s), freshTransport: newTransport(s)}
+	c := &Client{clock: s.clock, log: s.log, attempts: newAttemptIDs(), transport: newTransport(s), freshTransport: newTransport(s)}
 	c.freshTransport.DisableKeepAlives = true
 	c.buffers.New = func() any { return new([bufferBytes]byte) }
 	return c
--- a/target/copied_test.go
+++ b/target/copied_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -15,9 +16,6 @@
 	"rhubarbrack/tasks"
 )
 
-// attemptHeader is the header that a copyingServer echoes.
-const attemptHeader = "Rhubarbrack-Attempt"
-
 // copyingServer is a target that writes answers again, late: each request that
 // reuses a connection first gets copies of the previous answer on that
 // connection. It refuses some requests and runs the others.
@@ -28,6 +26,7 @@
 	done      <-chan struct{}
 
 	mutex    sync.Mutex
+	accepted int
 	requests int
 	ran      map[string]bool
 }
@@ -58,6 +57,9 @@
 			if err != nil {
 				return
 			}
+			s.mutex.Lock()
+			s.accepted++
+			s.mutex.Unlock()
 			s.conns.Add(1)
 			tasks.Go(ctx, func(context.Context) {
 				defer s.conns.Done()
@@ -105,8 +107,8 @@
 	defer s.mutex.Unlock()
 	s.requests++
 	echo := ""
-	if id := r.Header.Get(attemptHeader); id != "" && s.behaviour.echoes {
-		echo = attemptHeader + ": " + id + "\r\n"
+	if id := r.Header.Get(HeaderAttempt); id != "" && s.behaviour.echoes {
+		echo = HeaderAttempt + ": " + id + "\r\n"
 	}
 	if s.behaviour.refuses(s.requests) {
 		body := "overload"
@@ -138,7 +140,7 @@
 	lines := strings.SplitAfter(answer, "\r\n")
 	kept := ""
 	for _, line := range lines {
-		if !strings.HasPrefix(line, attemptHeader) {
+		if !strings.HasPrefix(line, HeaderAttempt) {
 			kept += line
 		}
 	}
@@ -192,7 +194,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			s := startCopyingServer(t, tc.behaviour)
-			c := NewClient()
+			c := NewClient(WithLogger(slog.New(slog.DiscardHandler)))
 			defer s.close()
 			defer c.Close()
 			for i, want := range tc.want {
@@ -262,7 +264,7 @@
 					return ""
 				},
 			})
-			c := NewClient()
+			c := NewClient(WithLogger(slog.New(slog.DiscardHandler)))
 			counts := make([]map[Outcome]int, workers)
 			var all sync.WaitGroup
 			for w := range workers {
@@ -298,3 +300,38 @@
 		})
 	}
 }
+
+// Guards against a new connection for each refusal of a full target that repeats
+// the attempt ID, and against a kept connection after a refusal of one that does
+// not.
+func TestConnectionsOfRefusals(t *testing.T) {
+	const requests = 10
+	cases := []struct {
+		name      string
+		behaviour copyBehaviour
+		want      int
+	}{
+		{name: "echoed", behaviour: copyBehaviour{echoes: true}, want: 1},
+		{name: "echoed, without body", behaviour: copyBehaviour{echoes: true, bodiless: true}, want: 1},
+		{name: "not echoed", want: requests},
+		{name: "not echoed, without body", behaviour: copyBehaviour{bodiless: true}, want: requests},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.behaviour.refuses = func(int) bool { return true }
+			s := startCopyingServer(t, tc.behaviour)
+			c := NewClient()
+			for range requests {
+				got := c.Dispatch(context.Background(), s.listener.Addr().String(), mustRequest(t, "GET", "/x"), &bufferConsumer{})
+				if got.Outcome() != Shed {
+					t.Errorf("%v, %v; want %v", got.Outcome(), got.Err(), Shed)
+				}
+			}
+			c.Close()
+			s.close()
+			if s.accepted != tc.want {
+				t.Errorf("%d connections for %d refusals, want %d", s.accepted, requests, tc.want)
+			}
+		})
+	}
+}
--- a/target/dispatch.go
+++ b/target/dispatch.go
@@ -24,9 +24,10 @@
 
 // Dispatch sends the request to the target at address, in the form host:port,
 // and streams the response to the consumer. It never sends the request twice.
-// The header Rhubarbrack-Deadline carries the deadline of ctx. When ctx ends,
-// the connection is closed, which tells the target of a cancellation. Nothing
-// else limits the time that a target takes.
+// The header Rhubarbrack-Deadline carries the deadline of ctx, and
+// Rhubarbrack-Attempt an ID of this dispatch that the response should bear. When
+// ctx ends, the connection is closed, which tells the target of a cancellation.
+// Nothing else limits the time that a target takes.
 //
 // A request whose body has been read from is not sent again: the outcome is
 // NotRun, and the error wraps ErrBodyConsumed.
@@ -61,18 +62,23 @@
 	request         *http.Request
 	body            *requestBody
 	freshConnection bool
+	attempt         string
 	result          Result
 
-	mutex           sync.Mutex
-	conn            *countedConn
-	connCount       int
-	reused          bool
-	writesBefore    int64
-	bytesReadBefore int64
+	mutex     sync.Mutex
+	conn      *countedConn
+	connCount int
+	reused    bool
+	// holdsConn is set while the exchange has not decided about conn, and
+	// retired when no other exchange may use it.
+	holdsConn, retired bool
+	writesBefore       int64
+	bytesReadBefore    int64
 }
 
 func (c *Client) newExchange(ctx context.Context, address string, r *Request) *exchange {
-	x := &exchange{client: c, address: address, freshConnection: r.freshConnection, body: &requestBody{source: r.body, consumed: &r.consumed}}
+	x := &exchange{client: c, address: address, freshConnection: r.freshConnection, attempt: c.attempts.next(),
+		body: &requestBody{source: r.body, consumed: &r.consumed}}
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	target := *r.url
 	target.Scheme, target.Host, target.User = "http", address, nil
@@ -92,6 +98,7 @@
 	if r.id != "" {
 		request.Header.Set(HeaderRequest, string(r.id))
 	}
+	request.Header.Set(HeaderAttempt, x.attempt)
 	if deadline, ok := ctx.Deadline(); ok {
 		request.Header.Set(HeaderDeadline, deadline.UTC().Format(time.RFC3339Nano))
 	}
@@ -105,101 +112,14 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-func (x *exchange) gotConn(info httptrace.GotConnInfo) {
-	conn, ok := info.Conn.(*countedConn)
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	x.connCount++
-	if ok {
-		x.conn, x.reused = conn, info.Reused
-		x.writesBefore, x.bytesReadBefore = conn.counts()
-	}
-}
-
 // close ends the exchange. If the transport is still reading the body, the
 // body is closed.
 func (x *exchange) close() {
 	x.cancel()
 	_ = x.body.Close()
-}
-
-// send returns the response, or a nil response and the result.
-func (x *exchange) send() (*http.Response, Result) {
-	transport := x.client.transport
-	if x.freshConnection {
-		transport = x.client.freshTransport
-	}
-	response, err := transport.RoundTrip(x.request)
-	x.mutex.Lock()
-	defer x.mutex.Unlock()
-	x.result.reused = x.reused
-	if err == nil {
-		return response, Result{}
-	}
-	x.result.outcome, x.result.err = x.classify(err)
-	return nil, x.result
-}
-
-// classify determines the outcome of a request without a response. The caller
-// holds the mutex.
-func (x *exchange) classify(err error) (Outcome, error) {
-	switch {
-	case x.connCount > 1:
-		return Unknown, fmt.Errorf("target %s: %w: %w", x.address, ErrResent, err)
-	case x.conn == nil && x.connCount == 0:
-		return NotRun, x.notRunError(err)
-	case x.conn == nil:
-		return Unknown, fmt.Errorf("target %s: %w: %w", x.address, ErrLost, err)
-	}
-	writes, read := x.conn.seal()
-	if writes == x.writesBefore {
-		return NotRun, x.notRunError(err)
-	}
-	if cause := x.contextCause(); cause != nil {
-		return Unknown, fmt.Errorf("target %s: no response: %w", x.address, cause)
-	}
-	if bodyErr := x.bodyError(err); bodyErr != nil {
-		return Unknown, fmt.Errorf("target %s: %w: %w", x.address, ErrRequestBody, bodyErr)
-	}
-	if read == x.bytesReadBefore {
-		return Crashed, fmt.Errorf("target %s: %w before its response: %w", x.address, ErrLost, err)
-	}
-	return Unknown, fmt.Errorf("target %s: %w: %w", x.address, ErrLost, err)
-}
-
-// notRunError wraps the error of a request of which nothing was written.
-func (x *exchange) notRunError(err error) error {
-	if cause := x.contextCause(); cause != nil {
-		return fmt.Errorf("target %s: not sent: %w", x.address, cause)
-	}
-	if errors.Is(err, ErrDial) {
-		return fmt.Errorf("target %s: %w", x.address, err)
-	}
-	if x.connCount == 0 {
-		return fmt.Errorf("target %s: %w: %w", x.address, ErrMalformedRequest, err)
-	}
-	return fmt.Errorf("target %s: %w before the request: %w", x.address, ErrLost, err)
-}
-
-// contextCause returns the cause of the end of the context, or nil if it has
-// not ended.
-func (x *exchange) contextCause() error {
-	if x.ctx.Err() == nil {
-		return nil
-	}
-	return context.Cause(x.ctx)
-}
-
-// bodyError returns the error of the request body, or nil. Only the transport
-// reports a body that is shorter than announced.
-func (x *exchange) bodyError(err error) error {
-	if readErr := x.body.err(); readErr != nil {
-		return readErr
-	}
-	if x.body.endedEarly(x.request.ContentLength) {
-		return fmt.Errorf("source ended early: %w", err)
+	if x.retired {
+		_ = x.conn.Close()
 	}
-	return nil
 }
 
 func isShed(r *http.Response) bool {
--- a/target/dispatch_test.go
+++ b/target/dispatch_test.go
@@ -344,13 +344,13 @@
 	r := mustRequest(t, "GET", "/a%2Fb?c=d", WithHost("pattern.example"), WithRequestID("r-1"), WithHeader(http.Header{
 		"Authorization": {"Bearer secret"}, "Connection": {"x-one, close"}, "X-One": {"1"}, "Te": {"trailers"},
 		"Proxy-Authorization": {"secret"}, "Rhubarbrack-Deadline": {"2000-01-01T00:00:00Z"}, "Idempotency-Key": {"k"},
-		"Rhubarbrack-Request": {"forged"}, "Rhubarbrack-Reason": {"forged"},
+		"Rhubarbrack-Request": {"forged"}, "Rhubarbrack-Reason": {"forged"}, "Rhubarbrack-Attempt": {"forged"},
 	}))
 	consumer := &bufferConsumer{}
 	if got := c.Dispatch(ctx, s.address, r, consumer); got.Outcome() != Ran {
 		t.Fatalf("Dispatch = %v, %v", got.Outcome(), got.Err())
 	}
-	want := "GET /a%2Fb?c=d HTTP/1.1\r\nHost: pattern.example\r\nIdempotency-Key: k\r\n" +
+	want := "GET /a%2Fb?c=d HTTP/1.1\r\nHost: pattern.example\r\nIdempotency-Key: k\r\nRhubarbrack-Attempt: " + c.attempts.at(1) + "\r\n" +
 		"Rhubarbrack-Deadline: 2100-01-02T03:04:05.000000678Z\r\nRhubarbrack-Request: r-1\r\n\r\n"
 	if head := <-s.heads; head != want {
 		t.Errorf("head %q, want %q", head, want)
--- a/target/doc.go
+++ b/target/doc.go
@@ -7,6 +7,15 @@
 // a way that leaves this unknown. Client.Resume resumes an interrupted download
 // from another target. Prober polls the health and load endpoints of targets.
 //
+// # Pairing of responses
+//
+// A target may write a response again, late, where the next one is due. Each
+// dispatch has an ID of its own in the header Rhubarbrack-Attempt, which targets
+// should repeat in their response. A response with another ID, or without one on
+// a connection that had one before, does not count: the outcome is unknown, and
+// the connection is closed. A connection on which a response without an ID was a
+// refusal is not used again.
+//
 // # No hidden retries
 //
 // net/http.Transport sends a request a second time when a reused connection
--- a/target/header.go
+++ b/target/header.go
@@ -18,6 +18,10 @@
 	HeaderReason = "Rhubarbrack-Reason"
 	// HeaderRequest carries the request ID.
 	HeaderRequest = "Rhubarbrack-Request"
+	// HeaderAttempt carries an ID of the dispatch, which differs even when the
+	// same request is dispatched again. A target that repeats it in its response
+	// to this dispatch protects others from late copies of that response.
+	HeaderAttempt = "Rhubarbrack-Attempt"
 	// HeaderIdempotencyKey carries the ID that the caller chose for a
 	// non-idempotent request.
 	HeaderIdempotencyKey = "Idempotency-Key"
--- a/target/result.go
+++ b/target/result.go
@@ -62,6 +62,9 @@
 	// ErrUndelimited means that the response had neither length nor chunks, so
 	// that its end cannot be distinguished from a lost connection.
 	ErrUndelimited = errors.ConstError("response has no delimiter")
+	// ErrUnpaired means that a response arrived that does not belong to this
+	// dispatch, such as the late copy of an earlier one. Nothing of it counts.
+	ErrUnpaired = errors.ConstError("response does not belong to the attempt")
 	// ErrShed means that the target refused the request without running it.
 	ErrShed = errors.ConstError("target shed the request")
 	// ErrContentChanged means that the target that should resume a download
--- a/target/resume_test.go
+++ b/target/resume_test.go
@@ -98,7 +98,7 @@
 			if p, ok := got.Partial(); ok != (tc.missing > 0) || ok && p.Missing() != tc.missing {
 				t.Errorf("partial %+v, %v; want %d missing bytes", p, ok, tc.missing)
 			}
-			want := "GET /x HTTP/1.1\r\nHost: files\r\nIf-Range: \"a\"\r\nRange: bytes=4-8\r\n\r\n"
+			want := "GET /x HTTP/1.1\r\nHost: files\r\nIf-Range: \"a\"\r\nRange: bytes=4-8\r\nRhubarbrack-Attempt: " + c.attempts.at(2) + "\r\n\r\n"
 			if head := <-second.heads; head != want {
 				t.Errorf("second target received %q, want %q", head, want)
 			}
