Probe each target over a connection of its own

A target that leaves looked ready, and a busy one idle, for a probe round or longer: the slot owner granted slots of a target that had reported to leave, or took it for idle.

Cause: the prober kept connections between probes and paired reports with requests by their order alone. The late copy of a report counted as the next one, with a fresh age. A health report in place of a load report decoded to a load of zeros, and no load report tells that it is one.

Change: a connection carries the two requests of one probe only, and a load report must state its slots. A copy of the health report where the load is due is a malformed report; the last load keeps its age.

Weighed: an ID in each request, which would protect only targets that repeat it; a connection for each request, which costs twice as many.

--- a/target/probe.go
+++ b/target/probe.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -91,12 +90,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	t := &proberTask{
 		probeSettings: s, listener: listener, ctx: ctx, cancel: cancel, targets: make(map[ident.Target]*targetState),
-		client: &http.Client{
-			Transport: &http.Transport{
-				MaxIdleConnsPerHost: 1, MaxIdleConns: s.parallel, MaxResponseHeaderBytes: defaultHeaderBytes,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
 	}
 	ref, err := tasks.Spawn(ctx, system, s.name, t)
 	if err != nil {
@@ -157,7 +150,6 @@
 type proberTask struct {
 	probeSettings
 	listener ReportListener
-	client   *http.Client
 	ctx      context.Context
 	cancel   context.CancelFunc
 	ref      *tasks.Ref
--- a/target/prober.go
+++ b/target/prober.go
@@ -31,7 +31,6 @@
 func (t *proberTask) Stop() {
 	t.cancel()
 	t.probes.Wait()
-	t.client.CloseIdleConnections()
 }
 
 // replace sets the targets. It keeps the state of targets whose address is
@@ -114,40 +113,71 @@
 	}
 }
 
-// probe requests health and load. It runs outside the task.
+// probe requests health and load over a connection of its own, so that a target
+// cannot write the report of an earlier probe again. It runs outside the task.
 func (t *proberTask) probe(ctx context.Context, e Endpoint) probeDone {
 	ctx, cancel := context.WithTimeout(ctx, t.timeout)
 	defer cancel()
+	client := newProbeClient()
+	defer client.CloseIdleConnections()
 	m := probeDone{endpoint: e}
-	var health HealthRecord
-	if m.err = t.fetch(ctx, e, PathHealth, &health); m.err == nil {
-		m.err = health.validate()
-	}
-	if m.err != nil {
-		m.err = fmt.Errorf("health: %w", m.err)
+	health, err := fetchHealth(ctx, client, e)
+	if err != nil {
+		m.err = fmt.Errorf("health: %w", err)
 		return m
 	}
 	m.health = ident.Some(health)
-	var load LoadRecord
-	if m.err = t.fetch(ctx, e, PathLoad, &load); m.err == nil {
-		m.err = load.validate()
-	}
-	if m.err != nil {
-		m.err = fmt.Errorf("load: %w", m.err)
+	load, err := fetchLoad(ctx, client, e)
+	if err != nil {
+		m.err = fmt.Errorf("load: %w", err)
 		return m
 	}
 	m.load = ident.Some(load)
 	return m
 }
 
-// fetch reads one report of limited size. Unknown fields are ignored, so that
-// targets can report more.
-func (t *proberTask) fetch(ctx context.Context, e Endpoint, path string, into any) error {
+func fetchHealth(ctx context.Context, client *http.Client, e Endpoint) (HealthRecord, error) {
+	var health HealthRecord
+	if err := fetchReport(ctx, client, e, PathHealth, &health); err != nil {
+		return HealthRecord{}, err
+	}
+	return health, health.validate()
+}
+
+// fetchLoad reads the load. Without its slots it could be the copy of a health
+// report.
+func fetchLoad(ctx context.Context, client *http.Client, e Endpoint) (LoadRecord, error) {
+	var load struct {
+		LoadRecord
+		Slots *int `json:"slots"`
+	}
+	if err := fetchReport(ctx, client, e, PathLoad, &load); err != nil {
+		return LoadRecord{}, err
+	}
+	if load.Slots == nil {
+		return LoadRecord{}, fmt.Errorf("%w: no slots", ErrMalformedReport)
+	}
+	load.LoadRecord.Slots = *load.Slots
+	return load.LoadRecord, load.validate()
+}
+
+// newProbeClient returns a client that keeps a connection between the requests
+// of one probe.
+func newProbeClient() *http.Client {
+	return &http.Client{
+		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: defaultHeaderBytes},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// fetchReport reads one report of limited size. Unknown fields are ignored, so
+// that targets can report more.
+func fetchReport(ctx context.Context, client *http.Client, e Endpoint, path string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.address+path, nil)
 	if err != nil {
 		return fmt.Errorf("build request: %w", err)
 	}
-	response, err := t.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return fmt.Errorf("send request: %w", err)
 	}
--- a/target/report.go
+++ b/target/report.go
@@ -35,8 +35,8 @@
 	State State `json:"state"`
 }
 
-// LoadRecord is the JSON form of a response of PathLoad. AgeMillis is the age
-// of the numbers when the response was sent.
+// LoadRecord is the JSON form of a response of PathLoad, which must contain the
+// slots. AgeMillis is the age of the numbers when the response was sent.
 type LoadRecord struct {
 	Slots     int   `json:"slots"`
 	Busy      int   `json:"busy"`
