Open connections between hosts from the host's own address

Cause: on a machine with several addresses the system chose the source address of connections to other hosts of the fleet, so that neither these, nor the network, nor a test could tell which host a connection belongs to, and no test could disturb one link only. Change: clients of package wire take a dialer as an option, and hosts of a fleet pass one that binds to their own address. Tests may pass another one.

--- a/mesh/config_fetcher.go
+++ b/mesh/config_fetcher.go
@@ -77,6 +77,8 @@
 	owner    *tasks.Ref
 	receiver *fetch.Receiver
 	clients  map[string]*wire.Client
+	// wireOptions apply to the clients.
+	wireOptions []wire.Option
 	// source is the configuration that the host has.
 	source   []byte
 	loggedAt time.Time
@@ -88,7 +90,7 @@
 func startConfigFetcher(owner *controlClientTask, o clientOptions) (*tasks.Ref, error) {
 	t := &configFetcher{
 		ctx: owner.ctx, system: owner.system, clock: owner.clock, log: owner.log, meter: o.meter,
-		listener: owner.listener, owner: owner.self, clients: map[string]*wire.Client{},
+		listener: owner.listener, owner: owner.self, clients: map[string]*wire.Client{}, wireOptions: owner.wireOptions,
 		receiver: fetch.NewReceiver(owner.heartbeat.Host, fetch.WithPieceBytes(pieceBytes(o.linkRate))),
 	}
 	ref, err := tasks.Spawn(t.ctx, t.system, "mesh-fetcher", t)
@@ -156,7 +158,7 @@
 	if c, ok := t.clients[address]; ok {
 		return c
 	}
-	c, err := wire.StartClient(t.ctx, t.system, "fetch-"+address, address)
+	c, err := wire.StartClient(t.ctx, t.system, "fetch-"+address, address, t.wireOptions...)
 	if err != nil {
 		t.log.Error("mesh: cannot start a client", "address", address, "error", err)
 		return nil
--- a/mesh/control.go
+++ b/mesh/control.go
@@ -59,6 +59,8 @@
 	rotation   *rotation
 	planner    quorum.Planner
 	meter      Meter
+	// wireOptions apply to the connections to other control hosts.
+	wireOptions []wire.Option
 }
 
 // Option sets an optional property of a Control.
@@ -72,6 +74,11 @@
 // configurations from control hosts of their region.
 func WithRegion(region ident.Region) Option { return func(c *Control) { c.region = region } }
 
+// WithDialer sets how connections to the other control hosts are opened.
+func WithDialer(d wire.Dialer) Option {
+	return func(c *Control) { c.wireOptions = append(c.wireOptions, wire.WithDialer(d)) }
+}
+
 // Start starts the registry of a control host whose replica listens at
 // ownAddress. The seeds are the addresses of some control hosts. Register must
 // be called before the server accepts calls.
@@ -106,6 +113,7 @@
 		return nil, fmt.Errorf("start mesh: %w", err)
 	}
 	ref.Tell(setRegion{region: control.region})
+	ref.Tell(setWireOptions{list: control.wireOptions})
 	return control, nil
 }
 
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -96,9 +96,16 @@
 type ClientOption func(*clientOptions)
 
 type clientOptions struct {
-	linkRate float64
-	meter    Meter
-	peerPort int
+	linkRate    float64
+	meter       Meter
+	peerPort    int
+	wireOptions []wire.Option
+}
+
+// WithClientDialer sets how connections to control hosts and to other entry hosts
+// are opened.
+func WithClientDialer(d wire.Dialer) ClientOption {
+	return func(o *clientOptions) { o.wireOptions = append(o.wireOptions, wire.WithDialer(d)) }
 }
 
 // WithLinkRate sets the capacity of the host's link in bytes per second, to
@@ -128,7 +135,7 @@
 	}
 	t := &controlClientTask{
 		ctx: ctx, system: system, clock: c, log: log, listener: listener, peers: map[string]*peer{},
-		peerPort: o.peerPort,
+		peerPort: o.peerPort, wireOptions: o.wireOptions,
 		// Each host begins to look for neighbours at another position.
 		nextNeighbour: xxhash.Sum64String(string(host)),
 		heartbeat:     HeartbeatRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -73,7 +73,9 @@
 	log       *slog.Logger
 	listener  Listener
 	heartbeat HeartbeatRecord
-	peers     map[string]*peer
+	// wireOptions apply to the connections to control hosts and neighbours.
+	wireOptions []wire.Option
+	peers       map[string]*peer
 	// fetcher is the task that fetches configurations.
 	fetcher *tasks.Ref
 	// revision is that of the evacuated zones in force.
@@ -201,7 +203,7 @@
 		if _, ok := t.peers[a]; ok {
 			continue
 		}
-		c, err := wire.StartClient(t.ctx, t.system, "follow-"+a, a)
+		c, err := wire.StartClient(t.ctx, t.system, "follow-"+a, a, t.wireOptions...)
 		if err != nil {
 			t.log.Error("mesh: cannot start a client", "address", a, "error", err)
 			continue
--- a/mesh/neighbour.go
+++ b/mesh/neighbour.go
@@ -146,7 +146,7 @@
 		if slices.ContainsFunc(t.neighbours, func(p *peer) bool { return p.address == address }) {
 			continue
 		}
-		c, err := wire.StartClient(t.ctx, t.system, "neighbour-"+address, address)
+		c, err := wire.StartClient(t.ctx, t.system, "neighbour-"+address, address, t.wireOptions...)
 		if err != nil {
 			t.log.Error("mesh: cannot start a client", "address", address, "error", err)
 			return
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -60,6 +60,8 @@
 	archive *tasks.Ref
 	changes announcedChanges
 	clients map[string]*wire.Client
+	// wireOptions apply to the clients.
+	wireOptions []wire.Option
 	// confirmedAt is when this host's leadership was last confirmed.
 	confirmedAt time.Time
 	allocator   *quota.Allocator
@@ -79,8 +81,10 @@
 		record HeartbeatRecord
 		reply  tasks.Reply[HeartbeatReplyRecord]
 	}
-	setRegion  struct{ region ident.Region }
-	setArchive struct{ ref *tasks.Ref }
+	setRegion struct{ region ident.Region }
+	// setWireOptions sets the options of new clients.
+	setWireOptions struct{ list []wire.Option }
+	setArchive     struct{ ref *tasks.Ref }
 	// changeEncoded carries a difference between two configurations.
 	changeEncoded struct{ piece patch.Piece }
 	getState      struct{ reply tasks.Reply[StateRecord] }
@@ -161,6 +165,8 @@
 			r.updateReturned(m)
 		}
 		r.revision, r.state = m.revision, m.state
+	case setWireOptions:
+		r.wireOptions = m.list
 	case setRegion:
 		r.region = m.region
 	case setArchive:
@@ -447,7 +453,7 @@
 	if c, ok := r.clients[address]; ok {
 		return c
 	}
-	c, err := wire.StartClient(r.ctx, r.system, "mesh-"+address, address)
+	c, err := wire.StartClient(r.ctx, r.system, "mesh-"+address, address, r.wireOptions...)
 	if err != nil {
 		r.log.Error("mesh: cannot start a client", "address", address, "error", err)
 		return nil
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -43,6 +43,7 @@
 	drainTime      time.Duration
 	descriptors    int
 	linkRate       float64
+	dialer         wire.Dialer
 	bounds         admit.Bounds
 	clock          clock.Clock
 	log            *slog.Logger
@@ -57,10 +58,17 @@
 ) HostConfig {
 	return HostConfig{
 		host: host, zone: zone, region: regions[zone], regions: regions, ip: ip, peerPort: peerPort, seeds: seeds,
-		clock: c, log: log,
+		clock: c, log: log, dialer: &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}},
 	}
 }
 
+// WithDialer sets how connections to other hosts of the fleet are opened. By
+// default they are opened from the host's own address, so that the others see it.
+func (c HostConfig) WithDialer(d wire.Dialer) HostConfig {
+	c.dialer = d
+	return c
+}
+
 // WithData sets the data directory of a control host and whether this is the
 // first start of the whole system.
 func (c HostConfig) WithData(directory string, firstStart bool) HostConfig {
@@ -240,14 +248,14 @@
 	defer stop()
 	hostMeter := meter.New()
 	control, err := mesh.Start(taskCtx, system, c.clock, c.log, name, c.peerAddress(), c.seeds,
-		mesh.WithMeter(hostMeter), mesh.WithRegion(c.region))
+		mesh.WithMeter(hostMeter), mesh.WithRegion(c.region), mesh.WithDialer(c.dialer))
 	if err != nil {
 		return fmt.Errorf("control host: %w", err)
 	}
 	server := rpc.NewServer()
 	replica, err := ctrl.StartReplica(taskCtx, system, server, name, c.dataDirectory, board.New(control.Publish, board.WithLogger(c.log)),
 		ctrl.WithClock(c.clock), ctrl.WithLogger(c.log), ctrl.WithInitialPeers(c.initialPeers(name)...),
-		ctrl.WithNodeOptions(agree.WithElectionTimeout(electionTimeout)))
+		ctrl.WithWireOptions(wire.WithDialer(c.dialer)), ctrl.WithNodeOptions(agree.WithElectionTimeout(electionTimeout)))
 	if err != nil {
 		return fmt.Errorf("control host: %w", err)
 	}
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -196,7 +196,7 @@
 	listener := &entryListener{host: c, decode: decode, admission: admission, ready: &ready}
 	client, err := mesh.NewControlClient(taskCtx, system, c.clock, c.log, c.host, callers, c.zone, c.region, c.seeds,
 		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate),
-		mesh.WithClientMeter(hostMeter), mesh.WithNeighbours(c.peerPort))
+		mesh.WithClientMeter(hostMeter), mesh.WithNeighbours(c.peerPort), mesh.WithClientDialer(c.dialer))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
--- a/wire/client.go
+++ b/wire/client.go
@@ -214,15 +214,7 @@
 func (c *connection) dial(timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(c.ctx, timeout)
 	defer cancel()
-	var conn net.Conn
-	var err error
-	if c.options.security != nil {
-		dialer := tls.Dialer{Config: c.options.security}
-		conn, err = dialer.DialContext(ctx, "tcp", c.address)
-	} else {
-		var dialer net.Dialer
-		conn, err = dialer.DialContext(ctx, "tcp", c.address)
-	}
+	conn, err := c.open(ctx)
 	if err != nil {
 		c.self.Tell(dialDone{err: fmt.Errorf("dial %s: %w", c.address, err)})
 		return
@@ -230,6 +222,30 @@
 	c.self.Tell(dialDone{client: rpc.NewClient(conn)})
 }
 
+// open opens a connection, with TLS if it is configured.
+func (c *connection) open(ctx context.Context) (net.Conn, error) {
+	conn, err := c.options.dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil || c.options.security == nil {
+		return conn, err //nolint:wrapcheck // The caller adds the address.
+	}
+	security := c.options.security
+	if security.ServerName == "" {
+		host, _, err := net.SplitHostPort(c.address)
+		if err != nil {
+			_ = conn.Close()
+			return nil, fmt.Errorf("address of the peer: %w", err)
+		}
+		security = security.Clone()
+		security.ServerName = host
+	}
+	secured := tls.Client(conn, security)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, fmt.Errorf("TLS handshake: %w", err)
+	}
+	return secured, nil
+}
+
 func (c *connection) dialDone(m dialDone) {
 	c.dialling = false
 	if m.err != nil {
--- a/wire/options.go
+++ b/wire/options.go
@@ -1,7 +1,9 @@
 package wire
 
 import (
+	"context"
 	"crypto/tls"
+	"net"
 	"time"
 
 	"rhubarbrack/clock"
@@ -30,7 +32,16 @@
 	defaultRedialPause = 100 * time.Millisecond
 )
 
+// Dialer opens connections to peers. A net.Dialer is one.
+type Dialer interface {
+	// DialContext opens a connection to an address until ctx ends.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+var _ Dialer = (*net.Dialer)(nil)
+
 type options struct {
+	dialer           Dialer
 	security         *tls.Config
 	securityFor      func(address string) *tls.Config
 	clock            clock.Clock
@@ -54,6 +65,10 @@
 	return func(o *options) { o.securityFor = security }
 }
 
+// WithDialer sets how a client opens its connections, without TLS. The default is
+// a net.Dialer that leaves the own address to the system.
+func WithDialer(d Dialer) Option { return func(o *options) { o.dialer = d } }
+
 // WithClock sets the clock. The default is the system clock.
 func WithClock(c clock.Clock) Option { return func(o *options) { o.clock = c } }
 
@@ -65,6 +80,7 @@
 
 func newOptions(list []Option) options {
 	o := options{
+		dialer:           &net.Dialer{},
 		clock:            clock.Wall(),
 		maxMessageBytes:  defaultMaxMessageBytes,
 		maxServerCalls:   defaultMaxServerCalls,
