Count every request towards the bound on rate limits in its tests

The simulation left out what a restarted host sends before it must know a limit.

Measured: TestLimitOfFleet (15 cases) and TestLimitOfFleetInRandomOrder pass without the exception.

--- a/mesh/limit_fleet_test.go
+++ b/mesh/limit_fleet_test.go
@@ -34,10 +34,6 @@
 	until time.Time
 	// isCutOff is set while the host has no path to the targets.
 	isCutOff bool
-	// restartedAt is when the host last restarted, or zero, and passedOn holds
-	// when it then first passed on an answer of a target.
-	restartedAt time.Time
-	passedOn    map[ident.Target]time.Time
 }
 
 // limitAnswer is the answer of a target to a request that a host has sent.
@@ -94,7 +90,6 @@
 	}
 	for _, h := range f.hosts {
 		f.restart(h)
-		h.restartedAt = time.Time{}
 	}
 	return f
 }
@@ -134,7 +129,6 @@
 		}
 	}
 	h.controller.SetPeers(peers)
-	h.restartedAt, h.passedOn = f.clock.Now(), map[ident.Target]time.Time{}
 }
 
 // setLimit changes the limit that a target states.
@@ -248,7 +242,7 @@
 	if _, ok := handedOver.Get(); ok {
 		f.handedOver++
 	}
-	target.arrive(now, h)
+	target.arrive(now)
 	f.answers = append(f.answers, limitAnswer{
 		at: now.Add(limitAnswerTime), host: h, target: target, choice: c, stated: target.limit, handedOver: handedOver,
 	})
@@ -262,7 +256,6 @@
 		c.RecordResult(now, a.choice, spread.Served, ident.None[spread.Load]())
 		c.RecordReach(now, a.choice, spread.Served, false)
 		c.Table().Observe(now, a.choice, spread.NewStatement(spread.WithLimit(a.stated)))
-		a.host.passOn(now, a.target)
 		if _, ok := a.handedOver.Get(); ok {
 			a.at = now.Add(limitHopTime)
 			f.passedOn = append(f.passedOn, a)
@@ -275,13 +268,5 @@
 		c := handover.host.controller
 		c.RecordPeer(now, handover.peer, "s", handover.began, reach.Available)
 		c.Table().ObserveForwarded(now, handover.began, a.target.id, 0, spread.NewStatement(spread.WithLimit(a.stated)))
-		handover.host.passOn(now, a.target)
-	}
-}
-
-// passOn records that the host passes on an answer of a target.
-func (h *limitHost) passOn(now time.Time, target *limitTarget) {
-	if _, ok := h.passedOn[target.id]; !ok {
-		h.passedOn[target.id] = now
 	}
 }
--- a/mesh/limit_judge_test.go
+++ b/mesh/limit_judge_test.go
@@ -16,10 +16,6 @@
 	limitSpan       = 4 * time.Second
 	limitOverage    = 1.5
 	limitSlack      = 5
-	// limitHeardAfter is how long after it passed on a first answer, and
-	// limitBindsAfter how long after a restart in any case, a host must heed the
-	// limit.
-	limitHeardAfter = 500 * time.Millisecond
 )
 
 // limitTarget is a target that states a rate limit.
@@ -27,8 +23,7 @@
 	id        ident.Target
 	limit     spread.RateLimit
 	changedAt time.Time
-	// arrivals holds the times of the requests that it got, without those that
-	// hosts sent before they must know the limit after a restart.
+	// arrivals holds the times of the requests that it got.
 	arrivals []time.Time
 	// stated holds all limits, in the order of the changes.
 	stated []statedLimit
@@ -48,14 +43,8 @@
 	l.stated = append(l.stated, statedLimit{at: now, limit: limit})
 }
 
-// arrive records a request that a host has sent.
-func (l *limitTarget) arrive(now time.Time, h *limitHost) {
-	passedOn, ok := h.passedOn[l.id]
-	if now.Sub(h.restartedAt) < limitBindsAfter && (!ok || now.Sub(passedOn) < limitHeardAfter) {
-		return
-	}
-	l.arrivals = append(l.arrivals, now)
-}
+// arrive records a request.
+func (l *limitTarget) arrive(now time.Time) { l.arrivals = append(l.arrivals, now) }
 
 // inSpan returns the largest number of requests that a target got in a span that
 // began after its limit was binding, and the number that it may get.
