--- a/target/probe.go
+++ b/target/probe.go
@@ -77,8 +77,8 @@
 func WithMaxProbes(n int) ProbeOption { return func(s *probeSettings) { s.parallel = n } }
 
 // StartProber starts a task that probes the endpoints last set by SetEndpoints
-// at each interval, until ctx ends. A round skips targets whose previous probe
-// has not ended.
+// at each interval, until ctx ends. Each probe opens a connection of its own. A
+// round skips targets whose previous probe has not ended.
 func StartProber(ctx context.Context, system *tasks.System, listener ReportListener, options ...ProbeOption) (*Prober, error) {
 	s := probeSettings{
 		clock: clock.Wall(), log: slog.Default(), name: "probe",
