Add context to the errors of dials, probes and control clients

Errors were returned without a word on what was attempted. No decision depends on their text, and errors.Is sees through the context.

--- a/ctrl/client.go
+++ b/ctrl/client.go
@@ -173,7 +173,7 @@
 			return nil
 		}
 		if errors.Is(err, errNoEndpoint) {
-			return err
+			return fmt.Errorf("attempt: %w", err)
 		}
 		if !clock.Sleep(ctx, c.clock, retryPause) {
 			return fmt.Errorf("wait: %w", ctx.Err())
@@ -239,7 +239,7 @@
 		for {
 			var reply InForceReply
 			if err := c.call(ctx, callTimeout, "InForce", &args, &reply); err != nil {
-				return false, err
+				return false, fmt.Errorf("ask for the revision in force: %w", err)
 			}
 			if reply.Reached {
 				return true, nil
@@ -289,7 +289,7 @@
 	err := c.retry(ctx, func() (bool, error) {
 		var reply ReadReply
 		if err := c.call(ctx, callTimeout, "Read", &ReadArgs{Kind: kind, Name: name}, &reply); err != nil {
-			return false, err
+			return false, fmt.Errorf("read: %w", err)
 		}
 		record = reply
 		return true, nil
@@ -312,7 +312,7 @@
 	err := c.retry(ctx, func() (bool, error) {
 		var reply MemberReply
 		if err := c.call(ctx, 2*callTimeout, "Member", &args, &reply); err != nil {
-			return false, err
+			return false, fmt.Errorf("change member: %w", err)
 		}
 		if reply.Error != "" {
 			reason = reply.Error
--- a/target/prober.go
+++ b/target/prober.go
@@ -139,7 +139,7 @@
 func fetchHealth(ctx context.Context, client *http.Client, e Endpoint) (HealthRecord, error) {
 	var health HealthRecord
 	if err := fetchReport(ctx, client, e, PathHealth, &health); err != nil {
-		return HealthRecord{}, err
+		return HealthRecord{}, fmt.Errorf("fetch report: %w", err)
 	}
 	return health, health.validate()
 }
@@ -152,7 +152,7 @@
 		Slots *int `json:"slots"`
 	}
 	if err := fetchReport(ctx, client, e, PathLoad, &load); err != nil {
-		return LoadRecord{}, err
+		return LoadRecord{}, fmt.Errorf("fetch report: %w", err)
 	}
 	if load.Slots == nil {
 		return LoadRecord{}, fmt.Errorf("%w: no slots", ErrMalformedReport)
--- a/wire/client.go
+++ b/wire/client.go
@@ -225,10 +225,13 @@
 // open opens a connection, with TLS if it is configured.
 func (c *connection) open(ctx context.Context) (net.Conn, error) {
 	conn, err := c.options.dialer.DialContext(ctx, "tcp", c.address)
-	if err != nil || c.options.security == nil {
-		return conn, err //nolint:wrapcheck // The caller adds the address.
+	if err != nil {
+		return nil, fmt.Errorf("open connection: %w", err)
 	}
 	security := c.options.security
+	if security == nil {
+		return conn, nil
+	}
 	if security.ServerName == "" {
 		host, _, err := net.SplitHostPort(c.address)
 		if err != nil {
--- a/wire/dialer_test.go
+++ b/wire/dialer_test.go
@@ -19,7 +19,7 @@
 // DialContext implements Dialer.
 func (d *recordingDialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	d.addresses <- address
-	return d.Dialer.DialContext(ctx, network, address) //nolint:wrapcheck // The test compares addresses only.
+	return d.Dialer.DialContext(ctx, network, address)
 }
 
 // TestDialer guards against connections that bypass the dialer of a client, such as
