--- a/link/exchange.go
+++ b/link/exchange.go
@@ -112,8 +112,9 @@
 
 // isReusable reports whether the connection can carry another request after the
 // response. Whether a response has a body depends on the method of its request, so
-// a late response to HEAD cannot be skipped. A target whose headers contain status lines gets a connection for
-// each request, on which no earlier response can come before the one that is due.
+// a late response to HEAD cannot be skipped. A target whose headers contain status
+// lines gets a connection for each request, on which no earlier response can come
+// before the one that is due.
 func (x *Exchange) isReusable() bool {
 	isHead := x.response.Request.Method == http.MethodHead
 	return !x.response.Close && isDelimited(x.response) && !isJoined(x.response) && !isHead
