--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
 	"time"
 
 	"rhubarbrack/admit"
@@ -44,13 +43,6 @@
 	response *bufferedResponse
 }
 
-// bufferedResponse is a complete response of a target.
-type bufferedResponse struct {
-	status int
-	header http.Header
-	body   []byte
-}
-
 // handle carries out the first decision, and those on retries.
 func (rh *requestHandler) handle(d admit.Decision) {
 	if d.CanRequestToken() {
@@ -256,74 +248,6 @@
 	return d.WithRefusal(admit.NoAttempts)
 }
 
-// relayResponse returns a response to the caller, or decides whether to retry
-// after a failure.
-func (rh *requestHandler) relayResponse(d admit.Decision, exchange *link.Exchange) (admit.Decision, bool) {
-	r := exchange.Response()
-	response := rh.decodeResponse(d, r)
-	if response.foreign || response.notRun {
-		return rh.handleNotRun(d, exchange, response)
-	}
-	rh.mayHaveRun = true
-	if !response.genuine || r.Header.Get("Content-Encoding") != "" || r.StatusCode == http.StatusSwitchingProtocols {
-		exchange.Abort()
-		return rh.handleBroken(d, fmt.Errorf("%w: status %d", link.ErrResponseMismatch, r.StatusCode))
-	}
-	var body []byte
-	var err error
-	// A response that is known to be long is streamed from its first byte.
-	if r.ContentLength <= bufferedResponseBytes {
-		body, err = io.ReadAll(io.LimitReader(r.Body, bufferedResponseBytes+1))
-	}
-	if err != nil {
-		exchange.Abort()
-		return rh.handleBroken(d, fmt.Errorf("response incomplete: %w", err))
-	}
-	rh.reportResponse(d)
-	result := spread.Served
-	if r.StatusCode >= http.StatusInternalServerError {
-		result = spread.Failed
-	}
-	header := r.Header.Clone()
-	dropHopHeaders(header)
-	rh.handler.dialect.SetResponseHeaders(header, d.Choice().Target())
-	if len(body) > bufferedResponseBytes || r.ContentLength > bufferedResponseBytes {
-		rh.streamResponse(d, exchange, response, result, header, body)
-		return admit.Decision{}, true
-	}
-	exchange.Finish()
-	rh.recordResult(d, result, response)
-	rh.response = &bufferedResponse{status: r.StatusCode, header: header, body: body}
-	if result == spread.Failed && d.State().Route().Kind().IsRetryable() {
-		rh.logFailedAttempt(d, result, nil)
-		return rh.retry(d, afterFailure), false
-	}
-	rh.writeResponse(d)
-	return admit.Decision{}, true
-}
-
-// decodeResponse decodes a response of a target, or one that came through another
-// entry host.
-func (rh *requestHandler) decodeResponse(d admit.Decision, r *http.Response) Response {
-	response := rh.handler.dialect.DecodeResponse(r)
-	if _, ok := d.Peer().Get(); ok {
-		response.target = rh.handler.peers.TakeTarget(r.Header)
-	}
-	return response
-}
-
-// handleNotRun handles a response that proves that the request has not run.
-func (rh *requestHandler) handleNotRun(d admit.Decision, exchange *link.Exchange, response Response) (admit.Decision, bool) {
-	exchange.Discard()
-	result := spread.Full
-	if response.foreign {
-		result = spread.Foreign
-	}
-	rh.recordResult(d, result, response)
-	rh.logFailedAttempt(d, result, nil)
-	return rh.retry(d, afterFailure), false
-}
-
 // retry asks the admission controller for another attempt.
 func (rh *requestHandler) retry(d admit.Decision, after attemptEnd) admit.Decision {
 	// The rest of a long body is read while it is sent, so it can be sent once.
@@ -357,65 +281,6 @@
 	rh.writeRefusal(d, reason)
 }
 
-// writeResponse writes the buffered response.
-func (rh *requestHandler) writeResponse(d admit.Decision) {
-	h := rh.writer.Header()
-	for name, values := range rh.response.header {
-		h[name] = values
-	}
-	if len(rh.response.body) > 0 {
-		h.Set("Content-Length", strconv.Itoa(len(rh.response.body)))
-	}
-	rh.writer.WriteHeader(rh.response.status)
-	_, err := rh.writer.Write(rh.response.body)
-	rh.recordEnd(d, "answered", slog.Int("status", rh.response.status), slog.Int("bytes", len(rh.response.body)), errorAttr(err))
-}
-
-// streamResponse streams a long response. If it breaks off, the caller's
-// connection is closed, so that the response does not look complete.
-func (rh *requestHandler) streamResponse(
-	d admit.Decision, exchange *link.Exchange, response Response, result spread.Result, header http.Header, first []byte,
-) {
-	r := exchange.Response()
-	h := rh.writer.Header()
-	for name, values := range header {
-		h[name] = values
-	}
-	if r.ContentLength >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
-	}
-	rh.writer.WriteHeader(r.StatusCode)
-	// The latency of the target is the time to the first bytes; the rest
-	// depends on the network.
-	rh.recordResult(d, result, response)
-	written, err := rh.writer.Write(first)
-	if err == nil {
-		var n int64
-		n, err = io.CopyBuffer(writerOnly{rh.writer}, rh.paced(r.Body), make([]byte, copyBufferBytes))
-		written += int(n)
-	}
-	if err != nil {
-		exchange.Abort()
-		rh.recordEnd(d, "broken-off", slog.Int("status", r.StatusCode), slog.Int("bytes", written), errorAttr(err))
-		panic(http.ErrAbortHandler)
-	}
-	exchange.Finish()
-	rh.recordEnd(d, "answered", slog.Int("status", r.StatusCode), slog.Int("bytes", written))
-}
-
-// paced returns the rest of a long response, paced if the host has a slow
-// link.
-func (rh *requestHandler) paced(body io.Reader) io.Reader {
-	h := rh.handler
-	if h.pacer == nil {
-		return body
-	}
-	return h.pacer.reader(rh.ctx, body, h.clock.Now())
-}
-
-// writerOnly hides io.ReaderFrom, which would ignore the copy buffer.
-type writerOnly struct{ io.Writer }
-
 // writeRefusal refuses the request, and tells the caller whether it may have
 // run.
 func (rh *requestHandler) writeRefusal(d admit.Decision, reason admit.Reason) {
