Count accepted requests to the last byte and log it

Logs did not tell why a response was cut at a planned stop: the time left and what waited for the link at the decision, and how long a response waited, were not known. The admission controller now counts every accepted request from the decision to the last byte of its response. At a stopping host the end of each request is logged with the time left, the time needed, the bytes that the link owes and those expected. Long responses are logged with the time they waited for the link and the bytes left.

A decision is awaited even if the caller has gone: otherwise the request would stay counted for good, as it did in the in-flight count of its target.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -60,6 +60,7 @@
 	tracker      *reach.Tracker
 	suspects     *guard.Suspects
 	losses       *guard.Losses
+	work         *workCount
 	// peers is nil if requests are never sent through other entry hosts.
 	peers *reach.Peers
 	// stopAt is when the host exits, or zero.
@@ -81,6 +82,7 @@
 		tracker:      reach.NewTracker(),
 		suspects:     guard.NewSuspects(),
 		losses:       guard.NewLosses(),
+		work:         newWorkCount(),
 		hostCount:    1,
 		hostShare:    1,
 	}
@@ -105,6 +107,11 @@
 			c.table.SetColdTerms(service.Name(), service.ColdRate(), service.ColdFor())
 		}
 	}
+	routes := map[string]bool{}
+	for _, r := range config.Routes() {
+		routes[r.Name()] = true
+	}
+	c.work.retain(func(route string) bool { return routes[route] })
 	known := map[ident.Team]bool{}
 	for _, t := range config.Teams() {
 		known[t.Name()] = true
@@ -197,21 +204,13 @@
 // its team's rate.
 func (c *Controller) start(now time.Time, s *RequestState) Decision {
 	s.service = s.balancer.next()
-	if !c.stopAt.IsZero() && now.Add(stopLatencyFactor*c.table.TypicalLatency(s.service)).After(c.stopAt) {
+	if !c.canAnswer(now, s) {
 		return Decision{state: s, reason: NotReady, retryAfter: defaultRetryAfter}
 	}
 	c.retryBudget(s.service).RecordRequest(now)
 	return c.chooseTarget(now, s)
 }
 
-// stopLatencyFactor is the multiple of the typical latency of a service by which a
-// stopping host expects the response to a request.
-const stopLatencyFactor = 2
-
-// StopBy refuses requests that are not expected to be answered by the given time,
-// when the host exits. Another host can answer them.
-func (c *Controller) StopBy(at time.Time) { c.stopAt = at }
-
 // timeout returns the smaller of the request's timeout and the route's.
 func (c *Controller) timeout(r Request, route *scheme.Route) time.Duration {
 	timeout := defaultTimeout
@@ -306,6 +305,7 @@
 		}
 		return Decision{state: s, choice: choice, reason: reason, retryAfter: max(choice.RetryAfter(), defaultRetryAfter)}
 	}
+	c.work.accept(s)
 	s.attempts++
 	s.tried = append(s.tried, choice.Target().ID())
 	return Decision{state: s, choice: choice}
--- a/admit/request.go
+++ b/admit/request.go
@@ -97,6 +97,9 @@
 	configVersion uint64
 	rate          float64
 	burst         float64
+	// stopTerms are present if the host was stopping when the request was decided
+	// on.
+	stopTerms ident.Option[StopTerms]
 }
 
 // Route returns the route of the request.
@@ -124,6 +127,10 @@
 // RateLimit returns the rate and the burst of the team.
 func (s *RequestState) RateLimit() (rate, burst float64) { return s.rate, s.burst }
 
+// StopTerms returns what was known at the decision on the request, if the host was
+// stopping.
+func (s *RequestState) StopTerms() ident.Option[StopTerms] { return s.stopTerms }
+
 // ID returns the request ID.
 func (s *RequestState) ID() ident.RequestID { return s.request.id }
 
--- /dev/null
+++ b/admit/stop.go
@@ -0,0 +1,53 @@
+package admit
+
+import (
+	"time"
+
+	"rhubarbrack/ident"
+)
+
+// stopLatencyFactor is the multiple of the typical latency of a service by which a
+// stopping host expects the response to a request.
+const stopLatencyFactor = 2
+
+// StopBy refuses requests that are not expected to be answered by the given time,
+// when the host exits. Another host can answer them.
+func (c *Controller) StopBy(at time.Time) { c.stopAt = at }
+
+// StopTerms are what a stopping host knows when it decides on a request.
+type StopTerms struct {
+	left     time.Duration
+	needed   time.Duration
+	owed     int64
+	expected int64
+}
+
+// Left returns the time until requests are given up.
+func (t StopTerms) Left() time.Duration { return t.left }
+
+// Needed returns the time within which the last byte of the response is expected.
+func (t StopTerms) Needed() time.Duration { return t.needed }
+
+// Owed returns the bytes that the link still owes to accepted requests.
+func (t StopTerms) Owed() int64 { return t.owed }
+
+// Expected returns the bytes that the response is expected to add.
+func (t StopTerms) Expected() int64 { return t.expected }
+
+// canAnswer reports whether a request can be answered before the host exits, if it
+// is stopping.
+func (c *Controller) canAnswer(now time.Time, s *RequestState) bool {
+	if c.stopAt.IsZero() {
+		return true
+	}
+	t := c.stopTerms(now, s)
+	s.stopTerms = ident.Some(t)
+	return t.needed <= t.left
+}
+
+// stopTerms returns what decides whether a stopping host takes a request.
+func (c *Controller) stopTerms(now time.Time, s *RequestState) StopTerms {
+	t := StopTerms{left: c.stopAt.Sub(now), owed: c.work.rest, expected: c.work.size(s).atMost()}
+	t.needed = stopLatencyFactor * c.table.TypicalLatency(s.service)
+	return t
+}
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/rpc"
@@ -148,16 +147,6 @@
 	// peerDescriptorsPercent is the percentage that the connections of other
 	// entry hosts may use.
 	peerDescriptorsPercent = 15
-	// lookupExpiryTime is how long a stopping entry host still accepts new
-	// connections: callers use lookup responses for their time to live, and
-	// some of them slightly longer.
-	lookupExpiryTime = 2500 * time.Millisecond
-	// stopMargin is how long before the end of the grace period the process
-	// exits.
-	stopMargin = 500 * time.Millisecond
-	// answerTime is how long before that the requests in flight are given up, so
-	// that their callers get an answer.
-	answerTime = 300 * time.Millisecond
 )
 
 // Dialect is the protocol of callers and targets.
@@ -221,7 +210,7 @@
 	}
 	listener.front = front
 	client.Start(taskCtx)
-	servers, err := c.serveEndpoints(ctx, endpoints(ready.Load, client), hostMeter.Handler())
+	servers, err := c.serveEndpoints(ctx, endpoints(ready.Load, client), entryMetrics(admission, hostMeter))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
@@ -237,35 +226,6 @@
 	return nil
 }
 
-// drain serves the callers that still come, and then finishes the requests in
-// flight. Those that are unanswered shortly before the end of the grace period are
-// answered as ones that may have run.
-func (c HostConfig) drain(
-	ctx context.Context, admission *relay.Admission, front *relay.Front, handler *relay.Handler, peers *peerFront,
-) {
-	lookupWait := min(lookupExpiryTime, c.gracePeriod/2)
-	finishTime := max(c.gracePeriod-lookupWait-stopMargin-answerTime, 0)
-	admission.StopBy(c.clock.Now().Add(lookupWait + finishTime))
-	peers.refuse()
-	front.Drain()
-	c.sleep(lookupWait)
-	handler.Stop()
-	shutdown := func(limit time.Duration) error {
-		ctx, cancel := context.WithTimeout(ctx, limit)
-		defer cancel()
-		return errors.Join(front.Shutdown(ctx), peers.shutdown(ctx))
-	}
-	if shutdown(finishTime) == nil {
-		return
-	}
-	c.log.Warn("node: requests are given up at the end of the grace period", "host", c.host)
-	handler.End()
-	peers.end()
-	if err := shutdown(answerTime); err != nil {
-		c.log.Warn("node: connections were closed at the end of the grace period", "error", err)
-	}
-}
-
 // newController returns the admission controller of an entry host.
 func (c HostConfig) newController() *admit.Controller {
 	controller := admit.NewController(c.zone, c.region, c.bounds, spread.WithHost(c.host), spread.WithDrainTime(c.drainTime))
@@ -304,5 +264,3 @@
 	}
 	return []relay.HandlerOption{relay.WithPacer(p)}, nil
 }
-
-func (c HostConfig) sleep(d time.Duration) { <-c.clock.NewTimer(d).C() }
--- a/node/gauges.go
+++ b/node/gauges.go
@@ -6,8 +6,22 @@
 	"rhubarbrack/ctrl"
 	"rhubarbrack/ident"
 	"rhubarbrack/meter"
+	"rhubarbrack/relay"
 )
 
+// entryMetrics returns a handler that serves the metrics of a meter. It updates the
+// gauges of the accepted requests at each request.
+func entryMetrics(admission *relay.Admission, m *meter.Meter) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if work, err := admission.Work(r.Context()); err == nil {
+			m.SetGauge("accepted-requests", int64(work.Requests()))
+			m.SetGauge("accepted-begun", int64(work.Begun()))
+			m.SetGauge("accepted-bytes", work.Bytes())
+		}
+		m.Handler().ServeHTTP(w, r)
+	})
+}
+
 // replicaMetrics returns a handler that serves the metrics of a meter. It updates
 // the gauges of the host's replica at each request.
 func replicaMetrics(replica *ctrl.Replica, host ident.Host, m *meter.Meter) http.Handler {
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -231,7 +231,7 @@
 // Handle implements tasks.Task.
 func (t *admissionTask) Handle(message any) {
 	now := t.clock.Now()
-	if t.handleSuspicion(now, message) {
+	if t.handleSuspicion(now, message) || t.handleWork(message) {
 		return
 	}
 	switch m := message.(type) {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -126,11 +126,13 @@
 		rh.writeRefusal(admit.Decision{}.WithRefusal(admit.NotReady), admit.NotReady)
 		return
 	}
-	d, err := tasks.Ask(r.Context(), h.admission.ref, func(reply tasks.Reply[admit.Decision]) any {
+	// An accepted request is counted until its handler ends it, so the decision is
+	// awaited even if the caller has gone.
+	d, err := tasks.Ask(context.WithoutCancel(r.Context()), h.admission.ref, func(reply tasks.Reply[admit.Decision]) any {
 		return admitRequest{request: request, reply: reply}
 	})
 	if err != nil {
-		h.log.Warn("relay: request cancelled before its decision", "request", request.ID(), "error", err)
+		h.log.Warn("relay: request not decided", "request", request.ID(), "error", err)
 		panic(http.ErrAbortHandler)
 	}
 	rh := &requestHandler{handler: h, writer: w, incoming: r, request: request}
--- a/relay/pacer.go
+++ b/relay/pacer.go
@@ -25,7 +25,8 @@
 // queue behind them. The response that started first is sent first: in
 // sequence, more responses meet their latency objective than in parallel.
 type Pacer struct {
-	ref *tasks.Ref
+	ref   *tasks.Ref
+	clock clock.Clock
 }
 
 // StartPacer starts the pacer of a link with the given bytes per second. It
@@ -37,31 +38,41 @@
 		return nil, fmt.Errorf("start pacer: %w", err)
 	}
 	t.self = ref
-	return &Pacer{ref: ref}, nil
+	return &Pacer{ref: ref, clock: c}, nil
 }
 
 // reader returns a reader that reads a response no faster than the link
 // allows. startedAt is the time at which the response started.
-func (p *Pacer) reader(ctx context.Context, r io.Reader, startedAt time.Time) io.Reader {
+func (p *Pacer) reader(ctx context.Context, r io.Reader, startedAt time.Time) *pacedReader {
 	return &pacedReader{ctx: ctx, pacer: p, reader: r, startedAt: startedAt}
 }
 
+// pacedReader reads a long response.
 type pacedReader struct {
-	ctx       context.Context
+	ctx context.Context
+	// pacer is nil if the link needs no pacing.
 	pacer     *Pacer
 	reader    io.Reader
 	startedAt time.Time
+	// waited is how long the response has waited for the link.
+	waited time.Duration
 }
 
 // Read implements io.Reader.
 func (r *pacedReader) Read(b []byte) (int, error) {
+	if r.pacer == nil {
+		return r.reader.Read(b)
+	}
 	n, err := r.reader.Read(b[:min(len(b), chunkBytes)])
 	if n == 0 {
 		return 0, err
 	}
-	if _, askErr := tasks.Ask(r.ctx, r.pacer.ref, func(reply tasks.Reply[struct{}]) any {
+	asked := r.pacer.clock.Now()
+	_, askErr := tasks.Ask(r.ctx, r.pacer.ref, func(reply tasks.Reply[struct{}]) any {
 		return chunk{startedAt: r.startedAt, bytes: n, reply: reply}
-	}); askErr != nil {
+	})
+	r.waited += r.pacer.clock.Now().Sub(asked)
+	if askErr != nil {
 		return n, fmt.Errorf("wait for link capacity: %w", askErr)
 	}
 	return n, err
--- a/relay/report.go
+++ b/relay/report.go
@@ -59,7 +59,7 @@
 		fields = append(fields, "route", t.Route().Name(), "team", t.Team(), "service", t.Service(),
 			"version", t.ConfigVersion(), "took-ms", millis(took), "left-ms", millis(t.Deadline().Sub(h.clock.Now())),
 			"sends", t.Attempts(), "target", c.Target().ID(), "choice", c.Reason(), "load", c.Load(),
-			"load-age-ms", millis(min(c.LoadAge(), time.Hour)), peerAttr(d), rh.connectionAttr())
+			"load-age-ms", millis(min(c.LoadAge(), time.Hour)), peerAttr(d), rh.connectionAttr(), stopAttr(t))
 	}
 	if _, ok := d.Peer().Get(); ok {
 		h.meter.Count("forwarded", team, class, 1)
@@ -68,7 +68,7 @@
 	// Warnings have a log budget of their own, so that lines about successful
 	// requests never displace those that explain a failure.
 	level := slog.LevelWarn
-	if outcome == "answered" {
+	if rh.answered = outcome == "answered"; rh.answered {
 		level = slog.LevelInfo
 	}
 	h.log.Log(context.Background(), level, "relay: request ended", append(fields, attrs...)...)
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -39,6 +39,8 @@
 	wasLost bool
 	// mayHaveRun is set once a target may have run the request.
 	mayHaveRun bool
+	// answered is set once a whole response was sent.
+	answered bool
 	// response is the last complete response, if any.
 	response *bufferedResponse
 }
@@ -52,6 +54,7 @@
 		rh.writeRefusal(d, reason)
 		return
 	}
+	defer func() { rh.handler.admission.ref.Tell(requestEnded{state: d.State(), answered: rh.answered}) }()
 	if err := rh.readBody(); err != nil {
 		rh.recordResult(d, spread.Abandoned, Response{})
 		rh.handler.log.Info("relay: request body incomplete", "request", rh.request.ID(), "error", err)
@@ -97,11 +100,13 @@
 		h.admission.ref.Tell(tokenDenied{team: d.State().Team()})
 		return d
 	}
-	next, err := tasks.Ask(rh.incoming.Context(), h.admission.ref, func(reply tasks.Reply[admit.Decision]) any {
+	// An accepted request is counted until its handler ends it, so the decision is
+	// awaited even if the caller has gone.
+	next, err := tasks.Ask(context.WithoutCancel(rh.incoming.Context()), h.admission.ref, func(reply tasks.Reply[admit.Decision]) any {
 		return admitWithToken{state: d.State(), reply: reply}
 	})
 	if err != nil {
-		h.log.Warn("relay: request cancelled before its decision", "request", rh.request.ID(), "error", err)
+		h.log.Warn("relay: request not decided", "request", rh.request.ID(), "error", err)
 		return d
 	}
 	h.meter.Count("token-borrowed", d.State().Team(), "", 1)
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"rhubarbrack/admit"
+	"rhubarbrack/ident"
 	"rhubarbrack/link"
 	"rhubarbrack/spread"
 )
@@ -28,30 +29,35 @@
 	// The latency of the target is the time to the first bytes; the rest
 	// depends on the network.
 	rh.recordResult(d, result, response)
-	written, err := rh.writer.Write(first)
+	length := ident.None[int64]()
+	if r.ContentLength >= 0 {
+		length = ident.Some(r.ContentLength)
+	}
+	rh.handler.admission.ref.Tell(responseBegun{state: d.State(), length: length})
+	w := countingWriter{writer: rh.writer, admission: rh.handler.admission, state: d.State()}
+	body := rh.paced(r.Body)
+	written, err := w.Write(first)
 	if err == nil {
 		var n int64
-		n, err = io.CopyBuffer(writerOnly{rh.writer}, rh.paced(r.Body), make([]byte, copyBufferBytes))
+		n, err = io.CopyBuffer(w, body, make([]byte, copyBufferBytes))
 		written += int(n)
 	}
+	attrs := []any{slog.Int("status", r.StatusCode), slog.Int("bytes", written), slog.Int64("paced-ms", millis(body.waited))}
 	if err != nil {
 		exchange.Abort()
-		rh.recordEnd(d, "broken-off", slog.Int("status", r.StatusCode), slog.Int("bytes", written), errorAttr(err))
+		rh.recordEnd(d, "broken-off", append(attrs, slog.Int64("rest-bytes", max(r.ContentLength-int64(written), -1)), errorAttr(err))...)
 		panic(http.ErrAbortHandler)
 	}
 	exchange.Finish()
-	rh.recordEnd(d, "answered", slog.Int("status", r.StatusCode), slog.Int("bytes", written))
+	rh.recordEnd(d, "answered", attrs...)
 }
 
 // paced returns the rest of a long response, paced if the host has a slow
 // link.
-func (rh *requestHandler) paced(body io.Reader) io.Reader {
+func (rh *requestHandler) paced(body io.Reader) *pacedReader {
 	h := rh.handler
 	if h.pacer == nil {
-		return body
+		return &pacedReader{reader: body}
 	}
 	return h.pacer.reader(rh.ctx, body, h.clock.Now())
 }
-
-// writerOnly hides io.ReaderFrom, which would ignore the copy buffer.
-type writerOnly struct{ io.Writer }
