Refuse at a stopping host what its link cannot send in time

Callers of a stopping host got a long response that ended in the middle, 5.2 s after the signal. The decision on a request compared the time left with the latency of its service, which counts to the first byte of the response, and did not know what waited for the link: up to 4 s of earlier responses on a link of 4.4 Mbit/s.

A stopping host now takes a request with a long response only if the last byte is expected in time: after twice the typical latency, the bytes that the link owes to all accepted requests, and the largest size that is usual for the route, at the rate that long responses have. Responses that have not begun count with the average size of their route. Others are refused as not run, with a retry delay of 100 ms. The same is checked again after a body has arrived.

--- a/admit/controller.go
+++ b/admit/controller.go
@@ -61,6 +61,9 @@
 	suspects     *guard.Suspects
 	losses       *guard.Losses
 	work         *workCount
+	// linkRate is how many bytes of long responses the link carries per second,
+	// or 0 if that is no limit.
+	linkRate float64
 	// peers is nil if requests are never sent through other entry hosts.
 	peers *reach.Peers
 	// stopAt is when the host exits, or zero.
@@ -312,9 +315,16 @@
 }
 
 // Confirm decides again on a request that has waited since its target was chosen,
-// if the target is no longer eligible. Nothing was sent.
+// if the target is no longer eligible or the host is stopping. Nothing was sent.
 func (c *Controller) Confirm(now time.Time, d Decision) Decision {
-	if !d.choice.IsFound() || c.table.Confirms(now, d.choice) {
+	if !d.choice.IsFound() {
+		return d
+	}
+	if !c.canAnswer(now, d.state) {
+		c.table.RecordResult(now, d.choice, spread.Abandoned, ident.None[spread.Load]())
+		return Decision{state: d.state, reason: NotReady, retryAfter: defaultRetryAfter}
+	}
+	if c.table.Confirms(now, d.choice) {
 		return d
 	}
 	c.table.RecordResult(now, d.choice, spread.Abandoned, ident.None[spread.Load]())
--- a/admit/controller_test.go
+++ b/admit/controller_test.go
@@ -222,29 +222,3 @@
 		t.Errorf("refused: %s", reason)
 	}
 }
-
-// TestStopBy guards against a stopping host that takes requests which it must give
-// up before they are answered.
-func TestStopBy(t *testing.T) {
-	cases := []struct {
-		name   string
-		left   time.Duration
-		reason Reason
-	}{
-		{"time enough", 3 * time.Second, ""},
-		{"too late", 300 * time.Millisecond, NotReady},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			controller := newTestController(t, 60)
-			d := controller.Admit(start, request("/o/1", "", 0))
-			now := start.Add(time.Second)
-			controller.RecordResult(now, d.Choice(), spread.Served, ident.None[spread.Load]())
-			controller.StopBy(now.Add(c.left))
-			reason, _ := controller.Admit(now, request("/o/1", "", 0)).Refused()
-			if reason != c.reason {
-				t.Errorf("reason %q, want %q", reason, c.reason)
-			}
-		})
-	}
-}
--- a/admit/stop.go
+++ b/admit/stop.go
@@ -10,10 +10,14 @@
 // stopping host expects the response to a request.
 const stopLatencyFactor = 2
 
-// StopBy refuses requests that are not expected to be answered by the given time,
-// when the host exits. Another host can answer them.
+// StopBy refuses requests whose last byte is not expected to be sent by the given
+// time, when the host exits. Another host can answer them.
 func (c *Controller) StopBy(at time.Time) { c.stopAt = at }
 
+// SetLinkRate sets how many bytes of long responses the link carries per second.
+// Without it, the link counts as fast enough for any response.
+func (c *Controller) SetLinkRate(bytesPerSecond float64) { c.linkRate = bytesPerSecond }
+
 // StopTerms are what a stopping host knows when it decides on a request.
 type StopTerms struct {
 	left     time.Duration
@@ -45,9 +49,14 @@
 	return t.needed <= t.left
 }
 
-// stopTerms returns what decides whether a stopping host takes a request.
+// stopTerms returns what decides whether a stopping host takes a request. A long
+// response waits until the link has carried those of all requests that were
+// accepted earlier; a short one does not wait for them.
 func (c *Controller) stopTerms(now time.Time, s *RequestState) StopTerms {
-	t := StopTerms{left: c.stopAt.Sub(now), owed: c.work.rest, expected: c.work.size(s).atMost()}
+	t := StopTerms{left: c.stopAt.Sub(now), owed: c.work.owedToOthers(s), expected: c.work.size(s).atMost()}
 	t.needed = stopLatencyFactor * c.table.TypicalLatency(s.service)
+	if c.linkRate > 0 && t.expected > 0 {
+		t.needed += time.Duration(float64(t.owed+t.expected) / c.linkRate * float64(time.Second))
+	}
 	return t
 }
--- /dev/null
+++ b/admit/stop_test.go
@@ -0,0 +1,89 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"rhubarbrack/ident"
+	"rhubarbrack/spread"
+)
+
+// TestStopBy guards against a stopping host that takes requests which it must give
+// up before the last byte of their response is sent, and against one that refuses
+// what it could still answer.
+func TestStopBy(t *testing.T) {
+	cases := []struct {
+		name string
+		left time.Duration
+		// size is the length of the response that teaches the size of the others,
+		// and sent what has been sent of it.
+		size, sent int64
+		rate       float64
+		// waiting is the number of accepted requests without a response.
+		waiting int
+		reason  Reason
+	}{
+		{"time enough", 3 * time.Second, 0, 0, 0, 0, ""},
+		{"too late for the first byte", 1999 * time.Millisecond, 0, 0, 0, 0, NotReady},
+		{"behind short responses", 2 * time.Second, 0, 0, 1000, 5, ""},
+		{"idle link", 4 * time.Second, 1000, 1000, 1000, 0, ""},
+		{"too late for the last byte", 3999 * time.Millisecond, 1000, 1000, 1000, 0, NotReady},
+		{"fast link", 2 * time.Second, 1000, 0, 0, 5, ""},
+		{"behind the rest of a response", 4400 * time.Millisecond, 1000, 600, 1000, 0, ""},
+		{"too late behind the rest of a response", 4399 * time.Millisecond, 1000, 600, 1000, 0, NotReady},
+		{"behind responses that have not begun", 7 * time.Second, 1000, 1000, 1000, 3, ""},
+		{"too late behind responses that have not begun", 6999 * time.Millisecond, 1000, 1000, 1000, 3, NotReady},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			controller := newTestController(t, 60)
+			controller.SetLinkRate(c.rate)
+			d := controller.Admit(start, request("/o/1", "", 0))
+			now := start.Add(time.Second)
+			controller.RecordResult(now, d.Choice(), spread.Served, ident.None[spread.Load]())
+			if c.size > 0 {
+				controller.ResponseBegun(d.State(), ident.Some(c.size))
+				controller.ResponseSent(d.State(), c.sent)
+			} else {
+				controller.RequestEnded(d.State(), true)
+			}
+			for range c.waiting {
+				controller.Admit(now, request("/o/1", "", 0))
+			}
+			controller.StopBy(now.Add(c.left))
+			d = controller.Admit(now, request("/o/1", "", 0))
+			if reason, _ := d.Refused(); reason != c.reason {
+				t.Errorf("reason %q, want %q", reason, c.reason)
+			}
+			if c.reason != "" && d.RetryAfter() != defaultRetryAfter {
+				t.Errorf("retry after %v, want %v", d.RetryAfter(), defaultRetryAfter)
+			}
+		})
+	}
+}
+
+// TestStopWhileBodyArrives guards against a request that is sent although its host
+// has begun to stop, and can no longer answer it, while its body was arriving.
+func TestStopWhileBodyArrives(t *testing.T) {
+	cases := []struct {
+		name   string
+		left   time.Duration
+		reason Reason
+	}{
+		{"time enough", 2 * time.Second, ""},
+		{"too late", 1999 * time.Millisecond, NotReady},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			controller := newTestController(t, 60)
+			first := controller.Admit(start, request("/o/1", "", 0))
+			now := start.Add(time.Second)
+			d := controller.Admit(now, request("/o/1", "", 0))
+			controller.RecordResult(now, first.Choice(), spread.Served, ident.None[spread.Load]())
+			controller.StopBy(now.Add(c.left))
+			if reason, _ := controller.Confirm(now, d).Refused(); reason != c.reason {
+				t.Errorf("reason %q, want %q", reason, c.reason)
+			}
+		})
+	}
+}
--- a/admit/work.go
+++ b/admit/work.go
@@ -62,6 +62,14 @@
 	a.rest = rest
 }
 
+// owedToOthers returns the bytes that accepted requests other than s are owed.
+func (w *workCount) owedToOthers(s *RequestState) int64 {
+	if a, ok := w.accepted[s]; ok {
+		return w.rest - a.rest
+	}
+	return w.rest
+}
+
 // size returns the estimate for the responses of the request's route.
 func (w *workCount) size(s *RequestState) *sizeEstimate {
 	e, ok := w.sizes[s.route.Name()]
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -229,6 +229,9 @@
 // newController returns the admission controller of an entry host.
 func (c HostConfig) newController() *admit.Controller {
 	controller := admit.NewController(c.zone, c.region, c.bounds, spread.WithHost(c.host), spread.WithDrainTime(c.drainTime))
+	if c.hasSlowLink() {
+		controller.SetLinkRate(relay.PacedRate(c.linkRate))
+	}
 	if c.forwardPort != 0 {
 		controller.UsePeers(reach.NewPeers(c.host, c.region))
 	}
@@ -253,9 +256,11 @@
 // not paced: a long response then delays others by a few milliseconds at most.
 const pacingThreshold = 10e6
 
+func (c HostConfig) hasSlowLink() bool { return c.linkRate > 0 && c.linkRate < pacingThreshold }
+
 // pacingOptions returns the options that pace responses on a slow link.
 func (c HostConfig) pacingOptions(ctx context.Context, system *tasks.System) ([]relay.HandlerOption, error) {
-	if c.linkRate <= 0 || c.linkRate >= pacingThreshold {
+	if !c.hasSlowLink() {
 		return nil, nil
 	}
 	p, err := relay.StartPacer(ctx, system, c.clock, c.linkRate)
--- a/relay/pacer.go
+++ b/relay/pacer.go
@@ -29,10 +29,14 @@
 	clock clock.Clock
 }
 
+// PacedRate returns how many bytes per second of a link with the given bytes per
+// second long responses may use.
+func PacedRate(link float64) float64 { return maxPacedShare * link }
+
 // StartPacer starts the pacer of a link with the given bytes per second. It
 // ends with ctx.
 func StartPacer(ctx context.Context, system *tasks.System, c clock.Clock, link float64) (*Pacer, error) {
-	t := &pacerTask{ctx: ctx, clock: c, queue: linkQueue{rate: maxPacedShare * link}}
+	t := &pacerTask{ctx: ctx, clock: c, queue: linkQueue{rate: PacedRate(link)}}
 	ref, err := tasks.Spawn(ctx, system, "pacer", t)
 	if err != nil {
 		return nil, fmt.Errorf("start pacer: %w", err)
