Send the shortest rest first while a host stops

Requests that were read before the signal were taken without a look at the time left, so the link may owe more than it can send. Long responses went in the order in which they began, at 0.6 of the link until the exit, and whatever was not yet sent was cut.

From the signal on, the response with the least bytes left goes first, so that the fewest are cut if not all can be sent.

--- a/node/drain.go
+++ b/node/drain.go
@@ -21,40 +21,55 @@
 	answerTime = 300 * time.Millisecond
 )
 
+// stopping holds the parts of an entry host that take part in its stop.
+type stopping struct {
+	host      HostConfig
+	admission *relay.Admission
+	front     *relay.Front
+	handler   *relay.Handler
+	peers     *peerFront
+	// pacer is nil if the link is fast.
+	pacer *relay.Pacer
+}
+
 // drain serves the callers that still come, and then finishes the requests in
 // flight. Those that are unanswered shortly before the end of the grace period are
 // answered as ones that may have run.
-func (c HostConfig) drain(
-	ctx context.Context, admission *relay.Admission, front *relay.Front, handler *relay.Handler, peers *peerFront,
-) {
+func (s stopping) drain(ctx context.Context) {
+	c := s.host
 	lookupWait := min(lookupExpiryTime, c.gracePeriod/2)
 	finishTime := max(c.gracePeriod-lookupWait-stopMargin-answerTime, 0)
-	admission.StopBy(c.clock.Now().Add(lookupWait + finishTime))
-	c.logWork(ctx, admission, "node: accepted requests at the stop")
-	peers.refuse()
-	front.Drain()
+	s.admission.StopBy(c.clock.Now().Add(lookupWait + finishTime))
+	s.logWork(ctx, "node: accepted requests at the stop")
+	s.pacer.Drain()
+	s.peers.refuse()
+	s.front.Drain()
 	c.sleep(lookupWait)
-	handler.Stop()
-	shutdown := func(limit time.Duration) error {
-		ctx, cancel := context.WithTimeout(ctx, limit)
-		defer cancel()
-		return errors.Join(front.Shutdown(ctx), peers.shutdown(ctx))
-	}
-	if shutdown(finishTime) == nil {
+	s.handler.Stop()
+	s.pacer.Finish()
+	if s.shutdown(ctx, finishTime) == nil {
 		return
 	}
 	c.log.Warn("node: requests are given up at the end of the grace period", "host", c.host)
-	c.logWork(ctx, admission, "node: accepted requests at the end of the grace period")
-	handler.End()
-	peers.end()
-	if err := shutdown(answerTime); err != nil {
+	s.logWork(ctx, "node: accepted requests at the end of the grace period")
+	s.handler.End()
+	s.peers.end()
+	if err := s.shutdown(ctx, answerTime); err != nil {
 		c.log.Warn("node: connections were closed at the end of the grace period", "error", err)
 	}
 }
 
+// shutdown returns when all requests have been answered, or after the given time.
+func (s stopping) shutdown(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return errors.Join(s.front.Shutdown(ctx), s.peers.shutdown(ctx))
+}
+
 // logWork logs what the host has accepted and not yet answered.
-func (c HostConfig) logWork(ctx context.Context, admission *relay.Admission, message string) {
-	w, err := admission.Work(ctx)
+func (s stopping) logWork(ctx context.Context, message string) {
+	c := s.host
+	w, err := s.admission.Work(ctx)
 	if err != nil {
 		c.log.Warn(message+" are unknown", "error", err)
 		return
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -193,16 +193,16 @@
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
-	options, err := c.pacingOptions(taskCtx, system)
+	pacer, err := c.startPacer(taskCtx, system)
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
-	peers, err := c.startPeerFront(taskCtx, system, admission, pool, dialect, hostMeter, options)
+	peers, err := c.startPeerFront(taskCtx, system, admission, pool, dialect, hostMeter, relay.WithPacer(pacer))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
 	handler := relay.NewHandler(
-		admission, pool, dialect, client, c.clock, c.log, hostMeter, append(options, relay.WithPeers(bridge.Codec{}))...)
+		admission, pool, dialect, client, c.clock, c.log, hostMeter, relay.WithPacer(pacer), relay.WithPeers(bridge.Codec{}))
 	front, err := relay.StartFront(
 		taskCtx, system, callerListener, handler, c.descriptors*callerDescriptorsPercent/100, c.clock, c.log)
 	if err != nil {
@@ -218,7 +218,7 @@
 	c.log.Info("node: entry host stops", "host", c.host)
 	ready.Store(false)
 	client.SetReady(false)
-	c.drain(taskCtx, admission, front, handler, peers)
+	stopping{host: c, admission: admission, front: front, handler: handler, peers: peers, pacer: pacer}.drain(taskCtx)
 	c.closeServers(servers)
 	stop()
 	<-peersDone
@@ -258,8 +258,8 @@
 
 func (c HostConfig) hasSlowLink() bool { return c.linkRate > 0 && c.linkRate < pacingThreshold }
 
-// pacingOptions returns the options that pace responses on a slow link.
-func (c HostConfig) pacingOptions(ctx context.Context, system *tasks.System) ([]relay.HandlerOption, error) {
+// startPacer starts the pacer of a slow link. It returns nil for a fast one.
+func (c HostConfig) startPacer(ctx context.Context, system *tasks.System) (*relay.Pacer, error) {
 	if !c.hasSlowLink() {
 		return nil, nil
 	}
@@ -267,5 +267,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("pace responses: %w", err)
 	}
-	return []relay.HandlerOption{relay.WithPacer(p)}, nil
+	return p, nil
 }
--- a/node/peer_front.go
+++ b/node/peer_front.go
@@ -40,7 +40,7 @@
 // forwarding is not configured.
 func (c HostConfig) startPeerFront(
 	ctx context.Context, system *tasks.System, admission *relay.Admission, pool *link.Pool, dialect relay.Dialect,
-	m relay.Meter, options []relay.HandlerOption,
+	m relay.Meter, options ...relay.HandlerOption,
 ) (*peerFront, error) {
 	if c.forwardPort == 0 {
 		c.log.Warn("node: no port for requests of other entry hosts", "host", c.host)
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -70,7 +70,7 @@
 // HandlerOption sets an optional property of a handler.
 type HandlerOption func(*Handler)
 
-// WithPacer paces long responses for a slow link.
+// WithPacer paces long responses for a slow link. A nil pacer does not.
 func WithPacer(p *Pacer) HandlerOption { return func(h *Handler) { h.pacer = p } }
 
 // WithPeers makes the handler send requests through other entry hosts, encoded by
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -35,7 +35,7 @@
 	}
 	rh.handler.admission.ref.Tell(responseBegun{state: d.State(), length: length})
 	w := countingWriter{writer: rh.writer, admission: rh.handler.admission, state: d.State()}
-	body := rh.paced(r.Body)
+	body := rh.paced(r.Body, length)
 	written, err := w.Write(first)
 	if err == nil {
 		var n int64
@@ -54,10 +54,10 @@
 
 // paced returns the rest of a long response, paced if the host has a slow
 // link.
-func (rh *requestHandler) paced(body io.Reader) *pacedReader {
+func (rh *requestHandler) paced(body io.Reader, length ident.Option[int64]) *pacedReader {
 	h := rh.handler
 	if h.pacer == nil {
 		return &pacedReader{reader: body}
 	}
-	return h.pacer.reader(rh.ctx, body, h.clock.Now())
+	return h.pacer.reader(rh.ctx, body, h.clock.Now(), length.Or(unknownLength))
 }
