Let begun responses go on until the process exits

At the end of the grace period every attempt in flight was given up 0.3 s before the exit, so that callers get an answer. A long response that has begun can get no other answer: its caller saw the end of the connection in the middle of it, although the link could have carried it for another 0.3 s.

Now only requests without a response are given up. TestEnd: before, the begun response ended after 8 KiB with an unexpected EOF.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -62,7 +62,7 @@
 	// peers is nil if requests are never sent through other entry hosts.
 	peers   PeerCodec
 	stopped atomic.Bool
-	// ending ends when the attempts in flight are to be given up.
+	// ending ends when the attempts without a response are to be given up.
 	ending context.Context
 	end    context.CancelFunc
 }
@@ -100,8 +100,10 @@
 // about to close.
 func (h *Handler) Stop() { h.stopped.Store(true) }
 
-// End gives up all attempts in flight. Their requests are answered as ones that may
-// have run, so that no caller is left without an answer when the process exits.
+// End gives up all attempts in flight without a response. Their requests are answered
+// as ones that may have run, so that no caller is left without an answer when the
+// process exits. Long responses that have begun go on, since nothing else can follow
+// their first byte.
 func (h *Handler) End() { h.end() }
 
 // IsRetryable implements FrontHandler. It counts the requests for which it
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -23,7 +23,11 @@
 	incoming *http.Request
 	request  admit.Request
 	ctx      context.Context
-	body     []byte
+	// giveUp ends ctx. The handler calls it when attempts in flight are given up,
+	// unless keep has been called before, which returns false if it is too late.
+	giveUp context.CancelFunc
+	keep   func() bool
+	body   []byte
 	// longBody is set if the request body exceeds the buffer. Such requests
 	// cannot be retried.
 	longBody bool
@@ -67,8 +71,9 @@
 	}
 	ctx, cancel := context.WithDeadline(rh.incoming.Context(), d.State().Deadline())
 	defer cancel()
-	defer context.AfterFunc(rh.handler.ending, cancel)()
-	rh.ctx = ctx
+	rh.ctx, rh.giveUp = ctx, cancel
+	rh.keep = context.AfterFunc(rh.handler.ending, cancel)
+	defer rh.keep()
 	for {
 		next, done := rh.attempt(d)
 		if done {
--- a/relay/response.go
+++ b/relay/response.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 
+	"github.com/juju/errors"
+
 	"rhubarbrack/admit"
 	"rhubarbrack/link"
 	"rhubarbrack/spread"
@@ -19,6 +21,9 @@
 	body   []byte
 }
 
+// errGivenUp means that the host stops before a response has begun.
+const errGivenUp = errors.ConstError("given up at the end of the grace period")
+
 // relayResponse returns a response to the caller, or decides whether to retry
 // after a failure.
 func (rh *requestHandler) relayResponse(d admit.Decision, exchange *link.Exchange) (admit.Decision, bool) {
@@ -51,6 +56,11 @@
 	dropHopHeaders(header)
 	rh.handler.dialect.SetResponseHeaders(header, d.Choice().Target())
 	if len(body) > bufferedResponseBytes || r.ContentLength > bufferedResponseBytes {
+		if !rh.keep() {
+			rh.giveUp()
+			exchange.Abort()
+			return rh.handleBroken(d, errGivenUp)
+		}
 		rh.streamResponse(d, exchange, response, result, header, body)
 		return admit.Decision{}, true
 	}
--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -165,3 +165,39 @@
 		})
 	}
 }
+
+// TestEnd guards against a long response that is cut before the process exits, and
+// against a request without a response that gets no answer.
+func TestEnd(t *testing.T) {
+	const rate, size = 64 << 10, 128 << 10
+	cases := []struct {
+		name   string
+		path   string
+		result callResult
+	}{
+		{"begun", "/long/1", callResult{status: 200, body: strings.Repeat("y", size)}},
+		{"no response", "/long/silent", callResult{status: 503, reason: "out-of-time", run: "late"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			arrived, silence := make(chan struct{}, 1), make(chan struct{})
+			defer close(silence)
+			h := newSlowHost(t, rate, func(_ int, r *http.Request) string {
+				arrived <- struct{}{}
+				if r.URL.Path == "/long/silent" {
+					<-silence
+				}
+				return targetResponse(r, 200, strings.Repeat("y", size))
+			})
+			result := h.start(t, c.path)
+			<-arrived
+			if c.result.body != "" {
+				h.awaitWork(t, func(w admit.Work) bool { return w.Begun() == 1 && w.Bytes() < size })
+			}
+			h.handler.End()
+			if got := h.advanceUntil(t, result); got != c.result {
+				t.Errorf("status %d, %s, %s, %d bytes, error %v", got.status, got.reason, got.run, len(got.body), got.err)
+			}
+		})
+	}
+}
