Shut the fronts for callers and other hosts down together

At a planned stop the connections of other hosts were cut at the end of the grace period, also idle ones: the front for other hosts was shut down after that for callers, in what was left of the same time.

Both now shut down at the same time, and the time counts for each of them.

--- a/node/drain.go
+++ b/node/drain.go
@@ -63,7 +63,27 @@
 func (s stopping) shutdown(ctx context.Context, limit time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return errors.Join(s.front.Shutdown(ctx), s.peers.shutdown(ctx))
+	return shutDown(ctx, s.front, s.peers)
+}
+
+// shutter is a front end that can be shut down.
+type shutter interface {
+	// Shutdown returns when all requests have been answered or ctx ends.
+	Shutdown(ctx context.Context) error
+}
+
+// shutDown shuts front ends down at the same time, so that none has to wait for the
+// requests of another one.
+func shutDown(ctx context.Context, fronts ...shutter) error {
+	results := make(chan error, len(fronts))
+	for _, f := range fronts {
+		go func() { results <- f.Shutdown(ctx) }()
+	}
+	var all error
+	for range fronts {
+		all = errors.Join(all, <-results)
+	}
+	return all
 }
 
 // logWork logs what the host has accepted and not yet answered.
--- a/node/peer_front.go
+++ b/node/peer_front.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// shutdown returns when all requests have been answered or ctx ends.
-func (p *peerFront) shutdown(ctx context.Context) error {
+// Shutdown implements shutter.
+func (p *peerFront) Shutdown(ctx context.Context) error {
 	if p == nil {
 		return nil
 	}
