Close the connections of other hosts with a response at a stop

A stopping host refused the requests of other hosts but kept their connections, and closed those that were idle 2.5 s later. A request that another host sent on one at that moment ended as one that may have run.

Refusals now end their connections, so the other hosts' pools drop them first. TestPeerFrontRefuses: before, the refusal left its connection open.

--- a/node/peer_front.go
+++ b/node/peer_front.go
@@ -62,10 +62,12 @@
 	return &peerFront{front: front, handler: handler}, nil
 }
 
-// refuse refuses further requests, which the other hosts then send elsewhere.
+// refuse refuses further requests, which the other hosts then send elsewhere, on
+// connections that end with their next response.
 func (p *peerFront) refuse() {
 	if p != nil {
 		p.handler.Stop()
+		p.front.Drain()
 	}
 }
 
