Take no long response through a peer at a stopping host

A stopping host whose targets were out of reach sent requests through another entry host. A long response then crossed two slow links, and how long the other one is busy is not known at the stopping host; such responses were cut at the end of the grace period.

Such a request is now refused as not run, as long as it has not been sent to a target. Short responses, and hosts with fast links, still use peers. A peer that stops refuses requests of other hosts from the signal on, and what it has accepted before counts in its own work, so its own time decides.

TestPeerAtStop: before, the long response was sent through a peer.

--- a/admit/peer.go
+++ b/admit/peer.go
@@ -53,6 +53,9 @@
 		return Decision{}, false
 	}
 	c.work.accept(s)
+	if !c.canWaitForPeer(now, s) {
+		return Decision{state: s, reason: NotReady, retryAfter: defaultRetryAfter}, true
+	}
 	s.triedPeers = append(s.triedPeers, peer.Address())
 	s.attemptsBefore, s.attempts = s.attempts, s.route.Attempts()
 	return Decision{state: s, peer: ident.Some(peer)}, true
--- a/admit/peer_test.go
+++ b/admit/peer_test.go
@@ -168,3 +168,47 @@
 		t.Errorf("%d targets are used, want 4", len(used))
 	}
 }
+
+// TestPeerAtStop guards against a stopping host that takes a long response through
+// another host, whose link may be busy for longer than the time that is left.
+func TestPeerAtStop(t *testing.T) {
+	cases := []struct {
+		name     string
+		size     int64
+		rate     float64
+		stopping bool
+		// tried is the number of targets that have failed before.
+		tried  int
+		reason Reason
+	}{
+		{"no stop", 1000, 1000, false, 0, ""},
+		{"short response", 0, 1000, true, 0, ""},
+		{"long response", 1000, 1000, true, 0, NotReady},
+		{"fast link", 1000, 0, true, 0, ""},
+		{"may have run", 1000, 1000, true, 1, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			controller := newPeerController(t)
+			controller.SetLinkRate(c.rate)
+			d := controller.Admit(start, request("/o/1", "", 0))
+			controller.ResponseBegun(d.State(), ident.Some(c.size))
+			controller.RequestEnded(d.State(), true)
+			if c.stopping {
+				controller.StopBy(start.Add(time.Minute))
+			}
+			if c.tried == 0 {
+				controller.cutOff("s")
+				d = controller.Admit(start, request("/o/1", "", 0))
+			} else {
+				d = controller.Admit(start, request("/o/1", "", 0))
+				controller.cutOff("s")
+				d = controller.Retry(start, d.State())
+			}
+			reason, refused := d.Refused()
+			if _, ok := d.Peer().Get(); reason != c.reason || ok == refused {
+				t.Errorf("peer %v, reason %q, want %q", ok, reason, c.reason)
+			}
+		})
+	}
+}
--- a/admit/stop.go
+++ b/admit/stop.go
@@ -49,6 +49,18 @@
 	return t.needed <= t.left
 }
 
+// canWaitForPeer reports whether a request may be sent through another entry host. A
+// long response would cross a second slow link, and how long that is busy is not
+// known here, so a stopping host does not take one that way. A request that may have
+// run already goes on nevertheless, since a refusal could not tell its caller that it
+// has not.
+func (c *Controller) canWaitForPeer(now time.Time, s *RequestState) bool {
+	if c.stopAt.IsZero() || s.attempts > 0 {
+		return true
+	}
+	return c.canAnswer(now, s) && (c.linkRate == 0 || c.work.size(s).atMost() == 0)
+}
+
 // stopTerms returns what decides whether a stopping host takes a request. A long
 // response waits until the link has carried those of all requests that were
 // accepted earlier; a short one does not wait for them.
