Check the time left again after failures to connect

A stopping host decided on a request once. Failures to connect to targets took 0.3 s each and more, and the request was then sent although its answer could no longer come in time. It is now refused as not run, if it was never sent.

TestStopWhileUnreachable: without the check, the second case is sent.

--- a/admit/retry.go
+++ b/admit/retry.go
@@ -35,6 +35,9 @@
 	if s.deadline.Sub(now) < minAttemptTime {
 		return Decision{state: s, reason: OutOfTime}
 	}
+	if s.attempts == 0 && !c.canAnswer(now, s) {
+		return Decision{state: s, reason: NotReady, retryAfter: defaultRetryAfter}
+	}
 	return c.chooseTarget(now, s)
 }
 
--- a/admit/stop_test.go
+++ b/admit/stop_test.go
@@ -62,6 +62,37 @@
 	}
 }
 
+// TestStopWhileUnreachable guards against a request that is sent although its host can
+// no longer answer it, after the time has gone into failures to connect.
+func TestStopWhileUnreachable(t *testing.T) {
+	cases := []struct {
+		name   string
+		left   time.Duration
+		sent   bool
+		reason Reason
+	}{
+		{"time enough", 2 * time.Second, false, ""},
+		{"too late", 1999 * time.Millisecond, false, NotReady},
+		{"too late, but may have run", 1999 * time.Millisecond, true, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			controller := newTestController(t, 60)
+			first := controller.Admit(start, request("/o/1", "", 0))
+			now := start.Add(time.Second)
+			d := controller.Admit(now, request("/o/1", "", 0))
+			if c.sent {
+				d = controller.Retry(now, d.State())
+			}
+			controller.RecordResult(now, first.Choice(), spread.Served, ident.None[spread.Load]())
+			controller.StopBy(now.Add(c.left))
+			if reason, _ := controller.RetryUnreachable(now, d.State()).Refused(); reason != c.reason {
+				t.Errorf("reason %q, want %q", reason, c.reason)
+			}
+		})
+	}
+}
+
 // TestStopWhileBodyArrives guards against a request that is sent although its host
 // has begun to stop, and can no longer answer it, while its body was arriving.
 func TestStopWhileBodyArrives(t *testing.T) {
