Count a response without a length as one of the largest

Once begun, such a response counted with the average size of its route, so after that many bytes the link seemed to owe it nothing although it went on. It now counts with the largest size that is usual for the route.

TestWork: before, 1000 bytes are owed where 2000 are due. That a response was cut for this at a stop was not seen.

--- a/admit/work.go
+++ b/admit/work.go
@@ -90,7 +90,8 @@
 }
 
 // ResponseBegun records that a long response to an accepted request begins, with
-// its length if that is known.
+// its length if that is known. Otherwise it counts as one of the largest of its
+// route, since it may go on after the typical size.
 func (c *Controller) ResponseBegun(s *RequestState, length ident.Option[int64]) {
 	w := c.work
 	a, ok := w.accepted[s]
@@ -99,11 +100,14 @@
 	}
 	a.begun = true
 	w.begun++
-	if n, ok := length.Get(); ok {
-		a.hasLength = true
-		w.setRest(a, n)
-		w.size(s).observe(n)
+	n, ok := length.Get()
+	if !ok {
+		w.setRest(a, w.size(s).atMost())
+		return
 	}
+	a.hasLength = true
+	w.setRest(a, n)
+	w.size(s).observe(n)
 }
 
 // ResponseSent records bytes of a long response that were sent to the caller.
--- a/admit/work_test.go
+++ b/admit/work_test.go
@@ -37,9 +37,10 @@
 		{"sent after its end", func() { controller.ResponseSent(states["first"], 400) }, Work{requests: 1, bytes: 1000}},
 		{
 			"begun without a length", func() { controller.ResponseBegun(states["second"], ident.None[int64]()) },
-			Work{requests: 1, begun: 1, bytes: 1000},
+			Work{requests: 1, begun: 1, bytes: 2000},
 		},
-		{"longer than typical", func() { controller.ResponseSent(states["second"], 3000) }, Work{requests: 1, begun: 1}},
+		{"more than the typical size sent", func() { controller.ResponseSent(states["second"], 1500) }, Work{requests: 1, begun: 1, bytes: 500}},
+		{"longer than usual", func() { controller.ResponseSent(states["second"], 3000) }, Work{requests: 1, begun: 1}},
 		{"broken off", func() { controller.RequestEnded(states["second"], false) }, Work{}},
 		{"size of responses that were sent", admitted("third"), Work{requests: 1, bytes: 1000}},
 		{"short response", func() { controller.RequestEnded(states["third"], true) }, Work{}},
