--- a/admit/controller.go
+++ b/admit/controller.go
@@ -60,6 +60,10 @@
 	tracker      *reach.Tracker
 	suspects     *guard.Suspects
 	losses       *guard.Losses
+	work         *workCount
+	// linkRate is how many bytes of long responses the link carries per second,
+	// or 0 if that is no limit.
+	linkRate float64
 	// peers is nil if requests are never sent through other entry hosts.
 	peers *reach.Peers
 	// stopAt is when the host exits, or zero.
@@ -81,6 +85,7 @@
 		tracker:      reach.NewTracker(),
 		suspects:     guard.NewSuspects(),
 		losses:       guard.NewLosses(),
+		work:         newWorkCount(),
 		hostCount:    1,
 		hostShare:    1,
 	}
@@ -105,6 +110,11 @@
 			c.table.SetColdTerms(service.Name(), service.ColdRate(), service.ColdFor())
 		}
 	}
+	routes := map[string]bool{}
+	for _, r := range config.Routes() {
+		routes[r.Name()] = true
+	}
+	c.work.retain(func(route string) bool { return routes[route] })
 	known := map[ident.Team]bool{}
 	for _, t := range config.Teams() {
 		known[t.Name()] = true
@@ -197,21 +207,13 @@
 // its team's rate.
 func (c *Controller) start(now time.Time, s *RequestState) Decision {
 	s.service = s.balancer.next()
-	if !c.stopAt.IsZero() && now.Add(stopLatencyFactor*c.table.TypicalLatency(s.service)).After(c.stopAt) {
+	if !c.canAnswer(now, s) {
 		return Decision{state: s, reason: NotReady, retryAfter: defaultRetryAfter}
 	}
 	c.retryBudget(s.service).RecordRequest(now)
 	return c.chooseTarget(now, s)
 }
 
-// stopLatencyFactor is the multiple of the typical latency of a service by which a
-// stopping host expects the response to a request.
-const stopLatencyFactor = 2
-
-// StopBy refuses requests that are not expected to be answered by the given time,
-// when the host exits. Another host can answer them.
-func (c *Controller) StopBy(at time.Time) { c.stopAt = at }
-
 // timeout returns the smaller of the request's timeout and the route's.
 func (c *Controller) timeout(r Request, route *scheme.Route) time.Duration {
 	timeout := defaultTimeout
@@ -244,37 +246,6 @@
 	return "", 0
 }
 
-// Retry decides whether a request is sent to another target after a failed
-// attempt. The caller must make sure that the request has not run or may run
-// twice.
-func (c *Controller) Retry(now time.Time, s *RequestState) Decision {
-	if s.attempts >= s.route.Attempts() || s.isSuspected {
-		return Decision{state: s, reason: NoAttempts, retryAfter: defaultRetryAfter}
-	}
-	if s.deadline.Sub(now) < minAttemptTime {
-		return Decision{state: s, reason: OutOfTime}
-	}
-	if !c.retryBudget(s.service).TryRetry(now, c.hostShare*retryMargin) {
-		return Decision{state: s, reason: NoBudget, retryAfter: defaultRetryAfter}
-	}
-	return c.chooseTarget(now, s)
-}
-
-// defaultRetryAfter is the retry delay suggested to callers when targets were
-// full or unreachable.
-const defaultRetryAfter = 100 * time.Millisecond
-
-// RetryUnreachable selects another target after a failure to connect. Since
-// nothing was sent, this costs neither an attempt nor retry budget.
-func (c *Controller) RetryUnreachable(now time.Time, s *RequestState) Decision {
-	s.attempts--
-	s.unreachable++
-	if s.deadline.Sub(now) < minAttemptTime {
-		return Decision{state: s, reason: OutOfTime}
-	}
-	return c.chooseTarget(now, s)
-}
-
 // chooseTarget selects the target of the next attempt.
 func (c *Controller) chooseTarget(now time.Time, s *RequestState) Decision {
 	if s.deadline.Sub(now) < minAttemptTime {
@@ -306,22 +277,12 @@
 		}
 		return Decision{state: s, choice: choice, reason: reason, retryAfter: max(choice.RetryAfter(), defaultRetryAfter)}
 	}
+	c.work.accept(s)
 	s.attempts++
 	s.tried = append(s.tried, choice.Target().ID())
 	return Decision{state: s, choice: choice}
 }
 
-// Confirm decides again on a request that has waited since its target was chosen,
-// if the target is no longer eligible. Nothing was sent.
-func (c *Controller) Confirm(now time.Time, d Decision) Decision {
-	if !d.choice.IsFound() || c.table.Confirms(now, d.choice) {
-		return d
-	}
-	c.table.RecordResult(now, d.choice, spread.Abandoned, ident.None[spread.Load]())
-	d.state.attempts--
-	return c.chooseTarget(now, d.state)
-}
-
 // RecordResult records the result of an attempt and the load that the target
 // reported, if any.
 func (c *Controller) RecordResult(now time.Time, choice spread.Choice, result spread.Result, load ident.Option[spread.Load]) {
--- /dev/null
+++ b/node/drain.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rhubarbrack/relay"
+)
+
+const (
+	// lookupExpiryTime is how long a stopping entry host still accepts new
+	// connections: callers use lookup responses for their time to live, and
+	// some of them slightly longer.
+	lookupExpiryTime = 2500 * time.Millisecond
+	// stopMargin is how long before the end of the grace period the process
+	// exits.
+	stopMargin = 500 * time.Millisecond
+	// answerTime is how long before that the requests in flight are given up, so
+	// that their callers get an answer.
+	answerTime = 300 * time.Millisecond
+)
+
+// stopping holds the parts of an entry host that take part in its stop.
+type stopping struct {
+	host      HostConfig
+	admission *relay.Admission
+	front     *relay.Front
+	handler   *relay.Handler
+	peers     *peerFront
+	// pacer is nil if the link is fast.
+	pacer *relay.Pacer
+}
+
+// drain serves the callers that still come, and then finishes the requests in
+// flight. Those that are unanswered shortly before the end of the grace period are
+// answered as ones that may have run.
+func (s stopping) drain(ctx context.Context) {
+	c := s.host
+	lookupWait := min(lookupExpiryTime, c.gracePeriod/2)
+	finishTime := max(c.gracePeriod-lookupWait-stopMargin-answerTime, 0)
+	s.admission.StopBy(c.clock.Now().Add(lookupWait + finishTime))
+	s.logWork(ctx, "node: accepted requests at the stop")
+	s.pacer.Drain()
+	s.peers.refuse()
+	s.front.Drain()
+	c.sleep(lookupWait)
+	s.handler.Stop()
+	s.pacer.Finish()
+	if s.shutdown(ctx, finishTime) == nil {
+		return
+	}
+	c.log.Warn("node: requests are given up at the end of the grace period", "host", c.host)
+	s.logWork(ctx, "node: accepted requests at the end of the grace period")
+	s.handler.End()
+	s.peers.end()
+	if err := s.shutdown(ctx, answerTime); err != nil {
+		c.log.Warn("node: connections were closed at the end of the grace period", "error", err)
+	}
+}
+
+// shutdown returns when all requests have been answered, or after the given time.
+func (s stopping) shutdown(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return shutDown(ctx, s.front, s.peers)
+}
+
+// shutter is a front end that can be shut down.
+type shutter interface {
+	// Shutdown returns when all requests have been answered or ctx ends.
+	Shutdown(ctx context.Context) error
+}
+
+// shutDown shuts front ends down at the same time, so that none has to wait for the
+// requests of another one.
+func shutDown(ctx context.Context, fronts ...shutter) error {
+	results := make(chan error, len(fronts))
+	for _, f := range fronts {
+		go func() { results <- f.Shutdown(ctx) }()
+	}
+	var all error
+	for range fronts {
+		all = errors.Join(all, <-results)
+	}
+	return all
+}
+
+// logWork logs what the host has accepted and not yet answered.
+func (s stopping) logWork(ctx context.Context, message string) {
+	c := s.host
+	w, err := s.admission.Work(ctx)
+	if err != nil {
+		c.log.Warn(message+" are unknown", "error", err)
+		return
+	}
+	c.log.Info(message, "host", c.host, "requests", w.Requests(), "begun", w.Begun(), "bytes", w.Bytes())
+}
+
+func (c HostConfig) sleep(d time.Duration) { <-c.clock.NewTimer(d).C() }
--- a/node/peer_front.go
+++ b/node/peer_front.go
@@ -40,7 +40,7 @@
 // forwarding is not configured.
 func (c HostConfig) startPeerFront(
 	ctx context.Context, system *tasks.System, admission *relay.Admission, pool *link.Pool, dialect relay.Dialect,
-	m relay.Meter, options []relay.HandlerOption,
+	m relay.Meter, options ...relay.HandlerOption,
 ) (*peerFront, error) {
 	if c.forwardPort == 0 {
 		c.log.Warn("node: no port for requests of other entry hosts", "host", c.host)
@@ -62,10 +62,12 @@
 	return &peerFront{front: front, handler: handler}, nil
 }
 
-// refuse refuses further requests, which the other hosts then send elsewhere.
+// refuse refuses further requests, which the other hosts then send elsewhere, on
+// connections that end with their next response.
 func (p *peerFront) refuse() {
 	if p != nil {
 		p.handler.Stop()
+		p.front.Drain()
 	}
 }
 
@@ -76,8 +78,8 @@
 	}
 }
 
-// shutdown returns when all requests have been answered or ctx ends.
-func (p *peerFront) shutdown(ctx context.Context) error {
+// Shutdown implements shutter.
+func (p *peerFront) Shutdown(ctx context.Context) error {
 	if p == nil {
 		return nil
 	}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -62,7 +62,7 @@
 	// peers is nil if requests are never sent through other entry hosts.
 	peers   PeerCodec
 	stopped atomic.Bool
-	// ending ends when the attempts in flight are to be given up.
+	// ending ends when the attempts without a response are to be given up.
 	ending context.Context
 	end    context.CancelFunc
 }
@@ -70,7 +70,7 @@
 // HandlerOption sets an optional property of a handler.
 type HandlerOption func(*Handler)
 
-// WithPacer paces long responses for a slow link.
+// WithPacer paces long responses for a slow link. A nil pacer does not.
 func WithPacer(p *Pacer) HandlerOption { return func(h *Handler) { h.pacer = p } }
 
 // WithPeers makes the handler send requests through other entry hosts, encoded by
@@ -100,8 +100,10 @@
 // about to close.
 func (h *Handler) Stop() { h.stopped.Store(true) }
 
-// End gives up all attempts in flight. Their requests are answered as ones that may
-// have run, so that no caller is left without an answer when the process exits.
+// End gives up all attempts in flight without a response. Their requests are answered
+// as ones that may have run, so that no caller is left without an answer when the
+// process exits. Long responses that have begun go on, since nothing else can follow
+// their first byte.
 func (h *Handler) End() { h.end() }
 
 // IsRetryable implements FrontHandler. It counts the requests for which it
@@ -126,11 +128,13 @@
 		rh.writeRefusal(admit.Decision{}.WithRefusal(admit.NotReady), admit.NotReady)
 		return
 	}
-	d, err := tasks.Ask(r.Context(), h.admission.ref, func(reply tasks.Reply[admit.Decision]) any {
+	// An accepted request is counted until its handler ends it, so the decision is
+	// awaited even if the caller has gone.
+	d, err := tasks.Ask(context.WithoutCancel(r.Context()), h.admission.ref, func(reply tasks.Reply[admit.Decision]) any {
 		return admitRequest{request: request, reply: reply}
 	})
 	if err != nil {
-		h.log.Warn("relay: request cancelled before its decision", "request", request.ID(), "error", err)
+		h.log.Warn("relay: request not decided", "request", request.ID(), "error", err)
 		panic(http.ErrAbortHandler)
 	}
 	rh := &requestHandler{handler: h, writer: w, incoming: r, request: request}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"strconv"
+
+	"rhubarbrack/admit"
+	"rhubarbrack/ident"
+	"rhubarbrack/link"
+	"rhubarbrack/spread"
+)
+
+// streamResponse streams a long response. If it breaks off, the caller's
+// connection is closed, so that the response does not look complete.
+func (rh *requestHandler) streamResponse(
+	d admit.Decision, exchange *link.Exchange, response Response, result spread.Result, header http.Header, first []byte,
+) {
+	r := exchange.Response()
+	h := rh.writer.Header()
+	for name, values := range header {
+		h[name] = values
+	}
+	if r.ContentLength >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
+	}
+	rh.writer.WriteHeader(r.StatusCode)
+	// The latency of the target is the time to the first bytes; the rest
+	// depends on the network.
+	rh.recordResult(d, result, response)
+	length := ident.None[int64]()
+	if r.ContentLength >= 0 {
+		length = ident.Some(r.ContentLength)
+	}
+	rh.handler.admission.ref.Tell(responseBegun{state: d.State(), length: length})
+	w := countingWriter{writer: rh.writer, admission: rh.handler.admission, state: d.State()}
+	body := rh.paced(r.Body, length)
+	written, err := w.Write(first)
+	if err == nil {
+		var n int64
+		n, err = io.CopyBuffer(w, body, make([]byte, copyBufferBytes))
+		written += int(n)
+	}
+	attrs := []any{slog.Int("status", r.StatusCode), slog.Int("bytes", written), slog.Int64("paced-ms", millis(body.waited))}
+	if err != nil {
+		exchange.Abort()
+		rh.recordEnd(d, "broken-off", append(attrs, slog.Int64("rest-bytes", max(r.ContentLength-int64(written), -1)), errorAttr(err))...)
+		panic(http.ErrAbortHandler)
+	}
+	exchange.Finish()
+	rh.recordEnd(d, "answered", attrs...)
+}
+
+// paced returns the rest of a long response, paced if the host has a slow
+// link.
+func (rh *requestHandler) paced(body io.Reader, length ident.Option[int64]) *pacedReader {
+	h := rh.handler
+	if h.pacer == nil {
+		return &pacedReader{reader: body}
+	}
+	return h.pacer.reader(rh.ctx, body, h.clock.Now(), length.Or(unknownLength))
+}
