Sync the directory before the content of a log is trusted

What callers saw: nothing yet; found by reading the way from an order to its acknowledgement. An order could be lost that was acknowledged after a control host had been restarted.

Cause: files are replaced by a rename, which is durable once the directory is synced. If the process ended between the two, the next one read the new log, appended to it and synced the file, but never the directory. After a loss of power the directory could still name the old log, without all entries that were acknowledged since. With the identity it could name no file, and the host then refused to start.

Evidence: TestCrash now ends the process as well as the power, also while the log is opened, and keeps, loses or tears each unsynced write, rename and removal on its own. Before, a crash kept a prefix of the unsynced bytes and lost all unsynced names.

Why this works: the directory is synced before any file in it is read, so every name that is acted on is durable.

--- a/store/doc.go
+++ b/store/doc.go
@@ -6,7 +6,8 @@
 // each framed with a magic number, its length and a CRC-32C checksum. The file
 // snapshot holds one such record. The identity, the snapshot and a compacted log
 // are written to a temporary file, which is synced and renamed; then the
-// directory is synced.
+// directory is synced. Open syncs it before it reads, since an earlier process may
+// have ended in between.
 //
 // Each record contains the offset up to which the log was synced when the record
 // was written, and a short record with the new offset, the sync mark, follows
--- a/store/log_test.go
+++ b/store/log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"slices"
 	"strings"
@@ -73,6 +74,30 @@
 	return restored, err
 }
 
+// restart opens the log after a loss of power or the end of the process. The
+// machine may fail again while the log is opened.
+func (d *logDriver) restart(random *rand.Rand) (directoryContent, error) {
+	for attempt := range 3 {
+		if random.IntN(2) == 0 {
+			d.files.losePower(random)
+		} else {
+			d.files.kill()
+		}
+		if attempt < 2 && random.IntN(2) == 0 {
+			d.files.operationsLeft = 1 + random.IntN(12)
+		}
+		restored, err := d.open()
+		if err == nil {
+			d.files.operationsLeft = -1
+			return contentOf(restored), nil
+		}
+		if !errors.Is(err, errPowerLoss) {
+			return directoryContent{}, err
+		}
+	}
+	return directoryContent{}, errors.New("the log was not opened")
+}
+
 // allowCurrent adds the current content to those allowed after a crash during the
 // next operation.
 func (d *logDriver) allowCurrent() { d.allowed = append(d.allowed, d.current.String()) }
@@ -158,23 +183,23 @@
 	properties.TestingRun(t)
 }
 
-// Guards against the loss of synced data and against a mix of old and new content
-// after a crash at any operation.
+// Guards against the loss of data that was synced, or that an earlier Open has
+// returned, and against a mix of old and new content: after a loss of power or the
+// end of the process at any operation, Open included, with each change that was
+// not synced kept, lost or torn on its own.
 func TestCrash(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(11)
-	parameters.MinSuccessfulTests = 2000
-	checkProperty(parameters, t, func(first, second []uint16, torn uint8) string {
-		d := newLogDriver()
+	parameters.MinSuccessfulTests = 4000
+	checkProperty(parameters, t, func(first, second []uint16, seed uint64) string {
+		d, random := newLogDriver(), rand.New(rand.NewPCG(seed, 0))
 		for _, actions := range [][]uint16{first, second, nil} {
 			for _, action := range actions {
 				d.perform(action)
 			}
-			d.files.crash(int(torn))
-			restored, err := d.open()
+			got, err := d.restart(random)
 			if err != nil {
 				return err.Error()
 			}
-			got := contentOf(restored)
 			if !slices.Contains(d.allowed, got.String()) {
 				return fmt.Sprintf("got %s, want one of %q", got, d.allowed)
 			}
@@ -185,7 +210,7 @@
 			d.confirmDurable(nil)
 		}
 		return ""
-	}, gen.SliceOf(gen.UInt16()), gen.SliceOf(gen.UInt16()), gen.UInt8())
+	}, gen.SliceOf(gen.UInt16()), gen.SliceOf(gen.UInt16()), gen.UInt64())
 }
 
 // Guards against undetected damage to synced records.
--- a/store/memory_test.go
+++ b/store/memory_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"io/fs"
 	"maps"
+	"math/rand/v2"
 	"slices"
 )
 
@@ -14,13 +15,55 @@
 	errMedia     = errors.New("input/output error")
 )
 
+// change is a change of a file that was not synced: data that was written at the
+// end, or a truncation to a size if there is no data.
+type change struct {
+	offset int
+	data   []byte
+}
+
+func (c change) applyTo(content []byte) []byte {
+	if c.data == nil {
+		return content[:min(c.offset, len(content))]
+	}
+	// A missing write before this one leaves zeros.
+	for len(content) < c.offset {
+		content = append(content, 0)
+	}
+	return append(content[:c.offset], c.data...)
+}
+
 // inode is a file of a memoryFileSystem. Only the synced content is sure to
-// survive a crash.
-type inode struct{ content, synced []byte }
+// survive a loss of power; unsynced holds the later changes.
+type inode struct {
+	content, synced []byte
+	unsynced        []change
+}
+
+func (n *inode) add(c change) {
+	n.content = c.applyTo(n.content)
+	n.unsynced = append(n.unsynced, c)
+}
 
-// memoryFileSystem is a file system in memory. It simulates a power failure after
-// a number of operations, and syncs that fail on request. durable holds the
-// directory entries that survive a crash.
+// losePower keeps, drops or tears each change that was not synced.
+func (n *inode) losePower(random *rand.Rand) {
+	content, dropAll := slices.Clone(n.synced), random.IntN(4) == 0
+	for _, c := range n.unsynced {
+		switch kept := random.IntN(3); {
+		case dropAll || kept == 0:
+		case kept == 1 && len(c.data) > 0:
+			content = change{offset: c.offset, data: slices.Clone(c.data[:random.IntN(len(c.data))])}.applyTo(content)
+		default:
+			content = c.applyTo(content)
+		}
+	}
+	n.content, n.synced, n.unsynced = content, slices.Clone(content), nil
+}
+
+// memoryFileSystem is a file system in memory. It simulates a loss of power after
+// a number of operations, and syncs that fail on request. names holds the
+// directory entries that a process sees, and durable those that are sure to
+// survive a loss of power.
 type memoryFileSystem struct {
 	names          map[string]*inode
 	durable        map[string]*inode
@@ -32,8 +75,7 @@
 	return &memoryFileSystem{names: map[string]*inode{}, durable: map[string]*inode{}, operationsLeft: -1}
 }
 
-// useOperation counts an operation and reports whether it precedes the power
-// failure.
+// useOperation counts an operation and reports whether it precedes the failure.
 func (m *memoryFileSystem) useOperation() bool {
 	if m.operationsLeft > 0 {
 		m.operationsLeft--
@@ -41,16 +83,28 @@
 	return m.operationsLeft != 0
 }
 
-// crash drops the content that was not synced, except for its first bytes, as
-// many as given.
-func (m *memoryFileSystem) crash(torn int) {
-	m.names, m.operationsLeft = maps.Clone(m.durable), -1
-	for _, n := range m.names {
-		kept := n.synced
-		if len(n.content) > len(kept) && string(n.content[:len(kept)]) == string(kept) {
-			kept = n.content[:min(len(n.content), len(kept)+torn)]
+// kill ends the process: what it has written remains as it is.
+func (m *memoryFileSystem) kill() { m.operationsLeft = -1 }
+
+// losePower keeps or loses each change that was not synced: data, and directory
+// entries that were added, replaced or removed.
+func (m *memoryFileSystem) losePower(random *rand.Rand) {
+	m.operationsLeft = -1
+	for _, name := range slices.Sorted(maps.Keys(m.names)) {
+		if old, ok := m.durable[name]; m.names[name] != old && random.IntN(2) == 0 {
+			if m.names[name] = old; !ok {
+				delete(m.names, name)
+			}
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(m.durable)) {
+		if _, ok := m.names[name]; !ok && random.IntN(2) == 0 {
+			m.names[name] = m.durable[name]
 		}
-		n.content, n.synced = slices.Clone(kept), slices.Clone(kept)
+	}
+	m.durable = maps.Clone(m.names)
+	for _, name := range slices.Sorted(maps.Keys(m.names)) {
+		m.names[name].losePower(random)
 	}
 }
 
@@ -89,6 +143,9 @@
 	if !m.useOperation() {
 		return errPowerLoss
 	}
+	if m.failSyncs {
+		return errMedia
+	}
 	m.durable = maps.Clone(m.names)
 	return nil
 }
@@ -101,16 +158,21 @@
 }
 
 func (f memoryFile) Write(p []byte) (int, error) {
+	n, err := len(p), error(nil)
 	if !f.files.useOperation() {
-		f.inode.content = append(f.inode.content, p[:len(p)/2]...)
-		return len(p) / 2, errPowerLoss
+		n, err = len(p)/2, errPowerLoss
+	}
+	if n > 0 {
+		f.inode.add(change{offset: len(f.inode.content), data: slices.Clone(p[:n])})
 	}
-	f.inode.content = append(f.inode.content, p...)
-	return len(p), nil
+	return n, err
 }
 
 func (f memoryFile) Truncate(size int64) error {
-	f.inode.content = f.inode.content[:size]
+	if !f.files.useOperation() {
+		return errPowerLoss
+	}
+	f.inode.add(change{offset: int(size)})
 	return nil
 }
 
@@ -121,7 +183,7 @@
 	if f.files.failSyncs {
 		return errMedia
 	}
-	f.inode.synced = slices.Clone(f.inode.content)
+	f.inode.synced, f.inode.unsynced = slices.Clone(f.inode.content), nil
 	return nil
 }
 
--- a/store/open.go
+++ b/store/open.go
@@ -65,6 +65,11 @@
 		return agree.PersistentState{}, fmt.Errorf("lock: %w", err)
 	}
 	l.lock = lock
+	// An earlier process may have ended between the renaming of a file and the
+	// sync of the directory. What is read from the file must not be lost later.
+	if err := l.files.SyncDirectory(l.directory); err != nil {
+		return agree.PersistentState{}, l.fail(l.directory, err)
+	}
 	hard, snapshot, entries, err := l.restore()
 	if err != nil {
 		return agree.PersistentState{}, fmt.Errorf("restore: %w", err)
