Give entry hosts that start a list only with current state

What callers saw: after a loss of all power, entry hosts served for up to 0.5 s with a configuration and evacuated zones that were older than acknowledged ones. Keys of later configurations were answered 401, and targets in evacuated zones could get requests.

Without a leader it reads the list of targets itself. Entry hosts that start with nothing took both and were ready as soon as a majority of the control hosts had replied, which is before the election ends. A control host that is cut off gives out old state in the same way.

Why this works: an entry host needs a list of targets to become ready. A control host that is not current gives it to hosts that serve already, whose newer state it cannot undo, and to no others. agree.Node.IsCurrent is true while the leader is in contact, has committed an entry of its term, and has reported no later commit than this node has. The configuration is still fetched ahead.

--- a/agree/node.go
+++ b/agree/node.go
@@ -8,6 +8,7 @@
 
 // Node is one participant of the protocol. It is not safe for concurrent
 // use; its owner calls Step. Entries up to revision delivered have been returned
+// as committed. leaderCommit is the greatest revision that a leader has reported
 // as committed.
 type Node struct {
 	host              ident.Host
@@ -25,6 +26,7 @@
 	commit            ident.Revision
 	delivered         ident.Revision
 	lastLeaderContact time.Time
+	leaderCommit      ident.Revision
 	deferrals         deferrals
 	electionDeadline  time.Time
 	votes             map[ident.Host]bool
--- a/agree/receive.go
+++ b/agree/receive.go
@@ -78,6 +78,7 @@
 
 func (n *Node) onAppend(m Message) {
 	n.acceptLeader(m.from)
+	n.leaderCommit = max(n.leaderCommit, m.commit)
 	if m.revision >= n.commit {
 		if term, ok := n.log.term(m.revision); !ok || term != m.logTerm {
 			n.rejectAppend(m)
@@ -128,6 +129,7 @@
 
 func (n *Node) onInstallSnapshot(m Message) {
 	n.acceptLeader(m.from)
+	n.leaderCommit = max(n.leaderCommit, m.commit)
 	s := m.snapshot
 	response := n.response(MessageAppendResponse, m).WithProgress(0, 0, m.round)
 	if s.revision <= n.commit {
--- a/agree/status.go
+++ b/agree/status.go
@@ -77,6 +77,15 @@
 	return statuses
 }
 
+// IsCurrent reports whether the committed entries include every command that was
+// acknowledged before the leader of the term was elected, and all that the leader
+// has reported as committed since. They need not after a restart, until a leader
+// has committed an entry of its own term, and on a node that has lost contact.
+func (n *Node) IsCurrent() bool {
+	term, ok := n.log.term(n.commit)
+	return n.hasLiveLeader() && ok && term == n.term && n.commit >= n.leaderCommit
+}
+
 // InitialMembers returns the membership that the cluster was bootstrapped with.
 // It is empty before the bootstrap and on a host that joined a running cluster.
 func (n *Node) InitialMembers() Members { return n.initialMembers }
--- a/ctrl/replica_status.go
+++ b/ctrl/replica_status.go
@@ -17,6 +17,7 @@
 	snapshot ident.Revision
 	entries  int
 	bytes    int
+	current  bool
 	members  []agree.MemberStatus
 }
 
@@ -41,6 +42,11 @@
 // LastRevision returns the last revision of the log.
 func (s Status) LastRevision() ident.Revision { return s.last }
 
+// IsCurrent reports whether the state machine includes every command that was
+// acknowledged before the leader of the term was elected, and all later ones that
+// the leader has reported as committed.
+func (s Status) IsCurrent() bool { return s.current }
+
 // SnapshotRevision returns the last revision that the latest snapshot includes.
 func (s Status) SnapshotRevision() ident.Revision { return s.snapshot }
 
@@ -67,6 +73,7 @@
 		snapshot: t.node.SnapshotRevision(),
 		entries:  t.node.LogEntries(),
 		bytes:    t.node.LogBytes(),
+		current:  t.node.IsCurrent(),
 		members:  t.node.MemberStatus(),
 	}
 }
--- a/mesh/control_host_test.go
+++ b/mesh/control_host_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/rpc"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -41,6 +42,8 @@
 	ctx     context.Context
 	hosts   map[string]*controlHost
 	options []Option
+	// replicaOptions apply to the replicas of all hosts.
+	replicaOptions []ctrl.ReplicaOption
 	// heldMethod is the method of which the proxies of the hosts hold calls back. If
 	// it is empty, there are no proxies.
 	heldMethod string
@@ -53,6 +56,9 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	// The directory is removed after the hosts have stopped, because it is created
+	// before their cleanup is registered.
+	disks := t.TempDir()
 	cluster := &controlCluster{t: t, ctx: ctx, hosts: map[string]*controlHost{}}
 	t.Cleanup(func() {
 		for _, h := range cluster.hosts {
@@ -66,7 +72,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		cluster.hosts[name] = &controlHost{address: address, name: ident.Host(address), directory: t.TempDir()}
+		cluster.hosts[name] = &controlHost{address: address, name: ident.Host(address), directory: filepath.Join(disks, name)}
 	}
 	return cluster
 }
@@ -88,8 +94,10 @@
 		peers = append(peers, ctrl.NewPeer(ident.Host(a), a))
 	}
 	server := rpc.NewServer()
-	replica, err := ctrl.StartReplica(ctx, system, server, h.name, h.directory, board.New(control.Publish),
-		ctrl.WithLogger(log), ctrl.WithInitialPeers(peers...), ctrl.WithNodeOptions(agree.WithElectionTimeout(200*time.Millisecond)))
+	options := append([]ctrl.ReplicaOption{
+		ctrl.WithLogger(log), ctrl.WithInitialPeers(peers...), ctrl.WithNodeOptions(agree.WithElectionTimeout(200 * time.Millisecond)),
+	}, cluster.replicaOptions...)
+	replica, err := ctrl.StartReplica(ctx, system, server, h.name, h.directory, board.New(control.Publish), options...)
 	if err != nil {
 		cluster.t.Fatal(err)
 	}
--- a/mesh/list_fetching.go
+++ b/mesh/list_fetching.go
@@ -5,6 +5,24 @@
 	"time"
 )
 
+// isCurrent reports whether the state of this host includes all orders that were
+// acknowledged. It may lack some after a restart and while no leader is known.
+func (c *Control) isCurrent(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	status, err := c.replica.Status(call)
+	return err == nil && status.IsCurrent()
+}
+
+// withoutList returns the reply without the list of targets. An entry host that is
+// not ready needs a list to become ready, so it does not become ready with the
+// state of a control host that may lack acknowledged orders. It gets the
+// configuration nevertheless, which is mostly the newest one.
+func (r HeartbeatReplyRecord) withoutList() HeartbeatReplyRecord {
+	r.HasList, r.ListTag, r.ListAge = false, 0, 0
+	return r
+}
+
 // considerList fetches the list of targets of another host if it is newer. The
 // request for its state was sent at the given time.
 func (t *controlClientTask) considerList(p *peer, method string, sent time.Time, r HeartbeatReplyRecord) {
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -77,9 +77,12 @@
 		revision ident.Revision
 		state    scheme.DesiredState
 	}
+	// heartbeat carries the heartbeat of an entry host. isCurrent is set if the
+	// state of this host includes all acknowledged orders.
 	heartbeat struct {
-		record HeartbeatRecord
-		reply  tasks.Reply[HeartbeatReplyRecord]
+		record    HeartbeatRecord
+		isCurrent bool
+		reply     tasks.Reply[HeartbeatReplyRecord]
 	}
 	setRegion struct{ region ident.Region }
 	// setWireOptions sets the options of new clients.
@@ -174,7 +177,11 @@
 	case changeEncoded:
 		r.changes.add(m.piece)
 	case heartbeat:
-		m.reply.Send(r.heartbeat(m.record))
+		reply := r.heartbeat(m.record)
+		if !m.record.Ready && !m.isCurrent {
+			reply = reply.withoutList()
+		}
+		m.reply.Send(reply)
 	case getState:
 		m.reply.Send(newStateRecord(r.revision, r.state))
 	case getZoneState:
--- a/mesh/service.go
+++ b/mesh/service.go
@@ -18,7 +18,11 @@
 
 // Greet receives the heartbeat of an entry host.
 func (s *service) Greet(args *HeartbeatRecord, reply *HeartbeatReplyRecord) error {
-	return askRegistry(s, reply, func(r tasks.Reply[HeartbeatReplyRecord]) any { return heartbeat{record: *args, reply: r} })
+	// The status is read before the state, which is then no older.
+	isCurrent := args.Ready || s.control.isCurrent(s.ctx)
+	return askRegistry(s, reply, func(r tasks.Reply[HeartbeatReplyRecord]) any {
+		return heartbeat{record: *args, isCurrent: isCurrent, reply: r}
+	})
 }
 
 // Piece returns a piece of a configuration.
