--- a/agree/check_test.go
+++ b/agree/check_test.go
@@ -182,24 +182,30 @@
 func (sim *simulation) checkRecovery() {
 	sim.endFaults()
 	if sim.canRecover() {
-		sim.runWithoutFaults(150)
-		h := sim.leader()
-		if h == nil {
-			sim.failf("no leader after the faults ended")
-			return
-		}
-		sim.beginWrite(h)
-		sim.beginRead(h)
-		sim.runWithoutFaults(20)
-		if op := sim.history[len(sim.history)-1]; op.Return == notAcknowledged {
-			sim.failf("the leader confirms no read after the faults ended")
-		}
-		sim.checkConverged(h)
+		sim.checkRecovered()
 	}
 	sim.checkLogs()
 	sim.checkHistory()
 }
 
+// checkRecovered checks that the cluster elects a leader, commits, reads and
+// converges.
+func (sim *simulation) checkRecovered() {
+	sim.runWithoutFaults(150)
+	h := sim.leader()
+	if h == nil {
+		sim.failf("no leader after the faults ended")
+		return
+	}
+	sim.beginWrite(h)
+	sim.beginRead(h)
+	sim.runWithoutFaults(20)
+	if op := sim.history[len(sim.history)-1]; op.Return == notAcknowledged {
+		sim.failf("the leader confirms no read after the faults ended")
+	}
+	sim.checkConverged(h)
+}
+
 func (sim *simulation) checkConverged(leader *simHost) {
 	if int(leader.node.commit) != len(sim.committed) || leader.node.commit != leader.node.log.last() {
 		sim.failf("leader %s committed %d of %d entries", leader.name, leader.node.commit, len(sim.committed))
