Write the tail of a log again when it is opened

What callers saw: nothing; found by reading. An order could be lost although a majority had confirmed it, if the disk of a control host had failed to sync before.

Cause: a process ends after a failed sync, and the next one reads what the system still holds of the file and syncs it again. A system may report success for that second sync without having written the data, since it dropped it with the first failure. The host then counted entries as durable that a loss of power removes, and could not open its log afterwards.

Why this works: the log states up to which offset it was synced. What follows is written again with the same bytes, which the next sync covers. A loss of power in between leaves what was there or the same bytes. Nothing is written in addition after an orderly end, when only the last mark follows.

--- a/store/files.go
+++ b/store/files.go
@@ -20,8 +20,8 @@
 	ReadFile(name string) ([]byte, error)
 	// Create opens a new file for writing or truncates an existing one.
 	Create(name string) (File, error)
-	// OpenAppend opens an existing file for appending.
-	OpenAppend(name string) (File, error)
+	// OpenAt opens an existing file for writing from an offset on.
+	OpenAt(name string, offset int64) (File, error)
 	// Rename renames a file and replaces an existing file of the new name.
 	Rename(from, to string) error
 	// SyncDirectory makes the creation and renaming of files durable.
@@ -76,11 +76,14 @@
 	return f, nil
 }
 
-func (osFileSystem) OpenAppend(name string) (File, error) {
-	f, err := os.OpenFile(name, os.O_WRONLY|os.O_APPEND, filePermission)
+func (osFileSystem) OpenAt(name string, offset int64) (File, error) {
+	f, err := os.OpenFile(name, os.O_WRONLY, filePermission)
 	if err != nil {
 		return nil, fmt.Errorf("open: %w", err)
 	}
+	if _, err := f.Seek(offset, io.SeekStart); err != nil {
+		return nil, errors.Join(fmt.Errorf("open at offset %d: %w", offset, err), f.Close())
+	}
 	return f, nil
 }
 
--- a/store/memory_test.go
+++ b/store/memory_test.go
@@ -15,8 +15,8 @@
 	errMedia     = errors.New("input/output error")
 )
 
-// change is a change of a file that was not synced: data that was written at the
-// end, or a truncation to a size if there is no data.
+// change is a change of a file that was not synced: data that was written at an
+// offset, or a truncation to that offset if there is no data.
 type change struct {
 	offset int
 	data   []byte
@@ -27,21 +27,23 @@
 		return content[:min(c.offset, len(content))]
 	}
 	// A missing write before this one leaves zeros.
-	for len(content) < c.offset {
+	for len(content) < c.offset+len(c.data) {
 		content = append(content, 0)
 	}
-	return append(content[:c.offset], c.data...)
+	copy(content[c.offset:], c.data)
+	return content
 }
 
 // inode is a file of a memoryFileSystem. Only the synced content is sure to
-// survive a loss of power; unsynced holds the later changes.
+// survive a loss of power; unsynced holds the later changes. A failed sync drops
+// these: processes still read them, but no later sync covers them.
 type inode struct {
 	content, synced []byte
 	unsynced        []change
 }
 
 func (n *inode) add(c change) {
-	n.content = c.applyTo(n.content)
+	n.content = c.applyTo(slices.Clone(n.content))
 	n.unsynced = append(n.unsynced, c)
 }
 
@@ -123,11 +125,11 @@
 		return nil, errPowerLoss
 	}
 	m.names[name] = &inode{}
-	return memoryFile{files: m, inode: m.names[name]}, nil
+	return &memoryFile{files: m, inode: m.names[name]}, nil
 }
 
-func (m *memoryFileSystem) OpenAppend(name string) (File, error) {
-	return memoryFile{files: m, inode: m.names[name]}, nil
+func (m *memoryFileSystem) OpenAt(name string, offset int64) (File, error) {
+	return &memoryFile{files: m, inode: m.names[name], offset: int(offset)}, nil
 }
 
 func (m *memoryFileSystem) Rename(from, to string) error {
@@ -153,22 +155,24 @@
 func (m *memoryFileSystem) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
 
 type memoryFile struct {
-	files *memoryFileSystem
-	inode *inode
+	files  *memoryFileSystem
+	inode  *inode
+	offset int
 }
 
-func (f memoryFile) Write(p []byte) (int, error) {
+func (f *memoryFile) Write(p []byte) (int, error) {
 	n, err := len(p), error(nil)
 	if !f.files.useOperation() {
 		n, err = len(p)/2, errPowerLoss
 	}
 	if n > 0 {
-		f.inode.add(change{offset: len(f.inode.content), data: slices.Clone(p[:n])})
+		f.inode.add(change{offset: f.offset, data: slices.Clone(p[:n])})
+		f.offset += n
 	}
 	return n, err
 }
 
-func (f memoryFile) Truncate(size int64) error {
+func (f *memoryFile) Truncate(size int64) error {
 	if !f.files.useOperation() {
 		return errPowerLoss
 	}
@@ -176,15 +180,19 @@
 	return nil
 }
 
-func (f memoryFile) Sync() error {
+func (f *memoryFile) Sync() error {
 	if !f.files.useOperation() {
 		return errPowerLoss
 	}
 	if f.files.failSyncs {
+		f.inode.unsynced = nil
 		return errMedia
 	}
-	f.inode.synced, f.inode.unsynced = slices.Clone(f.inode.content), nil
+	for _, c := range f.inode.unsynced {
+		f.inode.synced = c.applyTo(f.inode.synced)
+	}
+	f.inode.unsynced = nil
 	return nil
 }
 
-func (f memoryFile) Close() error { return nil }
+func (f *memoryFile) Close() error { return nil }
--- a/store/open.go
+++ b/store/open.go
@@ -100,7 +100,7 @@
 	if err := r.read(); err != nil {
 		return none, snapshot, nil, fmt.Errorf("read log: %w", err)
 	}
-	if err := l.reopenLog(r.offset, int64(len(content))); err != nil {
+	if err := l.reopenLog(&r); err != nil {
 		return none, snapshot, nil, fmt.Errorf("reopen log: %w", err)
 	}
 	entries, err := l.reconcile(snapshot, r.hard, r.entries)
@@ -202,23 +202,29 @@
 	return body, nil
 }
 
-// reopenLog opens the log for appending and truncates a torn tail.
-func (l *Log) reopenLog(end, size int64) error {
-	f, err := l.files.OpenAppend(l.path(logFileName))
+// reopenLog opens the log for appending and truncates a torn tail. The records that
+// were read must be durable, because the node acts on them from now on. Those that
+// the log does not state to be synced are written again: an earlier process may
+// have ended after a failed sync, and another sync of the same file can then
+// succeed without having written them.
+func (l *Log) reopenLog(r *logReader) error {
+	f, err := l.files.OpenAt(l.path(logFileName), r.marked)
 	if err != nil {
 		return l.fail(l.path(logFileName), err)
 	}
-	l.file, l.written, l.synced = f, end, end
-	if end < size {
-		if err := f.Truncate(end); err != nil {
+	l.file, l.written, l.synced = f, r.offset, r.marked
+	if _, err := f.Write(r.content[r.marked:r.offset]); err != nil {
+		return l.fail(l.path(logFileName), fmt.Errorf("write again: %w", err))
+	}
+	if r.offset < int64(len(r.content)) {
+		if err := f.Truncate(r.offset); err != nil {
 			return l.fail(l.path(logFileName), fmt.Errorf("truncate the torn tail: %w", err))
 		}
 	}
-	// The records that were read must be durable, even if the crash occurred
-	// before they were synced, because the node acts on them from now on.
 	if err := f.Sync(); err != nil {
 		return l.fail(l.path(logFileName), fmt.Errorf("sync: %w", err))
 	}
+	l.synced = r.offset
 	return l.writeSyncMark()
 }
 
--- a/store/reader.go
+++ b/store/reader.go
@@ -7,11 +7,12 @@
 )
 
 // logReader reads the records of a log file. All records before offset have been
-// applied.
+// applied, and they state that the log was synced up to marked.
 type logReader struct {
 	log     *Log
 	content []byte
 	offset  int64
+	marked  int64
 	hard    agree.HardState
 	entries []agree.Entry
 }
@@ -39,6 +40,7 @@
 	if record.Synced > r.offset {
 		return r.corrupt("a record claims that a later offset is synced")
 	}
+	r.marked = max(r.marked, record.Synced)
 	if record.Hard != nil {
 		r.hard = record.Hard.hardState()
 	}
