End a request whose caller has gone at its decision

Since the decision is awaited although the caller has gone, such a request went on: its handler found no time for an attempt and wrote a refusal that nobody reads. It now ends as before, with the log line relay: request cancelled before its decision, and its place at the target is given back.

TestCancelledBeforeDecision: before, the handler returned instead of aborting.

--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -59,6 +59,11 @@
 		return
 	}
 	defer func() { rh.handler.admission.ref.Tell(requestEnded{state: d.State(), answered: rh.answered}) }()
+	if err := rh.incoming.Context().Err(); err != nil {
+		rh.recordResult(d, spread.Abandoned, Response{})
+		rh.handler.log.Warn("relay: request cancelled before its decision", "request", rh.request.ID(), "error", err)
+		panic(http.ErrAbortHandler)
+	}
 	if err := rh.readBody(); err != nil {
 		rh.recordResult(d, spread.Abandoned, Response{})
 		rh.handler.log.Info("relay: request body incomplete", "request", rh.request.ID(), "error", err)
