Log each request that was read whole and ends unanswered

A caller whose request was read whole, and whose connection ended without a response, was in no log: the server's buffer, the pipeline and the handler each knew a part of the requests of a connection.

The pipeline now keeps one list of a connection's requests, from the header to the last byte of the response, and the end of the connection logs what is left in it: "relay: request unanswered" with the ID and the cause, counted as unanswered-<cause>. To know what was read whole, the scanner follows bodies (Content-Length, chunks in strict form) and says when it has lost track.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -41,6 +41,7 @@
 
 // markIdle records that the response to the last request is complete.
 func (c *callerConn) markIdle() {
+	c.pipeline.completeResponse()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle = true
@@ -106,10 +107,19 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *callerConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.pipeline.noteWrite(err)
+	}
+	return n, err
+}
+
 // Close implements net.Conn. It ends the requests that nobody waits for any
 // more.
 func (c *callerConn) Close() error {
-	c.pipeline.end()
+	c.pipeline.close()
 	if err := c.Conn.Close(); err != nil {
 		return fmt.Errorf("close connection: %w", err)
 	}
--- /dev/null
+++ b/relay/framing.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"bytes"
+	"net/url"
+	"strconv"
+)
+
+// framing tells where a request ends.
+type framing struct {
+	length    int64
+	isChunked bool
+	// isLast is set if the server reads no request behind this one.
+	isLast bool
+}
+
+// parseFraming returns the framing of a request with the given header. It
+// returns false if the header is not in the strict form of RFC 9112, or one
+// that the server may refuse.
+func parseFraming(head []byte) (framing, bool) {
+	first, fields, _ := bytes.Cut(head, []byte("\r\n"))
+	if !isRequestLine(first) {
+		return framing{}, false
+	}
+	var f framing
+	seen := map[string]int{}
+	for line := range bytes.SplitSeq(bytes.TrimSuffix(fields, []byte("\r\n\r\n")), []byte("\r\n")) {
+		name, value, ok := bytes.Cut(line, []byte(":"))
+		if !ok || !isToken(name) || !isFieldValue(value) {
+			return framing{}, false
+		}
+		field := string(bytes.ToLower(name))
+		seen[field]++
+		if !f.apply(field, string(bytes.Trim(value, " \t"))) {
+			return framing{}, false
+		}
+	}
+	isSingle := seen["content-length"]+seen["transfer-encoding"] <= 1 && seen["expect"] <= 1
+	return f, isSingle && seen["host"] == 1
+}
+
+// apply adds what a header field tells. It returns false if that is not clear.
+func (f *framing) apply(field, value string) bool {
+	switch field {
+	case "content-length":
+		length, err := strconv.ParseUint(value, 10, 62)
+		f.length = int64(length)
+		return err == nil
+	case "transfer-encoding":
+		f.isChunked = true
+		return bytes.EqualFold([]byte(value), []byte("chunked"))
+	case "connection":
+		for option := range bytes.SplitSeq([]byte(value), []byte(",")) {
+			f.isLast = f.isLast || bytes.EqualFold(bytes.Trim(option, " \t"), []byte("close"))
+		}
+	case "expect":
+		return bytes.EqualFold([]byte(value), []byte("100-continue"))
+	}
+	return true
+}
+
+// isRequestLine reports whether a line begins a request of HTTP/1.1 for a path.
+func isRequestLine(line []byte) bool {
+	parts := bytes.Split(line, []byte(" "))
+	if len(parts) != 3 || !isToken(parts[0]) || !bytes.HasPrefix(parts[1], []byte("/")) || !isPrintable(parts[1]) {
+		return false
+	}
+	_, err := url.ParseRequestURI(string(parts[1]))
+	return err == nil && string(parts[2]) == "HTTP/1.1"
+}
+
+// isFieldValue reports whether a field value has no control characters but
+// tabs.
+func isFieldValue(value []byte) bool {
+	for _, c := range value {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// bodyScanner finds the end of a request's body. The zero value is the one of
+// an empty body.
+type bodyScanner struct {
+	// left is the number of bytes of the body, or of its current chunk with the
+	// line end, that have not arrived.
+	left int64
+	// isChunked is set until the last chunk of a chunked body is complete.
+	isChunked bool
+	// isLastChunk is set once the size of the last chunk has arrived.
+	isLastChunk bool
+	// line is the part of the next size line that has arrived.
+	line []byte
+}
+
+// maxChunkLine is the longest size line of a chunk that is followed: 15 digits
+// and the line end.
+const maxChunkLine = 17
+
+func newBodyScanner(f framing) bodyScanner {
+	return bodyScanner{left: f.length, isChunked: f.isChunked}
+}
+
+func (b *bodyScanner) isComplete() bool { return b.left == 0 && !b.isChunked }
+
+// feed passes the next bytes and returns those behind the body. It returns
+// false if the body is not in strict form.
+func (b *bodyScanner) feed(chunk []byte) ([]byte, bool) {
+	for len(chunk) > 0 && !b.isComplete() {
+		if b.left > 0 {
+			n := min(b.left, int64(len(chunk)))
+			b.left -= n
+			chunk = chunk[n:]
+			continue
+		}
+		b.line = append(b.line, chunk[0])
+		chunk = chunk[1:]
+		if !b.applyLine() {
+			return nil, false
+		}
+	}
+	return chunk, true
+}
+
+// applyLine applies a size line, or the line behind the last chunk, if it is
+// complete. Chunk extensions and trailers are not followed.
+func (b *bodyScanner) applyLine() bool {
+	digits, isLine := bytes.CutSuffix(b.line, []byte("\r\n"))
+	if !isLine {
+		return len(b.line) < maxChunkLine
+	}
+	b.line = nil
+	if b.isLastChunk {
+		b.isChunked = false
+		return len(digits) == 0
+	}
+	size, err := strconv.ParseUint(string(digits), 16, 60)
+	b.isLastChunk = size == 0
+	if size > 0 {
+		b.left = int64(size) + int64(len("\r\n"))
+	}
+	return err == nil
+}
--- a/relay/front.go
+++ b/relay/front.go
@@ -25,10 +25,13 @@
 }
 
 // FrontHandler handles requests. It tells which ones may be handled before a
-// request that the caller has sent earlier on the same connection is answered.
+// request that the caller has sent earlier on the same connection is answered,
+// and records those that were read whole and whose connection has ended without
+// a complete response. Of such a request, r is nil if its header is unreadable.
 type FrontHandler interface {
 	http.Handler
 	IsRetryable(r *http.Request) bool
+	RecordUnanswered(r *http.Request, cause UnansweredCause)
 }
 
 // StartFront accepts connections until Shutdown or the end of ctx.
@@ -150,11 +153,13 @@
 	}
 	p := conn.pipeline
 	early, closes := p.begin(r, t.draining.Load() || t.openConns.Load() > t.maxConns/2)
-	defer p.finish()
+	isHandled := false
+	defer func() { p.finish(isHandled) }()
 	if closes {
 		w.Header().Set("Connection", "close")
 	}
 	if early != nil && early.deliver(w) {
+		isHandled = true
 		return
 	}
 	ctx, cancel := context.WithCancel(r.Context())
@@ -162,6 +167,7 @@
 	// The server cannot notice the end of a connection that is read ahead.
 	defer context.AfterFunc(p.ctx, cancel)()
 	t.handler.ServeHTTP(w, r.WithContext(ctx))
+	isHandled = true
 }
 
 // Handle implements tasks.Task.
--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -42,13 +42,12 @@
 
 	mu      sync.Mutex
 	changed *sync.Cond
-	scanner headScanner
-	// waiting holds the headers that have arrived and were not begun.
-	waiting []waitingHead
-	// scanned and begun count the requests that have arrived and that the
-	// server has begun.
-	scanned uint64
-	begun   uint64
+	scanner requestScanner
+	// received holds all requests whose header has arrived and whose response
+	// is not complete, in order.
+	received []*receivedRequest
+	// begun counts the requests that the server has begun.
+	begun uint64
 	// early holds the requests that were started early and are not delivered,
 	// in order.
 	early []*earlyRequest
@@ -69,12 +68,10 @@
 	// isSealed is set once the connection is to be closed: no request begins
 	// early any more.
 	isSealed bool
-}
-
-// waitingHead is the header of a request and its number on the connection.
-type waitingHead struct {
-	number uint64
-	head   []byte
+	// hasCallerLeft is set once the caller's end of the connection was seen.
+	hasCallerLeft bool
+	// hasWriteFailed is set once a part of a response could not be written.
+	hasWriteFailed bool
 }
 
 func newPipeline(
@@ -95,6 +92,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isServerReading = false
+	p.noteEnd(err)
 	if n > 0 {
 		p.scan(b[:n])
 	}
@@ -128,11 +126,10 @@
 
 // scan records the requests that end in the next bytes of the connection.
 func (p *pipeline) scan(chunk []byte) {
+	number := p.scanner.heads
 	for _, head := range p.scanner.feed(chunk) {
-		p.scanned++
-		if p.scanned > p.begun+1 || p.isHandling {
-			p.waiting = append(p.waiting, waitingHead{number: p.scanned, head: head})
-		}
+		number++
+		p.received = append(p.received, &receivedRequest{number: number, head: head})
 	}
 	p.startEarly()
 	p.readAhead()
@@ -140,11 +137,10 @@
 
 // startEarly begins to handle waiting requests.
 func (p *pipeline) startEarly() {
-	for p.isHandling && !p.isSealed && len(p.waiting) > 0 && len(p.early) < maxEarlyRequests {
-		w := p.waiting[0]
-		if w.number <= p.begun {
-			p.waiting = p.waiting[1:]
-			continue
+	for p.isHandling && !p.isSealed && len(p.early) < maxEarlyRequests {
+		next := p.nextWaiting()
+		if next == nil || !next.head.isPlain {
+			return
 		}
 		select {
 		case p.slots <- struct{}{}:
@@ -152,21 +148,31 @@
 			// The server handles the request when it is its turn.
 			return
 		}
-		p.waiting = p.waiting[1:]
-		p.start(w)
+		p.start(next)
 	}
 }
 
+// nextWaiting returns the first request that was not begun.
+func (p *pipeline) nextWaiting() *receivedRequest {
+	for _, r := range p.received {
+		if r.state == requestWaiting {
+			return r
+		}
+	}
+	return nil
+}
+
 // start begins to handle a request, for which a slot is taken.
-func (p *pipeline) start(w waitingHead) {
-	e, err := newEarlyRequest(p.ctx, w.number, w.head)
+func (p *pipeline) start(r *receivedRequest) {
+	e, err := newEarlyRequest(p.ctx, r.number, r.head.text)
 	if err != nil {
 		// The server rejects the request when it reads it.
 		<-p.slots
 		p.scanner.giveUp()
-		p.waiting = nil
+		r.head.isPlain = false
 		return
 	}
+	r.state = requestEarly
 	p.early = append(p.early, e)
 	go func() {
 		e.serve(p.handler, p.log)
@@ -210,6 +216,7 @@
 		if err != nil && !isTimeout {
 			p.end()
 		}
+		p.noteEnd(err)
 		p.changed.Broadcast()
 	}
 	p.isReading = false
@@ -231,7 +238,7 @@
 func (p *pipeline) hasUnhandled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.scanner.gaveUp && (p.scanned > p.begun || p.scanner.hasPartial()) || len(p.ahead) > 0
+	return !p.scanner.gaveUp && (p.scanner.heads > p.begun || p.scanner.hasPartial()) || len(p.ahead) > 0
 }
 
 // begin records that the server has begun to handle a request. It returns the
@@ -244,6 +251,7 @@
 	p.begun++
 	p.isHandling = true
 	p.isSealed = p.isSealed || wantsClose
+	p.beginReceived(r)
 	found := p.takeEarly(r)
 	p.startEarly()
 	if len(p.early) > 0 {
@@ -267,9 +275,14 @@
 	return e
 }
 
-// finish records that the server has handled a request.
-func (p *pipeline) finish() {
+// finish records that the server has handled a request, and whether the
+// handler has written a response. What is written after the caller has left is
+// none.
+func (p *pipeline) finish(isHandled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isHandling = false
+	if isHandled && !p.hasCallerLeft && len(p.received) > 0 {
+		p.received[0].state = requestHandled
+	}
 }
--- a/relay/pipeline_test.go
+++ b/relay/pipeline_test.go
@@ -129,9 +129,6 @@
 // although they must not run early. The routes time out after an hour, so each
 // case hangs if a request is not started when it should be.
 func TestPipelinedRequests(t *testing.T) {
-	post := func(id string) string {
-		return "POST /once/1 HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody"
-	}
 	cases := []struct {
 		name string
 		run  func(c *pipeliningCaller, g *gate)
@@ -305,8 +302,9 @@
 
 var _ FrontHandler = idleHandler{}
 
-func (idleHandler) IsRetryable(*http.Request) bool               { return true }
-func (idleHandler) ServeHTTP(http.ResponseWriter, *http.Request) {}
+func (idleHandler) IsRetryable(*http.Request) bool                  { return true }
+func (idleHandler) ServeHTTP(http.ResponseWriter, *http.Request)    {}
+func (idleHandler) RecordUnanswered(*http.Request, UnansweredCause) {}
 
 // TestOneReader guards against a server and a pipeline that read the connection
 // at the same time, which would exchange the order of its bytes. The server
@@ -358,7 +356,8 @@
 
 var _ FrontHandler = countingHandler{}
 
-func (countingHandler) IsRetryable(*http.Request) bool { return true }
+func (countingHandler) IsRetryable(*http.Request) bool                  { return true }
+func (countingHandler) RecordUnanswered(*http.Request, UnansweredCause) {}
 
 func (h countingHandler) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
 	h.begun <- struct{}{}
