Close the sending half before a connection with an unread body

A caller that was answered before the host had read its body could get a reset in place of the answer, on a link with a longer queue.

net/http closes the sending half, waits 0.5 s and closes the connection in this case. callerConn embeds net.Conn and hid CloseWrite, so the server only waited, and the close with unread bytes sent a reset. callerConn now has CloseWrite, so the end of the answer is sent before, and the wait is long enough to deliver it.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -140,6 +141,20 @@
 	return n, err
 }
 
+// CloseWrite closes the sending half. The server does so before it closes a
+// connection on which a body is unread, because a reset could overtake the
+// answer.
+func (c *callerConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return fmt.Errorf("close sending half: %w", errors.ErrUnsupported)
+	}
+	if err := half.CloseWrite(); err != nil {
+		return fmt.Errorf("close sending half: %w", err)
+	}
+	return nil
+}
+
 // Close implements net.Conn. It ends the requests that nobody waits for any
 // more.
 func (c *callerConn) Close() error {
