--- a/relay/conn.go
+++ b/relay/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -39,6 +38,8 @@
 	closing bool
 	// deadline is the read deadline that the server has set.
 	deadline time.Time
+	// hasClosedWrite is set once the sending half was closed.
+	hasClosedWrite bool
 }
 
 func newCallerConn(c net.Conn, k clock.Clock, p *pipeline) *callerConn {
@@ -141,30 +142,6 @@
 	return n, err
 }
 
-// CloseWrite closes the sending half. The server does so before it closes a
-// connection on which a body is unread, because a reset could overtake the
-// answer.
-func (c *callerConn) CloseWrite() error {
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return fmt.Errorf("close sending half: %w", errors.ErrUnsupported)
-	}
-	if err := half.CloseWrite(); err != nil {
-		return fmt.Errorf("close sending half: %w", err)
-	}
-	return nil
-}
-
-// Close implements net.Conn. It ends the requests that nobody waits for any
-// more.
-func (c *callerConn) Close() error {
-	c.pipeline.close()
-	if err := c.Conn.Close(); err != nil {
-		return fmt.Errorf("close connection: %w", err)
-	}
-	return nil
-}
-
 // connKey is the key of the connection in the context of its requests.
 type connKey struct{}
 
--- a/relay/conn_close_test.go
+++ b/relay/conn_close_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -32,3 +33,31 @@
 		t.Errorf("closed: %q, want the sending half first", ends)
 	}
 }
+
+// TestRequestsBehindClosingAnswer guards against a reset in place of the answer
+// that closes the connection, while the caller has sent something behind it.
+func TestRequestsBehindClosingAnswer(t *testing.T) {
+	cases := []struct{ name, sent, behind string }{
+		{"header", get("/long/", "a"), get("/long/", "b")},
+		{"body", post("a"), post("b")},
+		{"much", get("/long/", "a"), post("b") + strings.Repeat("x", 1<<18)},
+		{"lenient form", lenient("a"), lenient("b")},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := heldHandler{begun: make(chan string, 2), released: make(chan struct{}, 2)}
+			front, _ := startRecordedFront(t, h)
+			front.Drain()
+			caller := newPipeliningCaller(t, &testHost{address: front.listener.Addr().String()})
+			caller.send(c.sent)
+			<-h.begun
+			caller.send(c.behind)
+			h.released <- struct{}{}
+			caller.expect("a")
+			caller.expectEnd()
+			if len(h.begun) > 0 {
+				t.Errorf("%s was begun behind the answer that closes the connection", <-h.begun)
+			}
+		})
+	}
+}
--- a/relay/received.go
+++ b/relay/received.go
@@ -115,6 +115,14 @@
 	p.noteEnd(err)
 }
 
+// endsWithAnswer reports whether the connection is closed behind a complete
+// response, and not because it is idle or the host or the caller ends it.
+func (p *pipeline) endsWithAnswer() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.received) > 0 && p.received[0].state == requestHandled && !p.hasWriteFailed && p.ctx.Err() == nil
+}
+
 // close ends the requests of the connection, and records the ones that were
 // read whole and have no complete response.
 func (p *pipeline) close() {
