Announce the close with the last request that was read whole

While a host drained, or had half of its connections open, a caller that sent two requests together got a response to the first one with "Connection: close" and nothing for the second one, which the host had read whole.

The close was announced with the first response after the decision, without regard to what lay in the server's buffer. It is now announced with the header of the response behind which nothing was read whole; the requests before it are answered in turn. From that header on, the server reads at most what belongs to the request, and one byte. Where the scanner has lost track the close is not announced, for 16 responses at most, and it starts again when the server waits with an empty buffer. A header with a bare line feed is now noticed when that arrives, not only at the header's end.

TestPipelineShutdown expected that the second of two requests that were read together was dropped. It now expects both responses, and that a third request, sent behind the one that closes the connection, is not passed on.

--- a/relay/conn.go
+++ b/relay/conn.go
@@ -115,6 +115,7 @@
 	defer c.mu.Unlock()
 	if c.idle {
 		c.waiting = true
+		c.pipeline.awaitNext()
 		c.closeIfIdle()
 	}
 }
--- a/relay/framing.go
+++ b/relay/framing.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"net/url"
 	"strconv"
 )
@@ -104,6 +105,20 @@
 
 func (b *bodyScanner) isComplete() bool { return b.left == 0 && !b.isChunked }
 
+// dueBytes returns a number of bytes that belong to the body, or 1 if it is
+// complete.
+func (b *bodyScanner) dueBytes() int {
+	return int(min(max(b.left, 1), math.MaxInt32))
+}
+
+// isAlmostComplete reports whether one byte of the body is missing.
+func (b *bodyScanner) isAlmostComplete() bool {
+	if b.isChunked {
+		return b.isLastChunk && len(b.line) > 0
+	}
+	return b.left == 1
+}
+
 // feed passes the next bytes and returns those behind the body. It returns
 // false if the body is not in strict form.
 func (b *bodyScanner) feed(chunk []byte) ([]byte, bool) {
--- a/relay/front.go
+++ b/relay/front.go
@@ -37,8 +37,9 @@
 // StartFront accepts connections until Shutdown or the end of ctx.
 //
 // It holds at most maxConns connections. While more than half of them are
-// open, each response closes its connection, because callers that open a new
-// connection for every request leave the old ones open.
+// open, responses close their connections, because callers that open a new
+// connection for every request leave the old ones open. A response closes the
+// connection only if no request behind it was read whole.
 func StartFront(
 	ctx context.Context, system *tasks.System, listener net.Listener, handler FrontHandler, maxConns int,
 	c clock.Clock, log *slog.Logger,
@@ -60,8 +61,8 @@
 // accepted connections wait.
 func (f *Front) SetLimits(l scheme.Limits) { f.ref.Tell(setLimits{limits: l}) }
 
-// Drain makes every further response announce the close of its connection. New
-// connections are still served, and idle ones stay open.
+// Drain makes responses close their connections, unless a request behind them
+// was read whole. New connections are still served, and idle ones stay open.
 func (f *Front) Drain() { f.draining.Store(true) }
 
 // Shutdown stops accepting connections and returns when all requests have been
@@ -151,24 +152,26 @@
 		panic(http.ErrAbortHandler)
 	}
 	p := conn.pipeline
-	early, closes := p.begin(r, t.draining.Load() || t.openConns.Load() > t.maxConns/2)
+	response := &frontResponse{ResponseWriter: w, isLast: func() bool { return p.announceClose(t.wantsClose()) }}
+	early := p.begin(r, t.wantsClose())
 	isHandled := false
 	defer func() { p.finish(isHandled) }()
-	if closes {
-		w.Header().Set("Connection", "close")
+	if early == nil || !early.deliver(response) {
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		// The server cannot notice the end of a connection that is read ahead.
+		defer context.AfterFunc(p.ctx, cancel)()
+		t.handler.ServeHTTP(response, r.WithContext(ctx))
 	}
-	if early != nil && early.deliver(w) {
-		isHandled = true
-		return
-	}
-	ctx, cancel := context.WithCancel(r.Context())
-	defer cancel()
-	// The server cannot notice the end of a connection that is read ahead.
-	defer context.AfterFunc(p.ctx, cancel)()
-	t.handler.ServeHTTP(w, r.WithContext(ctx))
+	response.beginHeader()
 	isHandled = true
 }
 
+// wantsClose reports whether the host wants to close connections.
+func (t *frontTask) wantsClose() bool {
+	return t.draining.Load() || t.openConns.Load() > t.maxConns/2
+}
+
 // Handle implements tasks.Task.
 func (t *frontTask) Handle(message any) {
 	switch m := message.(type) {
--- a/relay/idle_test.go
+++ b/relay/idle_test.go
@@ -34,6 +34,9 @@
 			h.released <- struct{}{}
 			caller.expect("b")
 			caller.expectEnd()
+			if err := caller.conn.Close(); err != nil {
+				t.Fatal(err)
+			}
 			<-done
 		})
 	}
--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -55,11 +55,12 @@
 	// error behind them.
 	ahead   []byte
 	failure error
-	// isReading is set while a goroutine reads ahead, and isServerReading while
-	// the server reads the socket. At most one of them is set, since two readers
-	// would exchange the order of the bytes.
-	isReading       bool
-	isServerReading bool
+	// isReading is set while a goroutine reads ahead, and serverReads is the
+	// number of bytes that the server reads at most, while it reads the socket.
+	// At most one of them is set, since two readers would exchange the order of
+	// the bytes.
+	isReading   bool
+	serverReads int
 	// deadlines counts the deadlines that were set, to ignore the expiry of one
 	// that has been replaced.
 	deadlines uint64
@@ -68,6 +69,11 @@
 	// isSealed is set once the connection is to be closed: no request begins
 	// early any more.
 	isSealed bool
+	// isClosing is set once the response to the request that is handled is known
+	// to be the last one, and unannounced counts the responses since isSealed was
+	// set of which that could not be known.
+	isClosing   bool
+	unannounced int
 	// hasCallerLeft is set once the caller's end of the connection was seen.
 	hasCallerLeft bool
 	// hasWriteFailed is set once a part of a response could not be written.
@@ -85,13 +91,14 @@
 
 // read reads for the server: first what was read ahead.
 func (p *pipeline) read(b []byte) (int, error) {
-	if n, err, ok := p.takeAhead(b); ok {
+	n, err, ok := p.takeAhead(b)
+	if ok {
 		return n, err
 	}
-	n, err := p.socket.Read(b)
+	n, err = p.socket.Read(b[:n])
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isServerReading = false
+	p.serverReads = 0
 	p.noteEnd(err)
 	if n > 0 {
 		p.scan(b[:n])
@@ -100,8 +107,8 @@
 }
 
 // takeAhead returns what was read ahead. It waits while a goroutine reads
-// ahead. If none does and nothing is there, it returns false, and the server
-// reads the socket itself.
+// ahead. If none does and nothing is there, it returns false and the number of
+// bytes that the server may read from the socket itself.
 func (p *pipeline) takeAhead(b []byte) (int, error, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -120,8 +127,8 @@
 		}
 		return 0, err, true
 	}
-	p.isServerReading = true
-	return 0, nil, false
+	p.serverReads = len(p.limitRead(b))
+	return p.serverReads, nil, false
 }
 
 // scan records the requests that end in the next bytes of the connection.
@@ -192,7 +199,7 @@
 }
 
 func (p *pipeline) canReadAhead() bool {
-	return p.isHandling && !p.isServerReading && !p.isSealed && !p.scanner.gaveUp && p.failure == nil &&
+	return p.isHandling && p.serverReads == 0 && !p.isSealed && !p.scanner.gaveUp && p.failure == nil &&
 		len(p.ahead) < maxAheadBytes && len(p.early) < maxEarlyRequests
 }
 
@@ -242,10 +249,9 @@
 }
 
 // begin records that the server has begun to handle a request. It returns the
-// early request if it has been begun before, and whether the response is to
-// close the connection, if the host wants that: not before the responses to
-// requests that have been begun.
-func (p *pipeline) begin(r *http.Request, wantsClose bool) (*earlyRequest, bool) {
+// early request if it has been begun before. If the host wants to close the
+// connection, no request begins early any more.
+func (p *pipeline) begin(r *http.Request, wantsClose bool) *earlyRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begun++
@@ -257,7 +263,7 @@
 	if len(p.early) > 0 {
 		p.readAhead()
 	}
-	return found, p.isSealed && len(p.early) == 0
+	return found
 }
 
 // takeEarly removes the early request that the server has begun, if there is
--- a/relay/pipeline_test.go
+++ b/relay/pipeline_test.go
@@ -229,8 +229,8 @@
 }
 
 // TestPipelineShutdown guards against a shutdown that closes a connection
-// before the responses to requests that were passed on, and against passing on
-// requests behind a response that closes the connection.
+// before the responses to requests that were passed on or read whole, and
+// against passing on requests behind a response that closes the connection.
 func TestPipelineShutdown(t *testing.T) {
 	g := newGate()
 	h := newTestHost(t, g.respond)
@@ -248,6 +248,13 @@
 	three.expect("a", "b", "c")
 	three.expectEnd()
 	draining.expect("d")
+	if ids := g.await(1); ids[0] != "e" {
+		t.Errorf("%s reached the target, want e", ids[0])
+	}
+	// The host closes the connection behind e, which was read with d.
+	draining.send(get("/long/", "f"))
+	g.release("e")
+	draining.expect("e")
 	if _, err := draining.reader.ReadByte(); err == nil {
 		t.Error("a response behind the one that closes the connection")
 	}
--- a/relay/request_scanner.go
+++ b/relay/request_scanner.go
@@ -63,7 +63,8 @@
 	s.partial = append(s.partial, chunk...)
 	i := bytes.Index(s.partial[max(0, before-len(end)+1):], end)
 	if i < 0 {
-		if len(s.partial) > maxScannedHead {
+		// net/http also takes a line feed alone for the end of a line.
+		if len(s.partial) > maxScannedHead || hasBareLineFeed(s.partial[max(0, before-1):]) {
 			s.lose()
 		}
 		return nil, nil
@@ -74,6 +75,17 @@
 	return head, chunk[size-before:]
 }
 
+// hasBareLineFeed reports whether a line feed behind the first byte has no
+// carriage return before it.
+func hasBareLineFeed(b []byte) bool {
+	for i := 1; i < len(b); i++ {
+		if b[i] == '\n' && b[i-1] != '\r' {
+			return true
+		}
+	}
+	return false
+}
+
 // beginRequest records a header. It returns false if the scanner cannot follow
 // it.
 func (s *requestScanner) beginRequest(head []byte) bool {
@@ -113,6 +125,15 @@
 // hasPartial reports whether a part of a request has arrived.
 func (s *requestScanner) hasPartial() bool { return len(s.partial) > 0 || s.heads > s.whole }
 
+// isAlmostWhole reports whether one byte of the last request is missing, if that
+// is one behind the first number ones.
+func (s *requestScanner) isAlmostWhole(number uint64) bool {
+	if s.heads > number && !s.body.isComplete() {
+		return s.body.isAlmostComplete()
+	}
+	return bytes.HasSuffix(s.partial, []byte("\r\n\r"))
+}
+
 // isPlainHead reports whether a header belongs to a GET request of HTTP/1.1
 // without a body, in strict form and with one Host field.
 func isPlainHead(head []byte) bool {
