Accept queued connections before the end of their listener

A caller whose connection was queued as the limits changed could be left with an open connection that nobody read, and a shutdown waited for it in vain.

When the queue had a connection and was closed in the same moment, Accept chose between the two by chance. After the end it now returns what was queued before. The task closes its connections when it stops, since a server that has been closed does not close what it accepts after that.

--- a/relay/conn_listener.go
+++ b/relay/conn_listener.go
@@ -32,17 +32,18 @@
 	}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. After the end it returns the connections that
+// were queued before: nothing else would serve or close them.
 func (l *connListener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
 		return c, nil
-	default:
+	case <-l.closed:
 	}
 	select {
 	case c := <-l.conns:
 		return c, nil
-	case <-l.closed:
+	default:
 		return nil, fmt.Errorf("accept: %w", net.ErrClosed)
 	}
 }
--- a/relay/front.go
+++ b/relay/front.go
@@ -251,6 +251,13 @@
 	for _, s := range t.servers {
 		_ = s.Close()
 	}
+	// A server does not close connections that it accepts after its end.
+	for c := range t.conns {
+		_ = c.Close()
+	}
+	for _, c := range t.pending {
+		_ = c.Close()
+	}
 }
 
 func (t *frontTask) setLimits(l scheme.Limits) {
