Begin nothing early behind a response that is being sent

A caller that sent further requests behind a long response got no word about them when that response broke off, although they had been passed on.

A response that breaks off ends its connection, and HTTP/1.1 has no way to answer behind it. Requests were read ahead and begun early for as long as a response was streamed. A request behind a long response is begun when its turn comes, and loses the latency of its target by that.

--- a/relay/closing.go
+++ b/relay/closing.go
@@ -44,14 +44,15 @@
 	}
 }
 
-// announceClose reports whether the response to the request that is handled is
-// to close the connection, if the host wants that. It is not while a request
-// behind it was read whole, or may be by a read that has begun. From then on,
-// no byte behind the request is read but one, by which the server notices the
-// end of the connection.
-func (p *pipeline) announceClose(wantsClose bool) bool {
+// beginResponse records that the response to the request that is handled is sent
+// from now on, and reports whether it closes the connection, if the host wants
+// that. It does not while a request behind it was read whole, or may be by a read
+// that has begun. From then on, no byte behind the request is read but one, by
+// which the server notices the end of the connection.
+func (p *pipeline) beginResponse(wantsClose bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.isAnswering = true
 	p.isSealed = p.isSealed || wantsClose
 	if !p.isSealed || len(p.early) > 0 || p.isReading || p.serverReads > p.dueBytes() {
 		return false
--- a/relay/front.go
+++ b/relay/front.go
@@ -152,7 +152,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	p := conn.pipeline
-	response := &frontResponse{ResponseWriter: w, isLast: func() bool { return p.announceClose(t.wantsClose()) }}
+	response := &frontResponse{ResponseWriter: w, isLast: func() bool { return p.beginResponse(t.wantsClose()) }}
 	early := p.begin(r, t.wantsClose())
 	isHandled := false
 	defer func() { p.finish(isHandled) }()
--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -66,6 +66,10 @@
 	deadlines uint64
 	// isHandling is set while the server handles a request.
 	isHandling bool
+	// isAnswering is set while a response is sent. Nothing is read ahead or begun
+	// early then, because a response that breaks off ends the connection without a
+	// word about the requests behind it.
+	isAnswering bool
 	// isSealed is set once the connection is to be closed: no request begins
 	// early any more.
 	isSealed bool
@@ -144,7 +148,7 @@
 
 // startEarly begins to handle waiting requests.
 func (p *pipeline) startEarly() {
-	for p.isHandling && !p.isSealed && len(p.early) < maxEarlyRequests {
+	for p.isHandling && !p.isAnswering && !p.isSealed && len(p.early) < maxEarlyRequests {
 		next := p.nextWaiting()
 		if next == nil || !next.head.isPlain {
 			return
@@ -199,7 +203,7 @@
 }
 
 func (p *pipeline) canReadAhead() bool {
-	return p.isHandling && p.serverReads == 0 && !p.isSealed && !p.scanner.gaveUp && p.failure == nil &&
+	return p.isHandling && !p.isAnswering && p.serverReads == 0 && !p.isSealed && !p.scanner.gaveUp && p.failure == nil &&
 		len(p.ahead) < maxAheadBytes && len(p.early) < maxEarlyRequests
 }
 
@@ -287,7 +291,7 @@
 func (p *pipeline) finish(isHandled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isHandling = false
+	p.isHandling, p.isAnswering = false, false
 	if isHandled && !p.hasCallerLeft && len(p.received) > 0 {
 		p.received[0].state = requestHandled
 	}
