Refuse a request that is cancelled before its decision

A caller that closed its sending half right behind a request got nothing: the connection was aborted.

The end of the caller's bytes ends the request's context, and a decision that was still awaited then ended in an abort, while a request that had been passed on ended in a refusal. Both are refused now; this one says that the request has not run. For a caller that has closed the connection the refusal is lost with it, but counted as refused (not-ready).

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -121,8 +121,8 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	request := h.dialect.DecodeRequest(r)
+	rh := &requestHandler{handler: h, writer: w, incoming: r, request: request}
 	if h.stopped.Load() {
-		rh := &requestHandler{handler: h, writer: w, incoming: r, request: request}
 		rh.writeRefusal(admit.Decision{}.WithRefusal(admit.NotReady), admit.NotReady)
 		return
 	}
@@ -131,8 +131,9 @@
 	})
 	if err != nil {
 		h.log.Warn("relay: request cancelled before its decision", "request", request.ID(), "error", err)
-		panic(http.ErrAbortHandler)
+		// A caller that has closed only its sending half still reads.
+		rh.writeRefusal(admit.Decision{}.WithRefusal(admit.NotReady), admit.NotReady)
+		return
 	}
-	rh := &requestHandler{handler: h, writer: w, incoming: r, request: request}
 	rh.handle(d)
 }
