End early requests when the server sees that the caller has left

A target worked for up to 10 s, the limit of the request in the test, for a caller that had left.

The end of a connection ended the requests that had been begun early only if the pipeline was reading. If the server was, which happens when its read begins before the pipeline's, it cancelled only the request that it handled itself. The pipeline now ends all of them with the first error of a read or a write that is no expired deadline.

--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -224,9 +224,6 @@
 		if err != nil && (!isTimeout || deadlines == p.deadlines) {
 			p.failure = err
 		}
-		if err != nil && !isTimeout {
-			p.end()
-		}
 		p.noteEnd(err)
 		p.changed.Broadcast()
 	}
--- a/relay/pipeline_test.go
+++ b/relay/pipeline_test.go
@@ -421,3 +421,36 @@
 		}
 	}
 }
+
+// TestEndSeenByServer guards against early requests that run on when the server,
+// and not the pipeline, notices that the caller has left.
+func TestEndSeenByServer(t *testing.T) {
+	c := &scriptedConn{texts: make(chan string, 1), begun: make(chan struct{}, 10)}
+	h := countingHandler{begun: make(chan struct{}, 10)}
+	p := newPipeline(context.Background(), c, h, make(chan struct{}, 10), slog.New(slog.DiscardHandler))
+	text := get("/a", "1") + get("/b", "2")
+	c.texts <- text
+	if _, err := p.read(make([]byte, len(text))); err != nil {
+		t.Fatal(err)
+	}
+	<-c.begun
+	ended := make(chan error, 1)
+	go func() {
+		_, err := p.read(make([]byte, 1))
+		ended <- err
+	}()
+	<-c.begun
+	r, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.begin(r, false)
+	<-h.begun
+	close(c.texts)
+	if err := <-ended; !errors.Is(err, io.EOF) {
+		t.Fatal(err)
+	}
+	if p.ctx.Err() == nil {
+		t.Error("requests go on after the end of the connection")
+	}
+}
--- a/relay/received.go
+++ b/relay/received.go
@@ -108,10 +108,14 @@
 	p.received = slices.DeleteFunc(p.received, func(r *receivedRequest) bool { return r.state == requestHandled })
 }
 
-// noteEnd records that the caller has ended the connection if an error of the
-// connection tells so.
+// noteEnd ends the requests of the connection if an error tells that it has
+// ended, and records whether the caller has ended it.
 func (p *pipeline) noteEnd(err error) {
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed) {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	p.end()
+	if !errors.Is(err, net.ErrClosed) {
 		p.hasCallerLeft = true
 	}
 }
