--- a/relay/pipeline.go
+++ b/relay/pipeline.go
@@ -42,13 +42,12 @@
 
 	mu      sync.Mutex
 	changed *sync.Cond
-	scanner headScanner
-	// waiting holds the headers that have arrived and were not begun.
-	waiting []waitingHead
-	// scanned and begun count the requests that have arrived and that the
-	// server has begun.
-	scanned uint64
-	begun   uint64
+	scanner requestScanner
+	// received holds all requests whose header has arrived and whose response
+	// is not complete, in order.
+	received []*receivedRequest
+	// begun counts the requests that the server has begun.
+	begun uint64
 	// early holds the requests that were started early and are not delivered,
 	// in order.
 	early []*earlyRequest
@@ -56,25 +55,33 @@
 	// error behind them.
 	ahead   []byte
 	failure error
-	// isReading is set while a goroutine reads ahead, and isServerReading while
-	// the server reads the socket. At most one of them is set, since two readers
-	// would exchange the order of the bytes.
-	isReading       bool
-	isServerReading bool
+	// isReading is set while a goroutine reads ahead, and serverReads is the
+	// number of bytes that the server reads at most, while it reads the socket.
+	// At most one of them is set, since two readers would exchange the order of
+	// the bytes.
+	isReading   bool
+	serverReads int
 	// deadlines counts the deadlines that were set, to ignore the expiry of one
 	// that has been replaced.
 	deadlines uint64
 	// isHandling is set while the server handles a request.
 	isHandling bool
+	// isAnswering is set while a response is sent. Nothing is read ahead or begun
+	// early then, because a response that breaks off ends the connection without a
+	// word about the requests behind it.
+	isAnswering bool
 	// isSealed is set once the connection is to be closed: no request begins
 	// early any more.
 	isSealed bool
-}
-
-// waitingHead is the header of a request and its number on the connection.
-type waitingHead struct {
-	number uint64
-	head   []byte
+	// isClosing is set once the response to the request that is handled is known
+	// to be the last one, and unannounced counts the responses since isSealed was
+	// set of which that could not be known.
+	isClosing   bool
+	unannounced int
+	// hasCallerLeft is set once the caller's end of the connection was seen.
+	hasCallerLeft bool
+	// hasWriteFailed is set once a part of a response could not be written.
+	hasWriteFailed bool
 }
 
 func newPipeline(
@@ -88,13 +95,15 @@
 
 // read reads for the server: first what was read ahead.
 func (p *pipeline) read(b []byte) (int, error) {
-	if n, err, ok := p.takeAhead(b); ok {
+	n, err, ok := p.takeAhead(b)
+	if ok {
 		return n, err
 	}
-	n, err := p.socket.Read(b)
+	n, err = p.socket.Read(b[:n])
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isServerReading = false
+	p.serverReads = 0
+	p.noteEnd(err)
 	if n > 0 {
 		p.scan(b[:n])
 	}
@@ -102,8 +111,8 @@
 }
 
 // takeAhead returns what was read ahead. It waits while a goroutine reads
-// ahead. If none does and nothing is there, it returns false, and the server
-// reads the socket itself.
+// ahead. If none does and nothing is there, it returns false and the number of
+// bytes that the server may read from the socket itself.
 func (p *pipeline) takeAhead(b []byte) (int, error, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -122,17 +131,16 @@
 		}
 		return 0, err, true
 	}
-	p.isServerReading = true
-	return 0, nil, false
+	p.serverReads = len(p.limitRead(b))
+	return p.serverReads, nil, false
 }
 
 // scan records the requests that end in the next bytes of the connection.
 func (p *pipeline) scan(chunk []byte) {
+	number := p.scanner.heads
 	for _, head := range p.scanner.feed(chunk) {
-		p.scanned++
-		if p.scanned > p.begun+1 || p.isHandling {
-			p.waiting = append(p.waiting, waitingHead{number: p.scanned, head: head})
-		}
+		number++
+		p.received = append(p.received, &receivedRequest{number: number, head: head})
 	}
 	p.startEarly()
 	p.readAhead()
@@ -140,11 +148,10 @@
 
 // startEarly begins to handle waiting requests.
 func (p *pipeline) startEarly() {
-	for p.isHandling && !p.isSealed && len(p.waiting) > 0 && len(p.early) < maxEarlyRequests {
-		w := p.waiting[0]
-		if w.number <= p.begun {
-			p.waiting = p.waiting[1:]
-			continue
+	for p.isHandling && !p.isAnswering && !p.isSealed && len(p.early) < maxEarlyRequests {
+		next := p.nextWaiting()
+		if next == nil || !next.head.isPlain {
+			return
 		}
 		select {
 		case p.slots <- struct{}{}:
@@ -152,21 +159,31 @@
 			// The server handles the request when it is its turn.
 			return
 		}
-		p.waiting = p.waiting[1:]
-		p.start(w)
+		p.start(next)
+	}
+}
+
+// nextWaiting returns the first request that was not begun.
+func (p *pipeline) nextWaiting() *receivedRequest {
+	for _, r := range p.received {
+		if r.state == requestWaiting {
+			return r
+		}
 	}
+	return nil
 }
 
 // start begins to handle a request, for which a slot is taken.
-func (p *pipeline) start(w waitingHead) {
-	e, err := newEarlyRequest(p.ctx, w.number, w.head)
+func (p *pipeline) start(r *receivedRequest) {
+	e, err := newEarlyRequest(p.ctx, r.number, r.head.text)
 	if err != nil {
 		// The server rejects the request when it reads it.
 		<-p.slots
 		p.scanner.giveUp()
-		p.waiting = nil
+		r.head.isPlain = false
 		return
 	}
+	r.state = requestEarly
 	p.early = append(p.early, e)
 	go func() {
 		e.serve(p.handler, p.log)
@@ -186,7 +203,7 @@
 }
 
 func (p *pipeline) canReadAhead() bool {
-	return p.isHandling && !p.isServerReading && !p.isSealed && !p.scanner.gaveUp && p.failure == nil &&
+	return p.isHandling && !p.isAnswering && p.serverReads == 0 && !p.isSealed && !p.scanner.gaveUp && p.failure == nil &&
 		len(p.ahead) < maxAheadBytes && len(p.early) < maxEarlyRequests
 }
 
@@ -207,9 +224,7 @@
 		if err != nil && (!isTimeout || deadlines == p.deadlines) {
 			p.failure = err
 		}
-		if err != nil && !isTimeout {
-			p.end()
-		}
+		p.noteEnd(err)
 		p.changed.Broadcast()
 	}
 	p.isReading = false
@@ -231,25 +246,25 @@
 func (p *pipeline) hasUnhandled() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.scanner.gaveUp && (p.scanned > p.begun || p.scanner.hasPartial()) || len(p.ahead) > 0
+	return !p.scanner.isLost && (p.scanner.heads > p.begun || p.scanner.hasPartial()) || len(p.ahead) > 0
 }
 
 // begin records that the server has begun to handle a request. It returns the
-// early request if it has been begun before, and whether the response is to
-// close the connection, if the host wants that: not before the responses to
-// requests that have been begun.
-func (p *pipeline) begin(r *http.Request, wantsClose bool) (*earlyRequest, bool) {
+// early request if it has been begun before. If the host wants to close the
+// connection, no request begins early any more.
+func (p *pipeline) begin(r *http.Request, wantsClose bool) *earlyRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.begun++
 	p.isHandling = true
 	p.isSealed = p.isSealed || wantsClose
+	p.beginReceived(r)
 	found := p.takeEarly(r)
 	p.startEarly()
 	if len(p.early) > 0 {
 		p.readAhead()
 	}
-	return found, p.isSealed && len(p.early) == 0
+	return found
 }
 
 // takeEarly removes the early request that the server has begun, if there is
@@ -267,9 +282,14 @@
 	return e
 }
 
-// finish records that the server has handled a request.
-func (p *pipeline) finish() {
+// finish records that the server has handled a request, and whether the
+// handler has written a response. What is written after the caller has left is
+// none.
+func (p *pipeline) finish(isHandled bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.isHandling = false
+	p.isHandling, p.isAnswering = false, false
+	if current := p.current(); isHandled && !p.hasCallerLeft && current != nil {
+		current.state = requestHandled
+	}
 }
--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -62,7 +62,9 @@
 	if err := rh.incoming.Context().Err(); err != nil {
 		rh.recordResult(d, spread.Abandoned, Response{})
 		rh.handler.log.Warn("relay: request cancelled before its decision", "request", rh.request.ID(), "error", err)
-		panic(http.ErrAbortHandler)
+		// A caller that has closed only its sending half still reads.
+		rh.writeRefusal(d.WithRefusal(admit.NotReady), admit.NotReady)
+		return
 	}
 	if err := rh.readBody(); err != nil {
 		rh.recordResult(d, spread.Abandoned, Response{})
