Read the framing of a request without allocations per field

Measured: BenchmarkRefusal makes 113 allocations (109 before the scanner followed bodies, 126 with it), BenchmarkHandler 273 (269, 288); times differ by less than they scatter on this machine. FuzzRequestScanner: 0.44 million inputs, no difference to net/http.

--- a/relay/framing.go
+++ b/relay/framing.go
@@ -13,6 +13,9 @@
 	isChunked bool
 	// isLast is set if the server reads no request behind this one.
 	isLast bool
+	// hosts, bodies and expectations count the header fields of which at most one
+	// is allowed.
+	hosts, bodies, expectations int
 }
 
 // parseFraming returns the framing of a request with the given header. It
@@ -24,50 +27,54 @@
 		return framing{}, false
 	}
 	var f framing
-	seen := map[string]int{}
 	for line := range bytes.SplitSeq(bytes.TrimSuffix(fields, []byte("\r\n\r\n")), []byte("\r\n")) {
 		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) || !isFieldValue(value) {
-			return framing{}, false
-		}
-		field := string(bytes.ToLower(name))
-		seen[field]++
-		if !f.apply(field, string(bytes.Trim(value, " \t"))) {
+		if !ok || !isToken(name) || !isFieldValue(value) || !f.apply(name, bytes.Trim(value, " \t")) {
 			return framing{}, false
 		}
 	}
-	isSingle := seen["content-length"]+seen["transfer-encoding"] <= 1 && seen["expect"] <= 1
-	return f, isSingle && seen["host"] == 1
+	return f, f.hosts == 1 && f.bodies <= 1 && f.expectations <= 1
 }
 
 // apply adds what a header field tells. It returns false if that is not clear.
-func (f *framing) apply(field, value string) bool {
-	switch field {
-	case "content-length":
-		length, err := strconv.ParseUint(value, 10, 62)
+func (f *framing) apply(name, value []byte) bool {
+	switch {
+	case isField(name, "host"):
+		f.hosts++
+	case isField(name, "content-length"):
+		f.bodies++
+		length, err := strconv.ParseUint(string(value), 10, 62)
 		f.length = int64(length)
 		return err == nil
-	case "transfer-encoding":
+	case isField(name, "transfer-encoding"):
+		f.bodies++
 		f.isChunked = true
-		return bytes.EqualFold([]byte(value), []byte("chunked"))
-	case "connection":
-		for option := range bytes.SplitSeq([]byte(value), []byte(",")) {
-			f.isLast = f.isLast || bytes.EqualFold(bytes.Trim(option, " \t"), []byte("close"))
+		return isField(value, "chunked")
+	case isField(name, "connection"):
+		for option := range bytes.SplitSeq(value, []byte(",")) {
+			f.isLast = f.isLast || isField(bytes.Trim(option, " \t"), "close")
 		}
-	case "expect":
-		return bytes.EqualFold([]byte(value), []byte("100-continue"))
+	case isField(name, "expect"):
+		f.expectations++
+		return isField(value, "100-continue")
 	}
 	return true
 }
 
+// isField reports whether a field name or an option is the given one.
+func isField(name []byte, want string) bool {
+	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
+}
+
 // isRequestLine reports whether a line begins a request of HTTP/1.1 for a path.
 func isRequestLine(line []byte) bool {
-	parts := bytes.Split(line, []byte(" "))
-	if len(parts) != 3 || !isToken(parts[0]) || !bytes.HasPrefix(parts[1], []byte("/")) || !isPrintable(parts[1]) {
+	method, rest, _ := bytes.Cut(line, []byte(" "))
+	target, ok := bytes.CutSuffix(rest, []byte(" HTTP/1.1"))
+	if !ok || !isToken(method) || !bytes.HasPrefix(target, []byte("/")) || bytes.Contains(target, []byte(" ")) {
 		return false
 	}
-	_, err := url.ParseRequestURI(string(parts[1]))
-	return err == nil && string(parts[2]) == "HTTP/1.1"
+	_, err := url.ParseRequestURI(string(target))
+	return err == nil && isPrintable(target)
 }
 
 // isFieldValue reports whether a field value has no control characters but
