Count no request that is refused a way through another host

A stopping host that reaches no target refused long responses before they went through another entry host, and counted each as accepted for good: TestWorkAfterRefusedPeer had 10 requests and 10,000 bytes left after 10 refusals. Callers saw later long responses refused as not-ready although the link was idle, and the log stated accepted requests that did not exist.

The request was counted before the decision, and the handler ends only requests that it was told to carry out. It is now counted after the decision; the decision itself counts only the bytes of other requests.

--- a/admit/peer.go
+++ b/admit/peer.go
@@ -52,10 +52,10 @@
 	if !ok {
 		return Decision{}, false
 	}
-	c.work.accept(s)
 	if !c.canWaitForPeer(now, s) {
 		return Decision{state: s, reason: NotReady, retryAfter: defaultRetryAfter}, true
 	}
+	c.work.accept(s)
 	s.triedPeers = append(s.triedPeers, peer.Address())
 	s.attemptsBefore, s.attempts = s.attempts, s.route.Attempts()
 	return Decision{state: s, peer: ident.Some(peer)}, true
--- a/admit/peer_test.go
+++ b/admit/peer_test.go
@@ -212,3 +212,24 @@
 		})
 	}
 }
+
+// TestWorkAfterRefusedPeer guards against requests that a stopping host refuses to
+// send through another one and counts as accepted for good: no handler ends them,
+// and their bytes make it refuse further long responses.
+func TestWorkAfterRefusedPeer(t *testing.T) {
+	controller := newPeerController(t)
+	controller.SetLinkRate(1000)
+	d := controller.Admit(start, request("/o/1", "", 0))
+	controller.ResponseBegun(d.State(), ident.Some[int64](1000))
+	controller.RequestEnded(d.State(), true)
+	controller.StopBy(start.Add(time.Minute))
+	controller.cutOff("s")
+	for range 10 {
+		if reason, _ := controller.Admit(start, request("/o/1", "", 0)).Refused(); reason != NotReady {
+			t.Fatalf("reason %q, want %q", reason, NotReady)
+		}
+	}
+	if got := controller.Work(); got != (Work{}) {
+		t.Errorf("work %+v behind refused requests, want none", got)
+	}
+}
