State no attempt for a choice that a stopping host takes back

Confirm refuses a request whose body has arrived when the host can no longer answer it, but left the attempt at the chosen target counted. The refusal stated one attempt although nothing was sent. To a request of another entry host that makes the refusal final (PeerRefusal.isFinal): the caller gets 503 instead of an answer through a further host. It is read from the code for the peer; TestAttemptsOfRefusedChoice shows the wrong number.

The attempt is taken back as where another target is chosen.

--- a/admit/retry.go
+++ b/admit/retry.go
@@ -49,6 +49,7 @@
 	}
 	if !c.canAnswer(now, d.state) {
 		c.table.RecordResult(now, d.choice, spread.Abandoned, ident.None[spread.Load]())
+		d.state.attempts--
 		return Decision{state: d.state, reason: NotReady, retryAfter: defaultRetryAfter}
 	}
 	if c.table.Confirms(now, d.choice) {
--- a/admit/stop_test.go
+++ b/admit/stop_test.go
@@ -118,3 +118,16 @@
 		})
 	}
 }
+
+// TestAttemptsOfRefusedChoice guards against a refusal that states an attempt which
+// was not made: another entry host then takes the refusal for final and does not
+// send the request elsewhere.
+func TestAttemptsOfRefusedChoice(t *testing.T) {
+	controller := newTestController(t, 60)
+	d := controller.Admit(start, request("/o/1", "", 0))
+	controller.StopBy(start.Add(-time.Second))
+	d = controller.Confirm(start, d)
+	if reason, _ := d.Refused(); reason != NotReady || d.State().Attempts() != 0 {
+		t.Errorf("reason %q after %d attempts, want %q after none", reason, d.State().Attempts(), NotReady)
+	}
+}
