Bound the length with which a response counts at a stop

A target that states a length near 2^63 made the sum of the bytes that the link owes negative (TestStopBehindLongestResponse: -3 bytes behind three such responses), and the time that it needs 0. A stopping host then took any further response as one that is sent at once.

--- a/admit/stop.go
+++ b/admit/stop.go
@@ -10,6 +10,10 @@
 // stopping host expects the response to a request.
 const stopLatencyFactor = 2
 
+// maxLinkWait is the longest time for which a response is expected to wait for the
+// link. It is longer than any stop, and fits into a time.Duration.
+const maxLinkWait = 24 * time.Hour
+
 // StopBy refuses requests whose last byte is not expected to be sent by the given
 // time, when the host exits. Another host can answer them.
 func (c *Controller) StopBy(at time.Time) { c.stopAt = at }
@@ -68,7 +72,8 @@
 	t := StopTerms{left: c.stopAt.Sub(now), owed: c.work.owedToOthers(s), expected: c.work.size(s).atMost()}
 	t.needed = stopLatencyFactor * c.table.TypicalLatency(s.service)
 	if c.linkRate > 0 && t.expected > 0 {
-		t.needed += time.Duration(float64(t.owed+t.expected) / c.linkRate * float64(time.Second))
+		seconds := min(float64(t.owed+t.expected)/c.linkRate, maxLinkWait.Seconds())
+		t.needed += time.Duration(seconds * float64(time.Second))
 	}
 	return t
 }
--- a/admit/stop_test.go
+++ b/admit/stop_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -131,3 +132,24 @@
 		t.Errorf("reason %q after %d attempts, want %q after none", reason, d.State().Attempts(), NotReady)
 	}
 }
+
+// TestStopBehindLongestResponse guards against sums of lengths that do not fit into
+// their types: a stopping host would take the responses as ones that are sent at once.
+func TestStopBehindLongestResponse(t *testing.T) {
+	controller := newTestController(t, 60)
+	controller.SetLinkRate(1000)
+	for range 3 {
+		d := controller.Admit(start, request("/o/1", "", 0))
+		if reason, refused := d.Refused(); refused {
+			t.Fatalf("refused: %s", reason)
+		}
+		controller.ResponseBegun(d.State(), ident.Some[int64](math.MaxInt64))
+		controller.RecordResult(start, d.Choice(), spread.Served, ident.None[spread.Load]())
+	}
+	controller.StopBy(start.Add(time.Hour))
+	d := controller.Admit(start, request("/o/1", "", 0))
+	terms, _ := d.State().StopTerms().Get()
+	if reason, _ := d.Refused(); reason != NotReady || controller.Work().Bytes() < 0 {
+		t.Errorf("reason %q, work %+v, terms %+v; want %q", reason, controller.Work(), terms, NotReady)
+	}
+}
--- a/admit/work.go
+++ b/admit/work.go
@@ -89,6 +89,10 @@
 	}
 }
 
+// maxCountedBytes is the length of the longest response that is counted in full.
+// A target may state any length, and sums of some do not fit into their type.
+const maxCountedBytes = 1 << 40
+
 // ResponseBegun records that a long response to an accepted request begins, with
 // its length if that is known. Otherwise it counts as one of the largest of its
 // route, since it may go on after the typical size.
@@ -105,6 +109,7 @@
 		w.setRest(a, w.size(s).atMost())
 		return
 	}
+	n = min(n, maxCountedBytes)
 	a.hasLength = true
 	w.setRest(a, n)
 	w.size(s).observe(n)
