Take a line end behind a body for no part of a request

A caller that sends a line end behind the body of a POST request, which net/http skips, kept its idle connection open at a shutdown until the idle time had passed, and the host waited for it to the end of the grace period.

The scanner took the line end for a part of the next request, and a connection with a part of a request is not closed as idle. Line ends in front of a header now count as none.

--- a/relay/closing_test.go
+++ b/relay/closing_test.go
@@ -139,3 +139,23 @@
 		})
 	}
 }
+
+// TestShutdownBehindLineEnd guards against a shutdown that waits for the idle time
+// of a connection on which a line end was sent behind a body, as some callers do.
+func TestShutdownBehindLineEnd(t *testing.T) {
+	for _, end := range []string{"\r\n", "\n", "\r\n\r"} {
+		t.Run(fmt.Sprintf("%q", end), func(t *testing.T) {
+			t.Parallel()
+			front, _ := startRecordedFront(t, answeringHandler{})
+			caller := newPipeliningCaller(t, &testHost{address: front.listener.Addr().String()})
+			caller.send(post("a") + end)
+			caller.expect("a")
+			done := beginShutdown(t, front)
+			caller.expectEnd()
+			if err := caller.conn.Close(); err != nil {
+				t.Fatal(err)
+			}
+			<-done
+		})
+	}
+}
--- a/relay/request_scanner.go
+++ b/relay/request_scanner.go
@@ -122,8 +122,11 @@
 // giveUp makes all further requests count as not plain.
 func (s *requestScanner) giveUp() { s.gaveUp = true }
 
-// hasPartial reports whether a part of a request has arrived.
-func (s *requestScanner) hasPartial() bool { return len(s.partial) > 0 || s.heads > s.whole }
+// hasPartial reports whether a part of a request has arrived. Line ends in front of
+// a header are none: net/http skips them behind a body of a POST request.
+func (s *requestScanner) hasPartial() bool {
+	return len(bytes.Trim(s.partial, "\r\n")) > 0 || s.heads > s.whole
+}
 
 // isAlmostWhole reports whether one byte of the last request is missing, if that
 // is one behind the first number ones.
