Read an expected body that has arrived before a refusal

net/http ends a connection on which an expected body is unread. Behind a request in a form that the scanner does not follow the end remains.

--- a/relay/front.go
+++ b/relay/front.go
@@ -161,6 +161,7 @@
 		defer cancel()
 		// The server cannot notice the end of a connection that is read ahead.
 		defer context.AfterFunc(p.ctx, cancel)()
+		p.readExpected(r)
 		t.handler.ServeHTTP(response, r.WithContext(ctx))
 	}
 	response.beginHeader()
