End the count of a peer that a stopping host does not use

A stopping host chose another entry host for each long response that it then refused, and went on to count the request as in flight there. After 100 refusals a short request went to a host of another region, although the near one was idle (TestPeerAfterRefusals).

Peers.Choose counts, and the caller must pass the peer to Record; the refusal did not. It now records the attempt as inconclusive.

--- a/admit/peer.go
+++ b/admit/peer.go
@@ -53,6 +53,7 @@
 		return Decision{}, false
 	}
 	if !c.canWaitForPeer(now, s) {
+		c.peers.Record(now, peer, s.service, now, reach.Inconclusive)
 		return Decision{state: s, reason: NotReady, retryAfter: defaultRetryAfter}, true
 	}
 	c.work.accept(s)
--- a/admit/peer_test.go
+++ b/admit/peer_test.go
@@ -233,3 +233,25 @@
 		t.Errorf("work %+v behind refused requests, want none", got)
 	}
 }
+
+// TestPeerAfterRefusals guards against requests that a stopping host refuses and goes
+// on to count as in flight at another one, which then is passed over.
+func TestPeerAfterRefusals(t *testing.T) {
+	controller := newPeerController(t)
+	controller.SetLinkRate(1000)
+	d := controller.Admit(start, request("/o/1", "", 0))
+	controller.ResponseBegun(d.State(), ident.Some[int64](1000))
+	controller.RequestEnded(d.State(), true)
+	controller.StopBy(start.Add(time.Minute))
+	controller.cutOff("s")
+	controller.cutOff("u")
+	for range 100 {
+		if reason, _ := controller.Admit(start, request("/o/1", "", 0)).Refused(); reason != NotReady {
+			t.Fatalf("reason %q, want %q", reason, NotReady)
+		}
+	}
+	d = controller.Admit(start, request("/a/1", "free", 0))
+	if peer, _ := d.Peer().Get(); peer.Address() != "near:1" {
+		t.Errorf("peer %q, want near:1", peer.Address())
+	}
+}
