Check a request for a peer again after its body has arrived

A stopping host takes no long response through another entry host, and none that cannot be answered in time. A request that was decided on before the signal, and whose body arrived after it, was sent through the other host all the same: Confirm looked at targets only. Its caller is then told at the end of the grace period that it may have run, or gets a part of the response.

--- a/admit/peer.go
+++ b/admit/peer.go
@@ -62,6 +62,20 @@
 	return Decision{state: s, peer: ident.Some(peer)}, true
 }
 
+// confirmPeer refuses a request that is no longer to be sent through its peer because
+// the host has begun to stop. Nothing was sent.
+func (c *Controller) confirmPeer(now time.Time, d Decision, peer reach.Peer) Decision {
+	s := d.state
+	handedOver := s.attempts
+	s.attempts = s.attemptsBefore
+	if !c.canWaitForPeer(now, s) {
+		c.peers.Record(now, peer, s.service, now, reach.Inconclusive)
+		return Decision{state: s, reason: NotReady, retryAfter: defaultRetryAfter}
+	}
+	s.attempts = handedOver
+	return d
+}
+
 // RetryPeer decides what happens to a request after a peer was unavailable for it.
 // Nothing was sent to a target.
 func (c *Controller) RetryPeer(now time.Time, s *RequestState) Decision {
--- a/admit/retry.go
+++ b/admit/retry.go
@@ -41,9 +41,12 @@
 	return c.chooseTarget(now, s)
 }
 
-// Confirm decides again on a request that has waited since its target was chosen,
-// if the target is no longer eligible or the host is stopping. Nothing was sent.
+// Confirm decides again on a request that has waited since its target or its peer was
+// chosen, if the target is no longer eligible or the host is stopping. Nothing was sent.
 func (c *Controller) Confirm(now time.Time, d Decision) Decision {
+	if peer, ok := d.peer.Get(); ok {
+		return c.confirmPeer(now, d, peer)
+	}
 	if !d.choice.IsFound() {
 		return d
 	}
--- a/admit/stop_test.go
+++ b/admit/stop_test.go
@@ -153,3 +153,40 @@
 		t.Errorf("reason %q, work %+v, terms %+v; want %q", reason, controller.Work(), terms, NotReady)
 	}
 }
+
+// TestStopWhileBodyArrivesForPeer guards against a request that is sent through another
+// host although its host has begun to stop, and can no longer answer it, while its body
+// was arriving.
+func TestStopWhileBodyArrivesForPeer(t *testing.T) {
+	cases := []struct {
+		name     string
+		size     int64
+		left     time.Duration
+		reason   Reason
+		attempts int
+	}{
+		{"short response", 0, time.Minute, "", 3},
+		{"short response, too late", 0, -time.Second, NotReady, 0},
+		{"long response", 1000, time.Minute, NotReady, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			controller := newPeerController(t)
+			controller.SetLinkRate(1000)
+			first := controller.Admit(start, request("/o/1", "", 0))
+			controller.ResponseBegun(first.State(), ident.Some(c.size))
+			controller.RequestEnded(first.State(), true)
+			controller.cutOff("s")
+			d := controller.Admit(start, request("/o/1", "", 0))
+			if _, ok := d.Peer().Get(); !ok {
+				t.Fatal("not sent through a peer")
+			}
+			controller.StopBy(start.Add(c.left))
+			d = controller.Confirm(start, d)
+			reason, refused := d.Refused()
+			if _, ok := d.Peer().Get(); reason != c.reason || ok == refused || d.State().Attempts() != c.attempts {
+				t.Errorf("reason %q, peer %v, %d attempts; want %q, %d attempts", reason, ok, d.State().Attempts(), c.reason, c.attempts)
+			}
+		})
+	}
+}
