Count no body for the response to a HEAD request

The response to HEAD states the length of a body that does not follow. It taught admission that responses of its route are that long: after one HEAD with a length of 1 MB, a stopping host with 64 KiB/s refused a short GET as not-ready 5 s before its end (TestStopAfterHead). The length also counted as owed by the link until the request ended.

Its body now counts with 0 bytes, as that of a short response.

--- a/relay/stop_test.go
+++ b/relay/stop_test.go
@@ -201,3 +201,23 @@
 		})
 	}
 }
+
+// TestStopAfterHead guards against a stopping host that expects long responses on a
+// route because the responses to HEAD requests stated a length.
+func TestStopAfterHead(t *testing.T) {
+	h := newSlowHost(t, 64<<10, func(_ int, r *http.Request) string {
+		if r.Method == http.MethodHead {
+			return "HTTP/1.1 200 x\r\nId: " + r.Header.Get("Id") + "\r\nStamp: s\r\nContent-Length: 1000000\r\n\r\n"
+		}
+		return targetResponse(r, 200, "ok")
+	})
+	client := newClient(t)
+	response, _, err := h.call(t, client, http.MethodHead, "/long/1", "key", nil)
+	if err != nil || response.ContentLength != 1000000 {
+		t.Fatalf("response to HEAD: %v, error %v", response, err)
+	}
+	h.handler.admission.StopBy(h.clock.Now().Add(5 * time.Second))
+	if response, body, err := h.call(t, client, http.MethodGet, "/long/2", "key", nil); err != nil || body != "ok" {
+		t.Errorf("response %v, body %q, error %v; want ok", response, body, err)
+	}
+}
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -29,10 +29,7 @@
 	// The latency of the target is the time to the first bytes; the rest
 	// depends on the network.
 	rh.recordResult(d, result, response)
-	length := ident.None[int64]()
-	if r.ContentLength >= 0 {
-		length = ident.Some(r.ContentLength)
-	}
+	length := rh.bodyLength(r)
 	rh.handler.admission.ref.Tell(responseBegun{state: d.State(), length: length})
 	w := countingWriter{writer: rh.writer, admission: rh.handler.admission, state: d.State()}
 	body := rh.paced(r.Body, length)
@@ -52,6 +49,18 @@
 	rh.recordEnd(d, "answered", attrs...)
 }
 
+// bodyLength returns the length of the body of a response, if it is known. The response
+// to a HEAD request states the length of a body that does not follow.
+func (rh *requestHandler) bodyLength(r *http.Response) ident.Option[int64] {
+	switch {
+	case rh.incoming.Method == http.MethodHead:
+		return ident.Some[int64](0)
+	case r.ContentLength >= 0:
+		return ident.Some(r.ContentLength)
+	}
+	return ident.None[int64]()
+}
+
 // paced returns the rest of a long response, paced if the host has a slow
 // link.
 func (rh *requestHandler) paced(body io.Reader, length ident.Option[int64]) *pacedReader {
