--- a/admit/stop_test.go
+++ b/admit/stop_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -118,3 +119,74 @@
 		})
 	}
 }
+
+// TestAttemptsOfRefusedChoice guards against a refusal that states an attempt which
+// was not made: another entry host then takes the refusal for final and does not
+// send the request elsewhere.
+func TestAttemptsOfRefusedChoice(t *testing.T) {
+	controller := newTestController(t, 60)
+	d := controller.Admit(start, request("/o/1", "", 0))
+	controller.StopBy(start.Add(-time.Second))
+	d = controller.Confirm(start, d)
+	if reason, _ := d.Refused(); reason != NotReady || d.State().Attempts() != 0 {
+		t.Errorf("reason %q after %d attempts, want %q after none", reason, d.State().Attempts(), NotReady)
+	}
+}
+
+// TestStopBehindLongestResponse guards against sums of lengths that do not fit into
+// their types: a stopping host would take the responses as ones that are sent at once.
+func TestStopBehindLongestResponse(t *testing.T) {
+	controller := newTestController(t, 60)
+	controller.SetLinkRate(1000)
+	for range 3 {
+		d := controller.Admit(start, request("/o/1", "", 0))
+		if reason, refused := d.Refused(); refused {
+			t.Fatalf("refused: %s", reason)
+		}
+		controller.ResponseBegun(d.State(), ident.Some[int64](math.MaxInt64))
+		controller.RecordResult(start, d.Choice(), spread.Served, ident.None[spread.Load]())
+	}
+	controller.StopBy(start.Add(time.Hour))
+	d := controller.Admit(start, request("/o/1", "", 0))
+	terms, _ := d.State().StopTerms().Get()
+	if reason, _ := d.Refused(); reason != NotReady || controller.Work().Bytes() < 0 {
+		t.Errorf("reason %q, work %+v, terms %+v; want %q", reason, controller.Work(), terms, NotReady)
+	}
+}
+
+// TestStopWhileBodyArrivesForPeer guards against a request that is sent through another
+// host although its host has begun to stop, and can no longer answer it, while its body
+// was arriving.
+func TestStopWhileBodyArrivesForPeer(t *testing.T) {
+	cases := []struct {
+		name     string
+		size     int64
+		left     time.Duration
+		reason   Reason
+		attempts int
+	}{
+		{"short response", 0, time.Minute, "", 3},
+		{"short response, too late", 0, -time.Second, NotReady, 0},
+		{"long response", 1000, time.Minute, NotReady, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			controller := newPeerController(t)
+			controller.SetLinkRate(1000)
+			first := controller.Admit(start, request("/o/1", "", 0))
+			controller.ResponseBegun(first.State(), ident.Some(c.size))
+			controller.RequestEnded(first.State(), true)
+			controller.cutOff("s")
+			d := controller.Admit(start, request("/o/1", "", 0))
+			if _, ok := d.Peer().Get(); !ok {
+				t.Fatal("not sent through a peer")
+			}
+			controller.StopBy(start.Add(c.left))
+			d = controller.Confirm(start, d)
+			reason, refused := d.Refused()
+			if _, ok := d.Peer().Get(); reason != c.reason || ok == refused || d.State().Attempts() != c.attempts {
+				t.Errorf("reason %q, peer %v, %d attempts; want %q, %d attempts", reason, ok, d.State().Attempts(), c.reason, c.attempts)
+			}
+		})
+	}
+}
