Log slow heartbeats with the way that was slow

Requests reach targets that drain, and are handled by old configurations, after entry hosts on slow links lost contact to all control hosts for seconds. The logs did not show on which way the messages waited.

The reply to a heartbeat now carries the time at which it was sent. From it the host computes by how much each way exceeds the fastest one seen; the difference of the clocks cancels out. A heartbeat that fails, or whose reply takes 400 ms, is logged with both, with the age of the newest contact, and with the bytes of targets that wait to be read.

--- a/link/conn.go
+++ b/link/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"rhubarbrack/tasks"
 )
 
 const (
@@ -56,6 +58,8 @@
 	address string
 	// requests are those that the connection was handed out for.
 	requests requestSet
+	// pool is told when the connection closes. It is nil outside a pool.
+	pool *tasks.Ref
 	// keepAlive is how long the connection may stay idle.
 	keepAlive time.Duration
 	idleSince time.Time
@@ -81,7 +85,16 @@
 func (c *Conn) LocalAddress() string { return c.socket.LocalAddr().String() }
 
 // close closes a connection that carries no request.
-func (c *Conn) close() { _ = c.socket.Close() }
+func (c *Conn) close() {
+	_ = c.socket.Close()
+	c.reportClosed()
+}
+
+func (c *Conn) reportClosed() {
+	if c.pool != nil {
+		c.pool.Tell(closed{conn: c})
+	}
+}
 
 // abort resets the connection and discards unsent bytes, so that no part of a
 // cancelled request arrives later.
@@ -90,7 +103,7 @@
 		// The connection is closed either way.
 		_ = t.SetLinger(0)
 	}
-	_ = c.socket.Close()
+	c.close()
 }
 
 // isReusable reports whether the connection is open and has no unread bytes.
--- a/link/pool.go
+++ b/link/pool.go
@@ -141,6 +141,8 @@
 	}
 	c := newConn(socket, address)
 	c.requests.add(p.hash(id))
+	c.pool = p.ref
+	p.ref.Tell(opened{conn: c})
 	return c, nil
 }
 
@@ -166,10 +168,11 @@
 	closeExpired struct{}
 )
 
-// poolTask owns the idle connections.
+// poolTask owns the idle connections, and knows those in use.
 type poolTask struct {
 	clock clock.Clock
 	idle  map[string][]*Conn
+	inUse map[*Conn]bool
 }
 
 var (
@@ -188,6 +191,12 @@
 		t.closeIdle(m.address)
 	case closeExpired:
 		t.closeExpired()
+	case opened:
+		t.markInUse(m.conn)
+	case closed:
+		delete(t.inUse, m.conn)
+	case getUnread:
+		m.reply.Send(t.unread())
 	}
 }
 
@@ -209,6 +218,7 @@
 		t.idle[address] = slices.Delete(t.idle[address], i, i+1)
 		if now.Sub(c.idleSince) < c.keepAlive && c.isReusable() {
 			c.requests.add(hash)
+			t.markInUse(c)
 			return c
 		}
 		c.close()
@@ -223,6 +233,7 @@
 }
 
 func (t *poolTask) put(c *Conn) {
+	delete(t.inUse, c)
 	if c.requests.isFull() || len(t.idle[c.address]) >= maxIdlePerTarget {
 		c.close()
 		return
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -98,6 +98,7 @@
 type clientOptions struct {
 	linkRate    float64
 	meter       Meter
+	inbound     Inbound
 	peerPort    int
 	wireOptions []wire.Option
 }
@@ -116,6 +117,10 @@
 // transfers.
 func WithClientMeter(m Meter) ClientOption { return func(o *clientOptions) { o.meter = m } }
 
+// WithInbound sets what tells how many bytes of targets wait to be read, for the
+// log lines of slow heartbeats.
+func WithInbound(i Inbound) ClientOption { return func(o *clientOptions) { o.inbound = i } }
+
 // WithNeighbours makes the host ask other entry hosts for the evacuated zones and
 // the list of targets while no control host replies. All entry hosts listen for
 // each other at the given port, see ControlClient.Register.
@@ -129,13 +134,13 @@
 	zone ident.Zone, region ident.Region, seeds []string, window time.Duration, listener Listener,
 	options ...ClientOption,
 ) (*ControlClient, error) {
-	o := clientOptions{meter: noMeter{}}
+	o := clientOptions{meter: noMeter{}, inbound: noInbound{}}
 	for _, apply := range options {
 		apply(&o)
 	}
 	t := &controlClientTask{
 		ctx: ctx, system: system, clock: c, log: log, listener: listener, peers: map[string]*peer{},
-		peerPort: o.peerPort, wireOptions: o.wireOptions,
+		peerPort: o.peerPort, wireOptions: o.wireOptions, meter: o.meter, inbound: o.inbound,
 		// Each host begins to look for neighbours at another position.
 		nextNeighbour: xxhash.Sum64String(string(host)),
 		heartbeat:     HeartbeatRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -30,7 +30,10 @@
 		// toLeader is set if the heartbeat had the parts for the leader.
 		toLeader bool
 		record   HeartbeatReplyRecord
-		err      error
+		// waiting is what targets had sent and nobody had read when a slow reply
+		// came.
+		waiting WaitingBytes
+		err     error
 	}
 	// configReceived reports a configuration that has arrived and is not in
 	// force yet.
@@ -62,6 +65,9 @@
 	// this host has from it.
 	isTold      bool
 	suspectsTag uint64
+	// fastest are the shortest times of a heartbeat to the control host and of
+	// its reply, including the difference of the two clocks.
+	fastest heartbeatTimes
 }
 
 // controlClientTask owns what the entry host has learned.
@@ -108,6 +114,8 @@
 	// packed is the list for neighbours, with the cold times of packedAsOf.
 	packed     ListRecord
 	packedAsOf time.Time
+	meter      Meter
+	inbound    Inbound
 }
 
 var _ tasks.Task = (*controlClientTask)(nil)
@@ -268,6 +276,9 @@
 	}
 	m := heartbeatDone{peer: p, sent: sent, toLeader: leads}
 	m.err = p.client.Call(call, methodHeartbeat, &heartbeat, &m.record)
+	if now := t.clock.Now(); now.Sub(sent) >= slowHeartbeat {
+		m.waiting = t.readWaiting(call)
+	}
 	t.self.Tell(m)
 }
 
@@ -355,11 +366,11 @@
 
 func (t *controlClientTask) heartbeatDone(m heartbeatDone) {
 	m.peer.busy = false
+	now := t.clock.Now()
+	t.recordHeartbeat(now, m)
 	if m.err != nil {
-		t.log.Debug("mesh: heartbeat failed", "peer", m.peer.address, "error", m.err)
 		return
 	}
-	now := t.clock.Now()
 	if m.peer.lost {
 		t.log.Info("mesh: contact to control host restored", "peer", m.peer.address)
 	}
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -147,6 +147,9 @@
 		// of the heartbeat.
 		Suspects    []SuspectRecord
 		SuspectsTag uint64
+		// At is when the control host replied, in Unix microseconds of its own
+		// clock. Control hosts of earlier releases send 0.
+		At int64
 	}
 	// EmptyRecord is a request without parameters.
 	EmptyRecord struct{}
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -242,7 +242,7 @@
 	reply := HeartbeatReplyRecord{
 		Controls: r.controlHostList(), Region: string(r.region), Revision: uint64(r.revision), HasState: true,
 		Version: r.state.Version(), Zones: zoneNames(r.state.Evacuated()), Hosts: len(r.hosts),
-		Returned: r.returned.records(now),
+		Returned: r.returned.records(now), At: now.UnixMicro(),
 	}
 	reply.Change = r.change(record.Version)
 	if r.list != nil {
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -137,6 +137,20 @@
 // MergeSuspects implements mesh.Listener.
 func (e *entryListener) MergeSuspects(reports []guard.Report) { e.admission.MergeSuspects(reports) }
 
+// targetBytes tells the mesh what targets have sent that nobody has read.
+type targetBytes struct{ pool *link.Pool }
+
+var _ mesh.Inbound = targetBytes{}
+
+// Waiting implements mesh.Inbound.
+func (b targetBytes) Waiting(ctx context.Context) (mesh.WaitingBytes, error) {
+	u, err := b.pool.Unread(ctx)
+	if err != nil {
+		return mesh.WaitingBytes{}, fmt.Errorf("entry host: %w", err)
+	}
+	return mesh.NewWaitingBytes(u.Connections(), u.Bytes(), u.Most()), nil
+}
+
 // BecomeReady implements mesh.Listener.
 func (e *entryListener) BecomeReady() { e.ready.Store(true) }
 
@@ -196,7 +210,7 @@
 	listener := &entryListener{host: c, decode: decode, admission: admission, ready: &ready}
 	client, err := mesh.NewControlClient(taskCtx, system, c.clock, c.log, c.host, callers, c.zone, c.region, c.seeds,
 		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate),
-		mesh.WithClientMeter(hostMeter), mesh.WithNeighbours(c.peerPort), mesh.WithClientDialer(c.dialer))
+		mesh.WithClientMeter(hostMeter), mesh.WithInbound(targetBytes{pool: pool}), mesh.WithNeighbours(c.peerPort), mesh.WithClientDialer(c.dialer))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
