Keep a silent connection until another one is open

Entry hosts lost contact to all control hosts for 2 to 4 s while their link was full, and went on with old lists of targets and configurations: requests reached targets that had been draining for more than 3 s, and were handled as older versions allow.

A client closed its connection when a call expired and the last response was over a second old. On a full link the responses were under way, up to two seconds behind the responses of targets, and were lost with the connection. The new one had to pass the same queue, so that dials of 250 and 500 ms failed before one of a second succeeded. Requests for tokens, which wait for 100 ms or so, caused it as well as heartbeats.

The client now opens another connection beside the silent one. Calls wait for whichever responds or opens first, and the other one is dropped. A connection that went silent for good is replaced as before (TestSilentConnection, unchanged).

--- a/wire/client.go
+++ b/wire/client.go
@@ -30,7 +30,7 @@
 )
 
 // Client calls one peer. Its task owns the connection, dials on demand and
-// replaces a connection that has stopped responding. It is safe for concurrent
+// replaces a connection that has stopped responding by one that opens. It is safe for concurrent
 // use.
 type Client struct {
 	ref     *tasks.Ref
@@ -65,6 +65,10 @@
 // not wait for it.
 func (c *Client) Connect() { c.ref.Tell(connect{}) }
 
+// ReplaceSilent opens another connection if the current one has been silent for
+// too long. A caller that has waited for a while, and still waits, calls it.
+func (c *Client) ReplaceSilent() { c.ref.Tell(callExpired{}) }
+
 // Close stops the client and closes its connection.
 func (c *Client) Close() { c.ref.Stop() }
 
@@ -119,7 +123,8 @@
 	}
 	// connect requests a connection.
 	connect struct{}
-	// callExpired reports that a caller has stopped waiting.
+	// callExpired reports that a caller has stopped waiting, or has waited for
+	// a while.
 	callExpired struct{}
 	// dialDone carries the result of a dial.
 	dialDone struct {
@@ -127,23 +132,31 @@
 		err    error
 	}
 	// responseReceived reports the arrival of a response.
-	responseReceived struct{ at time.Time }
+	responseReceived struct {
+		client *rpc.Client
+		at     time.Time
+	}
 	// connectionBroken reports that a connection has failed.
 	connectionBroken struct{ client *rpc.Client }
 )
 
 // maxSilence is how long a connection with expired calls may receive no
-// response before it is replaced. A network partition that drops packets
-// leaves such a connection open.
+// response before another one is opened. A network partition that drops packets
+// leaves such a connection open. It is closed only once the other one is open:
+// on a full link responses come late, and a new connection has to pass the same
+// queue.
 const maxSilence = time.Second
 
 // connection is the task that owns the socket to one peer.
 type connection struct {
-	ctx          context.Context
-	self         *tasks.Ref
-	address      string
-	options      options
-	client       *rpc.Client
+	ctx     context.Context
+	self    *tasks.Ref
+	address string
+	options options
+	client  *rpc.Client
+	// suspected is set while the connection has been silent for too long. Calls
+	// then wait for its next response or for another connection.
+	suspected    bool
 	dialling     bool
 	waiting      []invoke
 	lastResponse time.Time
@@ -169,11 +182,9 @@
 	case dialDone:
 		c.dialDone(m)
 	case responseReceived:
-		c.lastResponse = m.at
+		c.responseReceived(m)
 	case callExpired:
-		if c.client != nil && c.clock().Now().Sub(c.lastResponse) > maxSilence {
-			c.closeConnection()
-		}
+		c.callExpired()
 	case connectionBroken:
 		if c.client == m.client {
 			c.closeConnection()
@@ -190,7 +201,7 @@
 func (c *connection) clock() clock.Clock { return c.options.clock }
 
 func (c *connection) invoke(m invoke) {
-	if c.client != nil {
+	if c.client != nil && !c.suspected {
 		c.send(m)
 		return
 	}
@@ -202,6 +213,27 @@
 	c.startDial()
 }
 
+// responseReceived ends the suspicion against a connection.
+func (c *connection) responseReceived(m responseReceived) {
+	if c.client != m.client {
+		return
+	}
+	c.lastResponse, c.suspected = m.at, false
+	c.sendWaiting()
+}
+
+// callExpired opens another connection if the current one is silent.
+func (c *connection) callExpired() {
+	now := c.clock().Now()
+	if c.client == nil || now.Sub(c.lastResponse) <= maxSilence {
+		return
+	}
+	c.suspected = true
+	if !now.Before(c.nextDial) {
+		c.startDial()
+	}
+}
+
 // startDial dials unless a dial is under way.
 func (c *connection) startDial() {
 	if !c.dialling {
@@ -257,8 +289,18 @@
 		c.failWaiting(fmt.Errorf("%w: %w", ErrUnreachable, m.err))
 		return
 	}
-	c.client, c.nextDialTimeout = m.client, c.options.firstDialTimeout
-	c.lastResponse = c.clock().Now()
+	c.nextDialTimeout = c.options.firstDialTimeout
+	if c.client != nil && !c.suspected {
+		// The current connection has responded meanwhile.
+		_ = m.client.Close()
+		return
+	}
+	c.closeConnection()
+	c.client, c.lastResponse = m.client, c.clock().Now()
+	c.sendWaiting()
+}
+
+func (c *connection) sendWaiting() {
 	waiting := c.waiting
 	c.waiting = nil
 	for _, w := range waiting {
@@ -285,13 +327,13 @@
 	go func() {
 		<-call.Done
 		if call.Error == nil {
-			c.self.Tell(responseReceived{at: c.clock().Now()})
+			c.self.Tell(responseReceived{client: client, at: c.clock().Now()})
 			m.result <- nil
 			return
 		}
 		var refused rpc.ServerError
 		if errors.As(call.Error, &refused) {
-			c.self.Tell(responseReceived{at: c.clock().Now()})
+			c.self.Tell(responseReceived{client: client, at: c.clock().Now()})
 			m.result <- fmt.Errorf("peer refused the call: %w", call.Error)
 			return
 		}
@@ -303,6 +345,6 @@
 func (c *connection) closeConnection() {
 	if c.client != nil {
 		_ = c.client.Close()
-		c.client = nil
 	}
+	c.client, c.suspected = nil, false
 }
