Send heartbeats while replies are under way

A host sent no heartbeat to a control host while it waited for a reply, for 900 ms at most, and dropped replies that took longer. With replies that take 0.8 s it heard of a change up to 2 s after it, or never.

Up to five heartbeats may now wait for their replies, for 2 s each, so that a full link delays what they tell but makes it no less frequent. A reply that is older than one that was applied only counts as contact. After 900 ms without a reply another connection is opened beside the current one, as soon as before.

--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -52,14 +52,20 @@
 
 // peer is an entry host's view of a control host.
 type peer struct {
-	address   string
-	client    *wire.Client
-	busy      bool
-	lastHeard time.Time
-	lost      bool
-	hostCount int
-	leads     bool
-	ready     readyList
+	address string
+	client  *wire.Client
+	// busy is set while a neighbour is asked.
+	busy bool
+	// pending holds when the heartbeats without a reply were sent, in ascending
+	// order.
+	pending []time.Time
+	// newestSent is when the heartbeat with the newest reply was sent.
+	newestSent time.Time
+	lastHeard  time.Time
+	lost       bool
+	hostCount  int
+	leads      bool
+	ready      readyList
 	// isTold is set once the control host, as the leader, has what this host
 	// knows of requests that may crash targets, and suspectsTag identifies what
 	// this host has from it.
@@ -229,8 +235,7 @@
 	}
 }
 
-// sendHeartbeats sends a heartbeat to each control host that has none in
-// flight.
+// sendHeartbeats sends a heartbeat to each control host to which one is due.
 func (t *controlClientTask) sendHeartbeats() {
 	now := t.clock.Now()
 	known := t.readyTags()
@@ -239,10 +244,13 @@
 			p.lost = true
 			t.log.Warn("mesh: no contact to control host", "peer", p.address, "silent", now.Sub(p.lastHeard).String())
 		}
-		if p.busy {
+		if p.isOverdue(now) {
+			p.client.ReplaceSilent()
+		}
+		if !p.isDue(now) {
 			continue
 		}
-		p.busy = true
+		p.pending = append(p.pending, now)
 		heartbeat := t.heartbeat
 		heartbeat.ReadyTag, heartbeat.ReadyTags, heartbeat.ListTag = p.ready.tag, known, t.listTag
 		heartbeat.SuspectsTag = p.suspectsTag
@@ -254,7 +262,7 @@
 
 // sendHeartbeat sends a heartbeat to one control host.
 func (t *controlClientTask) sendHeartbeat(p *peer, heartbeat HeartbeatRecord, leads, isTold bool, sent time.Time) {
-	call, cancel := context.WithTimeout(t.ctx, callTimeout)
+	call, cancel := context.WithTimeout(t.ctx, heartbeatTimeout)
 	defer cancel()
 	if leads {
 		demands, err := t.listener.Demand(call)
@@ -365,8 +373,8 @@
 }
 
 func (t *controlClientTask) heartbeatDone(m heartbeatDone) {
-	m.peer.busy = false
 	now := t.clock.Now()
+	m.peer.endHeartbeat(m.sent)
 	t.recordHeartbeat(now, m)
 	if m.err != nil {
 		return
@@ -374,7 +382,11 @@
 	if m.peer.lost {
 		t.log.Info("mesh: contact to control host restored", "peer", m.peer.address)
 	}
-	m.peer.lastHeard, m.peer.lost, m.peer.hostCount = now, false, m.record.Hosts
+	m.peer.lastHeard, m.peer.lost = now, false
+	if m.sent.Before(m.peer.newestSent) {
+		return
+	}
+	m.peer.newestSent, m.peer.hostCount = m.sent, m.record.Hosts
 	t.updateReady(m.peer, m.record)
 	m.peer.leads = m.record.Leads
 	if m.record.Leads {
--- a/mesh/heartbeat_times.go
+++ b/mesh/heartbeat_times.go
@@ -2,9 +2,45 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
+const (
+	// heartbeatTimeout is how long the reply to a heartbeat may take. On a full
+	// link it waits behind the responses of targets; one that comes late is of
+	// use as long as it comes within the bound on changes of the configuration.
+	heartbeatTimeout = 2 * time.Second
+	// maxPendingHeartbeats is the number of heartbeats to one control host that
+	// may wait for their replies, so that replies that are slow are no less
+	// frequent.
+	maxPendingHeartbeats = int(heartbeatTimeout / heartbeatInterval)
+	// minHeartbeatGap is the least time between two heartbeats to a control host
+	// while no reply comes.
+	minHeartbeatGap = heartbeatInterval / 2
+)
+
+// isDue reports whether the next heartbeat to a control host is due: at once if
+// all have been answered.
+func (p *peer) isDue(now time.Time) bool {
+	n := len(p.pending)
+	return n == 0 || n < maxPendingHeartbeats && now.Sub(p.pending[n-1]) >= minHeartbeatGap
+}
+
+// isOverdue reports whether a heartbeat has waited for its reply for so long that
+// the connection may be dead.
+func (p *peer) isOverdue(now time.Time) bool {
+	return len(p.pending) > 0 && now.Sub(p.pending[0]) >= callTimeout
+}
+
+// endHeartbeat removes the heartbeat that was sent at a time from those without a
+// reply.
+func (p *peer) endHeartbeat(sent time.Time) {
+	if i := slices.IndexFunc(p.pending, sent.Equal); i >= 0 {
+		p.pending = slices.Delete(p.pending, i, i+1)
+	}
+}
+
 // slowHeartbeat is the time to the reply from which a heartbeat is logged. The
 // next one is due then.
 const slowHeartbeat = heartbeatInterval
