Send small changes of the list with the reply to a heartbeat

A list of targets was announced by a heartbeat's reply and fetched by another call. On a full link that is two waits behind the responses of targets, so that targets got requests over 3 s after they were listed as draining. In addition the time at which a list was read was counted back from the arrival of the response: after a response that had been under way for 1.5 s, the list that was read a second later counted as older and was not fetched until the one after it.

Hosts say that they take them, so earlier releases get none. Lists are ordered by the earliest time at which they may have been read; cold times count from the latest one. The test of cold times now states when it asked for a list. The log line of a list in force tells how long it was under way ("list-transfer" in the metrics).

--- a/mesh/list_fetching.go
+++ b/mesh/list_fetching.go
@@ -5,8 +5,12 @@
 	"time"
 )
 
-// considerList fetches the list of targets of another host if it is newer. The
-// request for its state was sent at the given time.
+// listFetchTimeout is how long the response with a list may take. On a full link it
+// waits behind the responses of targets.
+const listFetchTimeout = heartbeatTimeout
+
+// considerList applies the list of targets of another host, or fetches it, if it
+// is newer. The request for its state was sent at the given time.
 func (t *controlClientTask) considerList(p *peer, method string, sent time.Time, r HeartbeatReplyRecord) {
 	// The age was measured after the request was sent, so the list was read no
 	// earlier than this.
@@ -17,21 +21,21 @@
 		if read.After(t.listReadAt) {
 			t.listReadAt = read
 		}
-	case !t.fetchingList && read.After(t.listReadAt.Add(minListAdvance)):
+	case !read.After(t.listReadAt.Add(minListAdvance)):
+	case r.List != nil && r.List.Base == t.listTag:
+		t.applyList(p, sent, *r.List)
+	case !t.fetchingList:
 		t.fetchingList = true
-		go t.fetchList(p, method, t.listTag)
+		go t.fetchList(p, method, t.listTag, t.clock.Now())
 	}
 }
 
 // fetchList fetches the list, or its changes since the one that the host has.
-func (t *controlClientTask) fetchList(p *peer, method string, have uint64) {
-	call, cancel := context.WithTimeout(t.ctx, callTimeout)
+func (t *controlClientTask) fetchList(p *peer, method string, have uint64, sent time.Time) {
+	call, cancel := context.WithTimeout(t.ctx, listFetchTimeout)
 	defer cancel()
-	m := listFetched{peer: p}
+	m := listFetched{peer: p, sent: sent}
 	m.err = p.client.Call(call, method, &ListRequestRecord{Tag: have, TakesPacked: true}, &m.record)
-	if m.err == nil {
-		m.record, m.err = m.record.unpack()
-	}
 	t.self.Tell(m)
 }
 
@@ -42,24 +46,39 @@
 		t.log.Warn("mesh: list of targets not fetched", "peer", m.peer.address, "error", m.err)
 		return
 	}
-	read := t.clock.Now().Add(-m.record.Age)
-	if !read.After(t.listReadAt) {
+	if m.record.Tag != t.listTag && m.sent.Add(-m.record.Age).After(t.listReadAt) {
+		t.applyList(m.peer, m.sent, m.record)
+	}
+}
+
+// applyList puts a list in force that was requested at the given time. Replies may
+// be under way for longer than the time between two lists, so lists are ordered by
+// the earliest time at which they may have been read. Their cold times count from
+// the latest one.
+func (t *controlClientTask) applyList(p *peer, sent time.Time, r ListRecord) {
+	r, err := r.unpack()
+	if err != nil {
+		t.log.Error("mesh: list of targets cannot be decoded", "peer", p.address, "error", err)
 		return
 	}
-	changed := targetsOf(m.record)
+	now := t.clock.Now()
+	readBy := now.Add(-r.Age)
+	changed := targetsOf(r)
 	list := changed
-	if m.record.Base != 0 {
-		if m.record.Base != t.listTag {
+	if r.Base != 0 {
+		if r.Base != t.listTag {
 			// The list of another control host was applied in the meantime.
 			// The next heartbeat triggers a new fetch.
-			t.log.Info("mesh: changes are based on another list", "base", m.record.Base, "tag", t.listTag)
+			t.log.Info("mesh: changes are based on another list", "base", r.Base, "tag", t.listTag)
 			return
 		}
-		list = applyChanges(aged(t.list, read.Sub(t.coldAsOf)), changed, removedOf(m.record))
+		// The list before may have been under way for longer than this one.
+		list = applyChanges(aged(t.list, max(0, readBy.Sub(t.coldAsOf))), changed, removedOf(r))
 	}
-	t.listTag, t.listReadAt, t.list, t.coldAsOf = m.record.Tag, read, list, read
-	t.listener.SetTargets(read, list)
-	t.log.Info("mesh: list of targets in force", "targets", len(list), "changed", len(changed), "tag", m.record.Tag,
-		"age", m.record.Age.String(), "peer", m.peer.address)
-	t.checkReady(t.clock.Now())
+	t.listTag, t.listReadAt, t.list, t.coldAsOf = r.Tag, sent.Add(-r.Age), list, readBy
+	t.listener.SetTargets(readBy, list)
+	t.meter.Observe("list-transfer", "", "", now.Sub(sent))
+	t.log.Info("mesh: list of targets in force", "targets", len(list), "changed", len(changed), "tag", r.Tag,
+		"age", r.Age.String(), "took", now.Sub(sent).String(), "peer", p.address)
+	t.checkReady(now)
 }
--- a/mesh/listing_test.go
+++ b/mesh/listing_test.go
@@ -21,7 +21,9 @@
 func TestColdTimePasses(t *testing.T) {
 	r, c := newTestRegistry(t)
 	l := &listRecorder{}
-	client := &controlClientTask{clock: c, log: slog.New(slog.DiscardHandler), listener: l, peers: map[string]*peer{}}
+	client := &controlClientTask{
+		clock: c, log: slog.New(slog.DiscardHandler), meter: noMeter{}, listener: l, peers: map[string]*peer{},
+	}
 	target := func(id string, cold time.Duration) ListedTarget {
 		return NewListedTarget(ident.Target(id), "s", id+":80", "z", 4, false, cold)
 	}
@@ -40,7 +42,7 @@
 	for _, s := range steps {
 		r.updateList(s.list)
 		if r.list.tag != client.listTag {
-			client.Handle(listFetched{peer: &peer{}, record: r.listRecord(client.listTag)})
+			client.Handle(listFetched{peer: &peer{}, sent: c.Now(), record: r.listRecord(client.listTag)})
 		}
 		for _, got := range l.list {
 			if got.ID() == "b" && got.ColdRemaining() != s.cold {
--- a/mesh/neighbour.go
+++ b/mesh/neighbour.go
@@ -103,13 +103,14 @@
 	}
 	if t.packed.Tag != t.listTag {
 		record := ListRecord{HasList: true, Tag: t.listTag}
-		record.Targets = newTargetRecords(aged(t.list, t.listReadAt.Sub(t.coldAsOf)))
+		elapsed := max(0, t.listReadAt.Sub(t.coldAsOf))
+		record.Targets = newTargetRecords(aged(t.list, elapsed))
 		packed, err := record.pack()
 		if err != nil {
 			t.log.Error("mesh: list of targets cannot be packed", "error", err)
 			return ListRecord{}
 		}
-		t.packed, t.packedAsOf = packed, t.listReadAt
+		t.packed, t.packedAsOf = packed, t.coldAsOf.Add(elapsed)
 	}
 	record := t.packed
 	record.Age = now.Sub(t.packedAsOf)
--- a/mesh/record.go
+++ b/mesh/record.go
@@ -36,8 +36,10 @@
 		// the receiver, and ReadyTags those that it has from all control hosts.
 		ReadyTag  uint64
 		ReadyTags []uint64
-		// ListTag identifies the list of targets that the sender has.
-		ListTag uint64
+		// ListTag identifies the list of targets that the sender has. TakesList
+		// tells that it takes changes of the list with the reply.
+		ListTag   uint64
+		TakesList bool
 		// Version is that of the newest configuration that the sender has
 		// received, or 0.
 		Version uint64
@@ -122,6 +124,9 @@
 		HasList  bool
 		ListTag  uint64
 		ListAge  time.Duration
+		// List holds the changes since the list of the heartbeat, if they are
+		// small.
+		List *ListRecord
 		// ReadyHosts is only set if ReadyTag differs from that of the
 		// heartbeat. If ReadyBase is set, it holds only the hosts that were
 		// added to the list with that tag, and ReadyGone the removed ones.
@@ -190,40 +195,6 @@
 		Packed   []byte
 		Digest   patch.Digest
 	}
-	// TargetRecord is a target of the list. Cold is how much longer it stays
-	// cold, as of the time the list was read. Started is when its process
-	// started, in Unix milliseconds.
-	TargetRecord struct {
-		ID       string
-		Service  string
-		Address  string
-		Zone     string
-		Slots    int
-		Draining bool
-		Cold     time.Duration
-		Started  int64
-	}
-	// ListRequestRecord requests the list and names the one that the host has.
-	// TakesPacked tells that it decodes packed lists, which hosts of earlier
-	// releases do not.
-	ListRequestRecord struct {
-		Tag         uint64
-		TakesPacked bool
-	}
-	// ListRecord is the list of targets. If Base is set, it holds only the
-	// changes since the list with that tag, including the removed targets.
-	ListRecord struct {
-		HasList bool
-		Tag     uint64
-		Base    uint64
-		Age     time.Duration
-		Targets []TargetRecord
-		Gone    []string
-		// Packed holds the Targets and Gone of a packed list, which has none
-		// itself, and Digest the digest of its content.
-		Packed []byte
-		Digest patch.Digest
-	}
 	// JoinRecord requests to become a member of the replicated log.
 	JoinRecord struct {
 		Host    string
@@ -342,33 +313,3 @@
 func (r StateRecord) desiredState() scheme.DesiredState {
 	return scheme.NewDesiredState(r.Version, r.Source, zonesOf(r.Zones))
 }
-
-func newTargetRecords(list []ListedTarget) []TargetRecord {
-	var records []TargetRecord
-	for _, l := range list {
-		records = append(records, TargetRecord{
-			ID: string(l.id), Service: string(l.service), Address: l.address, Zone: string(l.zone), Slots: l.slots,
-			Draining: l.draining, Cold: l.coldRemaining, Started: l.startedAt,
-		})
-	}
-	return records
-}
-
-// targetsOf returns the targets of a list, or the changed ones.
-func targetsOf(r ListRecord) []ListedTarget {
-	list := make([]ListedTarget, len(r.Targets))
-	for i, t := range r.Targets {
-		list[i] = NewListedTarget(ident.Target(t.ID), ident.Service(t.Service), t.Address, ident.Zone(t.Zone), t.Slots,
-			t.Draining, t.Cold, WithStart(t.Started))
-	}
-	return list
-}
-
-// removedOf returns the IDs of the removed targets.
-func removedOf(r ListRecord) []ident.Target {
-	list := make([]ident.Target, len(r.Gone))
-	for i, id := range r.Gone {
-		list[i] = ident.Target(id)
-	}
-	return list
-}
