Limit what targets send ahead on slow links

Long responses that wait for the pacer held what their targets had sent ahead, up to megabytes each, and the replies to heartbeats waited behind these bytes on the host's link. On hosts with slow links connections to targets and to other entry hosts now have a receive buffer for 20 ms of the link.

--- a/link/pool.go
+++ b/link/pool.go
@@ -53,6 +53,8 @@
 	clock  clock.Clock
 	dialer net.Dialer
 	seed   maphash.Seed
+	// receiveBuffer is the size of the receive buffer of a connection, or 0.
+	receiveBuffer int
 }
 
 // Option sets an optional property of a Pool.
@@ -64,6 +66,10 @@
 	return func(p *Pool) { p.dialer.LocalAddr = &net.TCPAddr{IP: ip} }
 }
 
+// WithReceiveBuffer limits the bytes of each connection that may wait to be read.
+// Targets send no more before they are read. 0 leaves it to the operating system.
+func WithReceiveBuffer(bytes int) Option { return func(p *Pool) { p.receiveBuffer = bytes } }
+
 // StartPool starts an empty pool. It ends with ctx.
 func StartPool(ctx context.Context, system *tasks.System, c clock.Clock, options ...Option) (*Pool, error) {
 	ref, err := tasks.Spawn(ctx, system, "link-pool", &poolTask{clock: c, idle: map[string][]*Conn{}})
@@ -77,20 +83,7 @@
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optErr error
-			err := raw.Control(func(descriptor uintptr) {
-				optErr = syscall.SetsockoptInt(
-					int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
-			})
-			if err == nil {
-				err = optErr
-			}
-			if err != nil {
-				return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
-			}
-			return nil
-		},
+		Control: p.control,
 	}
 	for _, apply := range options {
 		apply(p)
@@ -98,6 +91,33 @@
 	return p, nil
 }
 
+// control sets the options of a socket before it connects. The receive buffer must
+// be set by then, because it limits what is announced to the target.
+func (p *Pool) control(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(descriptor uintptr) {
+		optErr = p.setOptions(int(descriptor))
+	})
+	if err != nil {
+		return fmt.Errorf("set socket options: %w", err)
+	}
+	return optErr
+}
+
+func (p *Pool) setOptions(descriptor int) error {
+	err := syscall.SetsockoptInt(descriptor, syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
+	if err != nil {
+		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
+	}
+	if p.receiveBuffer == 0 {
+		return nil
+	}
+	if err := syscall.SetsockoptInt(descriptor, syscall.SOL_SOCKET, syscall.SO_RCVBUF, p.receiveBuffer); err != nil {
+		return fmt.Errorf("set SO_RCVBUF: %w", err)
+	}
+	return nil
+}
+
 // Get returns a connection to the address for one request: an idle one that has
 // carried no request with the same ID, or a new one. A target may repeat an earlier
 // response late, and only the ID tells that it is not the one that is due. An empty
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -193,7 +193,8 @@
 	defer system.Shutdown()
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	pool, err := link.StartPool(taskCtx, system, c.clock, link.WithLocalIP(net.ParseIP(c.ip)))
+	pool, err := link.StartPool(
+		taskCtx, system, c.clock, link.WithLocalIP(net.ParseIP(c.ip)), link.WithReceiveBuffer(c.receiveBuffer()))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
@@ -307,9 +308,30 @@
 // not paced: a long response then delays others by a few milliseconds at most.
 const pacingThreshold = 10e6
 
+func (c HostConfig) hasSlowLink() bool { return c.linkRate > 0 && c.linkRate < pacingThreshold }
+
+const (
+	// receiveTime is how long what a target has sent ahead on one connection may
+	// occupy the host's link. Ten long responses at once then delay the reply to a
+	// heartbeat by half the interval of heartbeats.
+	receiveTime = 20 * time.Millisecond
+	// minReceiveBytes holds more than one packet, so that a target need not wait
+	// for each packet to be read.
+	minReceiveBytes = 4 << 10
+)
+
+// receiveBuffer returns the size of the receive buffer of a connection to a target
+// or another entry host, or 0 for that of the operating system.
+func (c HostConfig) receiveBuffer() int {
+	if !c.hasSlowLink() {
+		return 0
+	}
+	return max(minReceiveBytes, int(c.linkRate*receiveTime.Seconds()))
+}
+
 // pacingOptions returns the options that pace responses on a slow link.
 func (c HostConfig) pacingOptions(ctx context.Context, system *tasks.System) ([]relay.HandlerOption, error) {
-	if c.linkRate <= 0 || c.linkRate >= pacingThreshold {
+	if !c.hasSlowLink() {
 		return nil, nil
 	}
 	p, err := relay.StartPacer(ctx, system, c.clock, c.linkRate)
