Record the age of contact and of announcements

The logs did not show whether a configuration was late because it was announced late or because of what came after, nor how old the newest contact was. The line of a configuration in force now tells how long ago the newest version was announced; "contact-age" and "config-announced" are histograms at the metrics address.

--- a/mesh/config_fetcher.go
+++ b/mesh/config_fetcher.go
@@ -82,6 +82,9 @@
 	// source is the configuration that the host has.
 	source   []byte
 	loggedAt time.Time
+	// announced is the newest version that was announced, at announcedAt.
+	announced   uint64
+	announcedAt time.Time
 }
 
 var _ tasks.Task = (*configFetcher)(nil)
@@ -105,6 +108,9 @@
 func (t *configFetcher) Handle(message any) {
 	switch m := message.(type) {
 	case announceConfig:
+		if m.version > t.announced {
+			t.announced, t.announcedAt = m.version, t.clock.Now()
+		}
 		t.receiver.Announce(m.address, m.version, m.isNear)
 		if change, ok := m.change.Get(); ok {
 			t.receiver.Offer(t.clock.Now(), m.address, change)
@@ -228,9 +234,13 @@
 		return
 	}
 	t.owner.Tell(configInForce{version: m.version, source: m.source})
+	announcedFor := now.Sub(t.announcedAt)
+	if m.version == t.announced {
+		t.meter.Observe("config-announced", "", "", announcedFor)
+	}
 	t.log.Info("mesh: configuration in force", "version", m.version, "base", progress.Base(), "peer", progress.Peer(),
 		"sent-bytes", progress.Total(), "bytes", len(m.source), "took", now.Sub(progress.Started()).String(),
-		"decoding", m.took.String())
+		"decoding", m.took.String(), "newest", t.announced, "announced-for", announcedFor.String())
 }
 
 // logProgress reports a transfer that takes long.
--- a/mesh/heartbeats.go
+++ b/mesh/heartbeats.go
@@ -8,6 +8,9 @@
 // sendHeartbeats sends a heartbeat to each control host to which one is due.
 func (t *controlClientTask) sendHeartbeats() {
 	now := t.clock.Now()
+	if age := t.contactAge(now); age > 0 {
+		t.meter.Observe("contact-age", "", "", age)
+	}
 	known := t.readyTags()
 	for _, p := range t.peers {
 		if !p.lost && !p.lastHeard.IsZero() && now.Sub(p.lastHeard) > hostTimeout {
