Wait longer for connections while the own link is full

Entry hosts on full links found all targets "out of reach" again and again, for 2 to 120 ms at a time, and sent requests through other entry hosts with links as full. A dial may take 300 ms, but the answer of a live target waited for longer behind responses.

The time for a dial now grows by how much longer the replies to heartbeats take than the fastest ones, at the control host where that is least, by a second at most. What is slow to one control host alone, or was slow before, does not count.

--- a/link/pool.go
+++ b/link/pool.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"net"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,9 +31,13 @@
 	// sweepInterval is the interval at which expired idle connections are
 	// closed.
 	sweepInterval = time.Second
-	// dialTimeout bounds connection set-up. It covers several round trips
-	// between regions; a live target responds within one.
-	dialTimeout = 300 * time.Millisecond
+	// minDialTimeout bounds connection set-up. It covers several round trips
+	// between regions; a live target responds within one. What waits for the
+	// host's own link is added to it, see SetLinkDelay.
+	minDialTimeout = 300 * time.Millisecond
+	// maxLinkDelay limits what is added, so that a request can still be sent to
+	// another target after one that is down.
+	maxLinkDelay = time.Second
 	// ackTimeout is how long sent bytes may stay unacknowledged before the
 	// connection fails.
 	ackTimeout = 1500 * time.Millisecond
@@ -55,6 +60,8 @@
 	seed   maphash.Seed
 	// receiveBuffer is the size of the receive buffer of a connection, or 0.
 	receiveBuffer int
+	// linkDelay is how long packets wait for the host's own link, in nanoseconds.
+	linkDelay atomic.Int64
 }
 
 // Option sets an optional property of a Pool.
@@ -79,7 +86,6 @@
 	tasks.Every(ctx, c, sweepInterval, ref, closeExpired{})
 	p := &Pool{ref: ref, clock: c, seed: maphash.MakeSeed()}
 	p.dialer = net.Dialer{
-		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
 		},
@@ -155,7 +161,9 @@
 
 // open opens a connection for the request with an ID.
 func (p *Pool) open(ctx context.Context, address string, id ident.RequestID) (*Conn, error) {
-	socket, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialer := p.dialer
+	dialer.Timeout = p.dialTimeout()
+	socket, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -170,6 +178,13 @@
 // hash, since the seed is random.
 func (p *Pool) hash(id ident.RequestID) uint64 { return maphash.String(p.seed, string(id)) }
 
+// SetLinkDelay sets how long packets wait for the host's own link at present. A
+// target that cannot be connected to for that time may well be up.
+func (p *Pool) SetLinkDelay(d time.Duration) { p.linkDelay.Store(int64(min(max(d, 0), maxLinkDelay))) }
+
+// dialTimeout returns how long a target may take to accept a connection.
+func (p *Pool) dialTimeout() time.Duration { return minDialTimeout + time.Duration(p.linkDelay.Load()) }
+
 // Put returns a connection that carries no request to the pool.
 func (p *Pool) Put(c *Conn) { p.ref.Tell(put{conn: c}) }
 
--- a/mesh/control_client.go
+++ b/mesh/control_client.go
@@ -99,6 +99,7 @@
 	linkRate    float64
 	meter       Meter
 	inbound     Inbound
+	linkDelay   LinkDelay
 	peerPort    int
 	wireOptions []wire.Option
 }
@@ -121,6 +122,9 @@
 // log lines of slow heartbeats.
 func WithInbound(i Inbound) ClientOption { return func(o *clientOptions) { o.inbound = i } }
 
+// WithLinkDelay sets what is told how long packets wait for the host's link.
+func WithLinkDelay(d LinkDelay) ClientOption { return func(o *clientOptions) { o.linkDelay = d } }
+
 // WithNeighbours makes the host ask other entry hosts for the evacuated zones and
 // the list of targets while no control host replies. All entry hosts listen for
 // each other at the given port, see ControlClient.Register.
@@ -134,13 +138,13 @@
 	zone ident.Zone, region ident.Region, seeds []string, window time.Duration, listener Listener,
 	options ...ClientOption,
 ) (*ControlClient, error) {
-	o := clientOptions{meter: noMeter{}, inbound: noInbound{}}
+	o := clientOptions{meter: noMeter{}, inbound: noInbound{}, linkDelay: noLinkDelay{}}
 	for _, apply := range options {
 		apply(&o)
 	}
 	t := &controlClientTask{
 		ctx: ctx, system: system, clock: c, log: log, listener: listener, peers: map[string]*peer{},
-		peerPort: o.peerPort, wireOptions: o.wireOptions, meter: o.meter, inbound: o.inbound,
+		peerPort: o.peerPort, wireOptions: o.wireOptions, meter: o.meter, inbound: o.inbound, linkDelay: o.linkDelay,
 		// Each host begins to look for neighbours at another position.
 		nextNeighbour: xxhash.Sum64String(string(host)),
 		heartbeat:     HeartbeatRecord{Host: string(host), Address: address, Zone: string(zone), Region: string(region)},
--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -76,6 +76,9 @@
 	// fastest are the shortest times of a heartbeat to the control host and of
 	// its reply, including the difference of the two clocks.
 	fastest heartbeatTimes
+	// fastestReply is the shortest time to a reply, and delay by how much the
+	// newest one took longer.
+	fastestReply, delay time.Duration
 }
 
 // controlClientTask owns what the entry host has learned.
@@ -125,6 +128,7 @@
 	packedAsOf time.Time
 	meter      Meter
 	inbound    Inbound
+	linkDelay  LinkDelay
 }
 
 var _ tasks.Task = (*controlClientTask)(nil)
--- a/mesh/heartbeat_times.go
+++ b/mesh/heartbeat_times.go
@@ -140,3 +140,37 @@
 	}
 	return now.Sub(newest)
 }
+
+// LinkDelay is told how long packets wait for the host's own link.
+type LinkDelay interface {
+	SetLinkDelay(d time.Duration)
+}
+
+// noLinkDelay is for hosts that do not need it.
+type noLinkDelay struct{}
+
+func (noLinkDelay) SetLinkDelay(time.Duration) {}
+
+// observeDelay records how long the reply to a heartbeat took.
+func (p *peer) observeDelay(took time.Duration) {
+	if p.fastestReply == 0 || took < p.fastestReply {
+		p.fastestReply = took
+	}
+	p.delay = took - p.fastestReply
+}
+
+// shortestDelay returns by how much the newest replies of the control hosts in
+// contact took longer than their fastest ones, at the control host where that is
+// least: what is slow to all of them waits for the host's own link.
+func (t *controlClientTask) shortestDelay(now time.Time) time.Duration {
+	shortest, found := time.Duration(0), false
+	for _, p := range t.peers {
+		if p.lastHeard.IsZero() || now.Sub(p.lastHeard) >= hostTimeout {
+			continue
+		}
+		if !found || p.delay < shortest {
+			shortest, found = p.delay, true
+		}
+	}
+	return shortest
+}
--- a/mesh/heartbeats.go
+++ b/mesh/heartbeats.go
@@ -75,6 +75,8 @@
 		t.log.Info("mesh: contact to control host restored", "peer", m.peer.address)
 	}
 	m.peer.lastHeard, m.peer.lost = now, false
+	m.peer.observeDelay(now.Sub(m.sent))
+	t.linkDelay.SetLinkDelay(t.shortestDelay(now))
 	if m.sent.Before(m.peer.newestSent) {
 		return
 	}
--- a/mesh/neighbour_test.go
+++ b/mesh/neighbour_test.go
@@ -52,7 +52,7 @@
 	newClient := func(l Listener, host, address string, port int, control *peer) *ControlClient {
 		task := &controlClientTask{
 			ctx: ctx, system: system, clock: manual, log: log, listener: l, peers: map[string]*peer{"c": control}, peerPort: port,
-			meter: noMeter{}, inbound: noInbound{},
+			meter: noMeter{}, inbound: noInbound{}, linkDelay: noLinkDelay{},
 			heartbeat: HeartbeatRecord{Host: host, Address: address}, fetcher: spawn(t, receiver(func(any) {})),
 		}
 		task.self = spawn(t, task)
--- a/mesh/pending_heartbeats_test.go
+++ b/mesh/pending_heartbeats_test.go
@@ -59,7 +59,7 @@
 			l := newTestListener()
 			p := &peer{}
 			task := &controlClientTask{
-				clock: manual, log: slog.New(slog.DiscardHandler), meter: noMeter{}, inbound: noInbound{}, listener: l,
+				clock: manual, log: slog.New(slog.DiscardHandler), meter: noMeter{}, inbound: noInbound{}, linkDelay: noLinkDelay{}, listener: l,
 				peers: map[string]*peer{"a": p}, fetcher: spawn(t, receiver(func(any) {})),
 			}
 			for i, d := range c.sent {
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -211,7 +211,8 @@
 	listener := &entryListener{host: c, decode: decode, admission: admission, ready: &ready}
 	client, err := mesh.NewControlClient(taskCtx, system, c.clock, c.log, c.host, callers, c.zone, c.region, c.seeds,
 		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate),
-		mesh.WithClientMeter(hostMeter), mesh.WithInbound(targetBytes{pool: pool}), mesh.WithNeighbours(c.peerPort), mesh.WithClientDialer(c.dialer))
+		mesh.WithClientMeter(hostMeter), mesh.WithInbound(targetBytes{pool: pool}),
+		mesh.WithLinkDelay(pool), mesh.WithNeighbours(c.peerPort), mesh.WithClientDialer(c.dialer))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
