--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -265,15 +265,6 @@
 	return reply
 }
 
-// updateReturned records the zones whose evacuation ends with a state, unless the
-// state may be a replayed one.
-func (r *registry) updateReturned(m published) {
-	now := r.clock.Now()
-	if now.Sub(r.publishedAt) >= replayTime {
-		r.returned = r.returned.update(now, m.revision, r.state.Evacuated(), m.state.Evacuated())
-	}
-}
-
 // change returns the difference of the configuration to an earlier version, or
 // nil. If it is not encoded yet, a later heartbeat gets it.
 func (r *registry) change(base uint64) *PieceRecord {
@@ -301,38 +292,6 @@
 	return reply
 }
 
-// takeToken takes a token of a team's reserve, if this host leads.
-func (r *registry) takeToken(record TokenRequestRecord) bool {
-	now := r.clock.Now()
-	if now.Sub(r.confirmedAt) >= leadershipValidity || r.allocator == nil {
-		return false
-	}
-	return r.allocator.TakeToken(now, ident.Team(record.Team), record.Rate, record.Burst, record.Span)
-}
-
-// confirmLeadership records that the leadership was confirmed. After a gap,
-// another host may have granted leases, so a new allocator starts.
-func (r *registry) confirmLeadership(at time.Time) {
-	if r.allocator == nil || at.Sub(r.confirmedAt) > leadershipValidity {
-		r.allocator = quota.NewAllocator(r.clock.Now())
-		r.log.Info("mesh: starting to grant leases of rates")
-	}
-	r.confirmedAt = at
-}
-
-func (r *registry) allocate(now time.Time, host ident.Host, records []DemandRecord) []LeaseRecord {
-	demands := make([]quota.Demand, len(records))
-	for i, d := range records {
-		demands[i] = quota.NewDemand(ident.Team(d.Team), d.Asked, d.Taken, d.Held)
-	}
-	leases := r.allocator.Allocate(now, host, len(r.hosts), demands)
-	list := make([]LeaseRecord, len(leases))
-	for i, l := range leases {
-		list[i] = LeaseRecord{Team: string(l.Team()), Share: l.Share()}
-	}
-	return list
-}
-
 func (r *registry) controlHostList() []string {
 	list := make([]string, 0, len(r.controlHosts))
 	for address := range r.controlHosts {
--- a/mesh/returned.go
+++ b/mesh/returned.go
@@ -59,3 +59,27 @@
 	}
 	return records
 }
+
+// applyReturned reports the ends of evacuations that this host has not seen itself:
+// it may have started, or been out of contact, meanwhile. It may know a later
+// revision already, from a control host that has restarted and reports no ends.
+func (t *controlClientTask) applyReturned(sent time.Time, record HeartbeatReplyRecord) {
+	for _, r := range record.Returned {
+		if t.returned.includes(ident.Zone(r.Zone), ident.Revision(r.Revision)) {
+			continue
+		}
+		t.log.Info("mesh: zone has returned", "zone", r.Zone, "revision", r.Revision, "age", r.Age.String())
+		at := sent.Add(-r.Age)
+		t.returned = t.returned.add(returnedZone{zone: ident.Zone(r.Zone), revision: ident.Revision(r.Revision), at: at})
+		t.listener.ZoneReturned(ident.Zone(r.Zone), at)
+	}
+}
+
+// updateReturned records the zones whose evacuation ends with a state, unless the
+// state may be a replayed one.
+func (r *registry) updateReturned(m published) {
+	now := r.clock.Now()
+	if now.Sub(r.publishedAt) >= replayTime {
+		r.returned = r.returned.update(now, m.revision, r.state.Evacuated(), m.state.Evacuated())
+	}
+}
