--- a/link/pool.go
+++ b/link/pool.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"net"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,9 +31,13 @@
 	// sweepInterval is the interval at which expired idle connections are
 	// closed.
 	sweepInterval = time.Second
-	// dialTimeout bounds connection set-up. It covers several round trips
-	// between regions; a live target responds within one.
-	dialTimeout = 300 * time.Millisecond
+	// minDialTimeout bounds connection set-up. It covers several round trips
+	// between regions; a live target responds within one. What waits for the
+	// host's own link is added to it, see SetLinkDelay.
+	minDialTimeout = 300 * time.Millisecond
+	// maxLinkDelay limits what is added, so that a request can still be sent to
+	// another target after one that is down.
+	maxLinkDelay = time.Second
 	// ackTimeout is how long sent bytes may stay unacknowledged before the
 	// connection fails.
 	ackTimeout = 1500 * time.Millisecond
@@ -53,6 +58,10 @@
 	clock  clock.Clock
 	dialer net.Dialer
 	seed   maphash.Seed
+	// receiveBuffer is the size of the receive buffer of a connection, or 0.
+	receiveBuffer int
+	// linkDelay is how long packets wait for the host's own link, in nanoseconds.
+	linkDelay atomic.Int64
 }
 
 // Option sets an optional property of a Pool.
@@ -64,6 +73,10 @@
 	return func(p *Pool) { p.dialer.LocalAddr = &net.TCPAddr{IP: ip} }
 }
 
+// WithReceiveBuffer limits the bytes of each connection that may wait to be read.
+// Targets send no more before they are read. 0 leaves it to the operating system.
+func WithReceiveBuffer(bytes int) Option { return func(p *Pool) { p.receiveBuffer = bytes } }
+
 // StartPool starts an empty pool. It ends with ctx.
 func StartPool(ctx context.Context, system *tasks.System, c clock.Clock, options ...Option) (*Pool, error) {
 	ref, err := tasks.Spawn(ctx, system, "link-pool", &poolTask{clock: c, idle: map[string][]*Conn{}})
@@ -73,24 +86,10 @@
 	tasks.Every(ctx, c, sweepInterval, ref, closeExpired{})
 	p := &Pool{ref: ref, clock: c, seed: maphash.MakeSeed()}
 	p.dialer = net.Dialer{
-		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 2,
 		},
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var optErr error
-			err := raw.Control(func(descriptor uintptr) {
-				optErr = syscall.SetsockoptInt(
-					int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
-			})
-			if err == nil {
-				err = optErr
-			}
-			if err != nil {
-				return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
-			}
-			return nil
-		},
+		Control: p.control,
 	}
 	for _, apply := range options {
 		apply(p)
@@ -98,6 +97,33 @@
 	return p, nil
 }
 
+// control sets the options of a socket before it connects. The receive buffer must
+// be set by then, because it limits what is announced to the target.
+func (p *Pool) control(_, _ string, raw syscall.RawConn) error {
+	var optErr error
+	err := raw.Control(func(descriptor uintptr) {
+		optErr = p.setOptions(int(descriptor))
+	})
+	if err != nil {
+		return fmt.Errorf("set socket options: %w", err)
+	}
+	return optErr
+}
+
+func (p *Pool) setOptions(descriptor int) error {
+	err := syscall.SetsockoptInt(descriptor, syscall.IPPROTO_TCP, tcpUserTimeout, int(ackTimeout.Milliseconds()))
+	if err != nil {
+		return fmt.Errorf("set TCP_USER_TIMEOUT: %w", err)
+	}
+	if p.receiveBuffer == 0 {
+		return nil
+	}
+	if err := syscall.SetsockoptInt(descriptor, syscall.SOL_SOCKET, syscall.SO_RCVBUF, p.receiveBuffer); err != nil {
+		return fmt.Errorf("set SO_RCVBUF: %w", err)
+	}
+	return nil
+}
+
 // Get returns a connection to the address for one request: an idle one that has
 // carried no request with the same ID, or a new one. A target may repeat an earlier
 // response late, and only the ID tells that it is not the one that is due. An empty
@@ -135,12 +161,16 @@
 
 // open opens a connection for the request with an ID.
 func (p *Pool) open(ctx context.Context, address string, id ident.RequestID) (*Conn, error) {
-	socket, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialer := p.dialer
+	dialer.Timeout = p.dialTimeout()
+	socket, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	c := newConn(socket, address)
 	c.requests.add(p.hash(id))
+	c.pool = p.ref
+	p.ref.Tell(opened{conn: c})
 	return c, nil
 }
 
@@ -148,6 +178,13 @@
 // hash, since the seed is random.
 func (p *Pool) hash(id ident.RequestID) uint64 { return maphash.String(p.seed, string(id)) }
 
+// SetLinkDelay sets how long packets wait for the host's own link at present. A
+// target that cannot be connected to for that time may well be up.
+func (p *Pool) SetLinkDelay(d time.Duration) { p.linkDelay.Store(int64(min(max(d, 0), maxLinkDelay))) }
+
+// dialTimeout returns how long a target may take to accept a connection.
+func (p *Pool) dialTimeout() time.Duration { return minDialTimeout + time.Duration(p.linkDelay.Load()) }
+
 // Put returns a connection that carries no request to the pool.
 func (p *Pool) Put(c *Conn) { p.ref.Tell(put{conn: c}) }
 
@@ -166,10 +203,11 @@
 	closeExpired struct{}
 )
 
-// poolTask owns the idle connections.
+// poolTask owns the idle connections, and knows those in use.
 type poolTask struct {
 	clock clock.Clock
 	idle  map[string][]*Conn
+	inUse map[*Conn]bool
 }
 
 var (
@@ -188,6 +226,12 @@
 		t.closeIdle(m.address)
 	case closeExpired:
 		t.closeExpired()
+	case opened:
+		t.markInUse(m.conn)
+	case closed:
+		delete(t.inUse, m.conn)
+	case getUnread:
+		m.reply.Send(t.unread())
 	}
 }
 
@@ -209,6 +253,7 @@
 		t.idle[address] = slices.Delete(t.idle[address], i, i+1)
 		if now.Sub(c.idleSince) < c.keepAlive && c.isReusable() {
 			c.requests.add(hash)
+			t.markInUse(c)
 			return c
 		}
 		c.close()
@@ -223,6 +268,7 @@
 }
 
 func (t *poolTask) put(c *Conn) {
+	delete(t.inUse, c)
 	if c.requests.isFull() || len(t.idle[c.address]) >= maxIdlePerTarget {
 		c.close()
 		return
--- a/mesh/registry.go
+++ b/mesh/registry.go
@@ -249,11 +249,12 @@
 	reply := HeartbeatReplyRecord{
 		Controls: r.controlHostList(), Region: string(r.region), Revision: uint64(r.revision), HasState: true,
 		Version: r.state.Version(), Zones: zoneNames(r.state.Evacuated()), Hosts: len(r.hosts),
-		Returned: r.returned.records(now),
+		Returned: r.returned.records(now), At: now.UnixMicro(),
 	}
 	reply.Change = r.change(record.Version)
 	if r.list != nil {
 		reply.HasList, reply.ListTag, reply.ListAge = true, r.list.tag, now.Sub(r.list.readAt)
+		reply.List = r.announcedList(now, record)
 	}
 	if old.ready != record.Ready || !r.ready.isFresh(now) {
 		r.ready.add(now, r.readyHosts())
@@ -271,15 +272,6 @@
 	return reply
 }
 
-// updateReturned records the zones whose evacuation ends with a state, unless the
-// state may be a replayed one.
-func (r *registry) updateReturned(m published) {
-	now := r.clock.Now()
-	if now.Sub(r.publishedAt) >= replayTime {
-		r.returned = r.returned.update(now, m.revision, r.state.Evacuated(), m.state.Evacuated())
-	}
-}
-
 // change returns the difference of the configuration to an earlier version, or
 // nil. If it is not encoded yet, a later heartbeat gets it.
 func (r *registry) change(base uint64) *PieceRecord {
@@ -307,51 +299,6 @@
 	return reply
 }
 
-// listWith returns the current or an earlier list with the given tag, or nil.
-func (r *registry) listWith(tag uint64) *listing {
-	if r.list != nil && r.list.tag == tag {
-		return r.list
-	}
-	for _, l := range r.earlier {
-		if l.tag == tag {
-			return l
-		}
-	}
-	return nil
-}
-
-// takeToken takes a token of a team's reserve, if this host leads.
-func (r *registry) takeToken(record TokenRequestRecord) bool {
-	now := r.clock.Now()
-	if now.Sub(r.confirmedAt) >= leadershipValidity || r.allocator == nil {
-		return false
-	}
-	return r.allocator.TakeToken(now, ident.Team(record.Team), record.Rate, record.Burst, record.Span)
-}
-
-// confirmLeadership records that the leadership was confirmed. After a gap,
-// another host may have granted leases, so a new allocator starts.
-func (r *registry) confirmLeadership(at time.Time) {
-	if r.allocator == nil || at.Sub(r.confirmedAt) > leadershipValidity {
-		r.allocator = quota.NewAllocator(r.clock.Now())
-		r.log.Info("mesh: starting to grant leases of rates")
-	}
-	r.confirmedAt = at
-}
-
-func (r *registry) allocate(now time.Time, host ident.Host, records []DemandRecord) []LeaseRecord {
-	demands := make([]quota.Demand, len(records))
-	for i, d := range records {
-		demands[i] = quota.NewDemand(ident.Team(d.Team), d.Asked, d.Taken, d.Held)
-	}
-	leases := r.allocator.Allocate(now, host, len(r.hosts), demands)
-	list := make([]LeaseRecord, len(leases))
-	for i, l := range leases {
-		list[i] = LeaseRecord{Team: string(l.Team()), Share: l.Share()}
-	}
-	return list
-}
-
 func (r *registry) controlHostList() []string {
 	list := make([]string, 0, len(r.controlHosts))
 	for address := range r.controlHosts {
@@ -382,67 +329,6 @@
 	}
 }
 
-// updateList applies a newly read list of targets.
-func (r *registry) updateList(list []ListedTarget) {
-	now := r.clock.Now()
-	list = latestProcesses(list)
-	if r.list != nil && r.list.isSame(now, list) {
-		r.list.readAt = now
-		for i := range list {
-			r.list.targets[i].coldRemaining = list[i].coldRemaining
-		}
-		return
-	}
-	tag := tagOfTargets(now, list)
-	r.log.Info("mesh: list of targets changed", "targets", len(list), "tag", tag)
-	if r.list != nil {
-		r.earlier = append(r.earlier, r.list)
-		r.earlier = r.earlier[max(0, len(r.earlier)-maxEarlierLists):]
-	}
-	r.list = &listing{readAt: now, tag: tag, targets: list}
-}
-
-// listRecord returns the changes since the list with the given tag, or the
-// whole list if that one is no longer known. Sending only changes matters
-// while targets are replaced: the list then changes often, and a whole list
-// occupies a slow link for a while.
-func (r *registry) listRecord(have uint64) ListRecord {
-	if r.list == nil {
-		return ListRecord{}
-	}
-	record := ListRecord{HasList: true, Tag: r.list.tag, Age: r.clock.Now().Sub(r.list.readAt)}
-	changed, removed := r.list.targets, []ident.Target(nil)
-	if base := r.listWith(have); base != nil {
-		record.Base = have
-		changed, removed = r.list.changesSince(base)
-	}
-	record.Targets = newTargetRecords(changed)
-	for _, id := range removed {
-		record.Gone = append(record.Gone, string(id))
-	}
-	return record
-}
-
-// packedListRecord returns a packed listRecord. Many hosts ask for the same
-// one, so each is packed once for each read of the list.
-func (r *registry) packedListRecord(have uint64) ListRecord {
-	if r.list == nil {
-		return ListRecord{}
-	}
-	record, ok := r.packed.get(r.list.readAt, have)
-	if !ok {
-		var err error
-		record, err = r.listRecord(have).pack()
-		if err != nil {
-			r.log.Error("mesh: list of targets cannot be packed", "error", err)
-			return r.listRecord(have)
-		}
-		r.packed.put(r.list.readAt, have, record)
-	}
-	record.Age = r.clock.Now().Sub(r.list.readAt)
-	return record
-}
-
 func (r *registry) readyHosts() []EntryHost {
 	now := r.clock.Now()
 	var list []EntryHost
--- a/node/fleet_entry.go
+++ b/node/fleet_entry.go
@@ -136,6 +136,20 @@
 // MergeSuspects implements mesh.Listener.
 func (e *entryListener) MergeSuspects(reports []guard.Report) { e.admission.MergeSuspects(reports) }
 
+// targetBytes tells the mesh what targets have sent that nobody has read.
+type targetBytes struct{ pool *link.Pool }
+
+var _ mesh.Inbound = targetBytes{}
+
+// Waiting implements mesh.Inbound.
+func (b targetBytes) Waiting(ctx context.Context) (mesh.WaitingBytes, error) {
+	u, err := b.pool.Unread(ctx)
+	if err != nil {
+		return mesh.WaitingBytes{}, fmt.Errorf("entry host: %w", err)
+	}
+	return mesh.NewWaitingBytes(u.Connections(), u.Bytes(), u.Most()), nil
+}
+
 // BecomeReady implements mesh.Listener.
 func (e *entryListener) BecomeReady() { e.ready.Store(true) }
 
@@ -168,7 +182,8 @@
 	defer system.Shutdown()
 	taskCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	pool, err := link.StartPool(taskCtx, system, c.clock, link.WithLocalIP(net.ParseIP(c.ip)))
+	pool, err := link.StartPool(
+		taskCtx, system, c.clock, link.WithLocalIP(net.ParseIP(c.ip)), link.WithReceiveBuffer(c.receiveBuffer()))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
@@ -185,7 +200,8 @@
 	listener := &entryListener{host: c, decode: decode, admission: admission, ready: &ready}
 	client, err := mesh.NewControlClient(taskCtx, system, c.clock, c.log, c.host, callers, c.zone, c.region, c.seeds,
 		c.bounds.RateWindow(), listener, mesh.WithLinkRate(c.linkRate),
-		mesh.WithClientMeter(hostMeter), mesh.WithNeighbours(c.peerPort), mesh.WithClientDialer(c.dialer))
+		mesh.WithClientMeter(hostMeter), mesh.WithInbound(targetBytes{pool: pool}),
+		mesh.WithLinkDelay(pool), mesh.WithNeighbours(c.peerPort), mesh.WithClientDialer(c.dialer))
 	if err != nil {
 		return fmt.Errorf("entry host: %w", err)
 	}
@@ -258,6 +274,25 @@
 
 func (c HostConfig) hasSlowLink() bool { return c.linkRate > 0 && c.linkRate < pacingThreshold }
 
+const (
+	// receiveTime is how long what a target has sent ahead on one connection may
+	// occupy the host's link. Ten long responses at once then delay the reply to a
+	// heartbeat by half the interval of heartbeats.
+	receiveTime = 20 * time.Millisecond
+	// minReceiveBytes holds more than one packet, so that a target need not wait
+	// for each packet to be read.
+	minReceiveBytes = 4 << 10
+)
+
+// receiveBuffer returns the size of the receive buffer of a connection to a target
+// or another entry host, or 0 for that of the operating system.
+func (c HostConfig) receiveBuffer() int {
+	if !c.hasSlowLink() {
+		return 0
+	}
+	return max(minReceiveBytes, int(c.linkRate*receiveTime.Seconds()))
+}
+
 // startPacer starts the pacer of a slow link. It returns nil for a fast one.
 func (c HostConfig) startPacer(ctx context.Context, system *tasks.System) (*relay.Pacer, error) {
 	if !c.hasSlowLink() {
