Read nothing behind the answer that closes a connection

The wait read until the end so that the close would not become a reset. It now reads one byte, which tells the end of the connection from a further request, and waits for the rest of the 0.5 s without reading.

--- a/relay/conn_close.go
+++ b/relay/conn_close.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"fmt"
-	"io"
+
+	"rhubarbrack/clock"
 )
 
 // CloseWrite closes the sending half. The server does so before it closes a
@@ -36,9 +37,11 @@
 	return nil
 }
 
-// linger closes the sending half and reads until the caller has closed the
+// linger closes the sending half and waits until the caller has closed the
 // connection, but no longer than closeGrace. What the caller has sent behind the
 // request would otherwise make the close a reset, which can overtake the answer.
+// It reads one byte at most, which tells whether the caller has sent something: a
+// request that nobody answers must not be read.
 func (c *callerConn) linger() {
 	c.mu.Lock()
 	hasClosedWrite := c.hasClosedWrite
@@ -46,9 +49,11 @@
 	if hasClosedWrite || c.CloseWrite() != nil {
 		return
 	}
-	if c.Conn.SetReadDeadline(c.clock.Now().Add(closeGrace)) != nil {
+	until := c.clock.Now().Add(closeGrace)
+	if c.Conn.SetReadDeadline(until) != nil {
 		return
 	}
-	// Any error ends the wait.
-	_, _ = io.Copy(io.Discard, c.Conn)
+	if n, _ := c.Conn.Read(make([]byte, 1)); n > 0 {
+		clock.Sleep(c.pipeline.ctx, c.clock, until.Sub(c.clock.Now()))
+	}
 }
--- a/relay/conn_close_test.go
+++ b/relay/conn_close_test.go
@@ -35,7 +35,8 @@
 }
 
 // TestRequestsBehindClosingAnswer guards against a reset in place of the answer
-// that closes the connection, while the caller has sent something behind it.
+// that closes the connection, while the caller has sent something behind it, and
+// against reading what is not answered any more.
 func TestRequestsBehindClosingAnswer(t *testing.T) {
 	cases := []struct{ name, sent, behind string }{
 		{"header", get("/long/", "a"), get("/long/", "b")},
@@ -46,7 +47,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			h := heldHandler{begun: make(chan string, 2), released: make(chan struct{}, 2)}
-			front, _ := startRecordedFront(t, h)
+			front, conns := startRecordedFront(t, h)
 			front.Drain()
 			caller := newPipeliningCaller(t, &testHost{address: front.listener.Addr().String()})
 			caller.send(c.sent)
@@ -58,6 +59,11 @@
 			if len(h.begun) > 0 {
 				t.Errorf("%s was begun behind the answer that closes the connection", <-h.begun)
 			}
+			<-beginShutdown(t, front)
+			// The server and the close read one byte each to notice the end.
+			if n := (<-conns).lateBytes(); n > 2 {
+				t.Errorf("%d bytes were read behind the answer that closes the connection", n)
+			}
 		})
 	}
 }
--- a/relay/recorded_front_test.go
+++ b/relay/recorded_front_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -40,6 +41,37 @@
 	mu       sync.Mutex
 	deadline time.Time
 	closes   []string
+	// readLate is the number of bytes that were read after the sending half was
+	// closed.
+	readLate int
+}
+
+// Read implements net.Conn.
+func (c *recordingConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.recordRead(n)
+	return n, err
+}
+
+// WriteTo implements io.WriterTo, which io.Copy prefers to Read.
+func (c *recordingConn) WriteTo(w io.Writer) (int64, error) {
+	n, err := c.TCPConn.WriteTo(w)
+	c.recordRead(int(n))
+	return n, err
+}
+
+func (c *recordingConn) recordRead(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.closes) > 0 {
+		c.readLate += n
+	}
+}
+
+func (c *recordingConn) lateBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readLate
 }
 
 // SetReadDeadline implements net.Conn.
