--- a/mesh/control_client_task.go
+++ b/mesh/control_client_task.go
@@ -8,9 +8,7 @@
 
 	"rhubarbrack/clock"
 	"rhubarbrack/ident"
-	"rhubarbrack/quota"
 	"rhubarbrack/scheme"
-	"rhubarbrack/spread"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
 )
@@ -30,7 +28,10 @@
 		// toLeader is set if the heartbeat had the parts for the leader.
 		toLeader bool
 		record   HeartbeatReplyRecord
-		err      error
+		// waiting is what targets had sent and nobody had read when a slow reply
+		// came.
+		waiting WaitingBytes
+		err     error
 	}
 	// configReceived reports a configuration that has arrived and is not in
 	// force yet.
@@ -41,7 +42,9 @@
 		source  []byte
 	}
 	listFetched struct {
-		peer   *peer
+		peer *peer
+		// sent is when the list was requested.
+		sent   time.Time
 		record ListRecord
 		err    error
 	}
@@ -49,19 +52,31 @@
 
 // peer is an entry host's view of a control host.
 type peer struct {
-	address   string
-	client    *wire.Client
-	busy      bool
-	lastHeard time.Time
-	lost      bool
-	hostCount int
-	leads     bool
-	ready     readyList
+	address string
+	client  *wire.Client
+	// busy is set while a neighbour is asked.
+	busy bool
+	// pending holds when the heartbeats without a reply were sent, in ascending
+	// order.
+	pending []time.Time
+	// newestSent is when the heartbeat with the newest reply was sent.
+	newestSent time.Time
+	lastHeard  time.Time
+	lost       bool
+	hostCount  int
+	leads      bool
+	ready      readyList
 	// isTold is set once the control host, as the leader, has what this host
 	// knows of requests that may crash targets, and suspectsTag identifies what
 	// this host has from it.
 	isTold      bool
 	suspectsTag uint64
+	// fastest are the shortest times of a heartbeat to the control host and of
+	// its reply, including the difference of the two clocks.
+	fastest heartbeatTimes
+	// fastestReply is the shortest time to a reply, and delay by how much the
+	// newest one took longer.
+	fastestReply, delay time.Duration
 }
 
 // controlClientTask owns what the entry host has learned.
@@ -82,12 +97,13 @@
 	revision ident.Revision
 	state    scheme.DesiredState
 	// announced is the newest version that a control host has reported.
-	announced  uint64
-	listTag    uint64
-	listReadAt time.Time
-	list       []ListedTarget
-	// coldAsOf is when the cold times of the list were read.
+	announced uint64
+	listTag   uint64
+	// listReadAt is the earliest time at which the list may have been read, and
+	// coldAsOf the latest one, to which its cold times refer.
+	listReadAt   time.Time
 	coldAsOf     time.Time
+	list         []ListedTarget
 	fetchingList bool
 	hostCount    int
 	// hostCountSeen is when a control host last reported hostCount or more
@@ -108,6 +124,9 @@
 	// packed is the list for neighbours, with the cold times of packedAsOf.
 	packed     ListRecord
 	packedAsOf time.Time
+	meter      Meter
+	inbound    Inbound
+	linkDelay  LinkDelay
 }
 
 var _ tasks.Task = (*controlClientTask)(nil)
@@ -221,109 +240,6 @@
 	}
 }
 
-// sendHeartbeats sends a heartbeat to each control host that has none in
-// flight.
-func (t *controlClientTask) sendHeartbeats() {
-	now := t.clock.Now()
-	known := t.readyTags()
-	for _, p := range t.peers {
-		if !p.lost && !p.lastHeard.IsZero() && now.Sub(p.lastHeard) > hostTimeout {
-			p.lost = true
-			t.log.Warn("mesh: no contact to control host", "peer", p.address, "silent", now.Sub(p.lastHeard).String())
-		}
-		if p.busy {
-			continue
-		}
-		p.busy = true
-		heartbeat := t.heartbeat
-		heartbeat.ReadyTag, heartbeat.ReadyTags, heartbeat.ListTag = p.ready.tag, known, t.listTag
-		heartbeat.SuspectsTag = p.suspectsTag
-		go t.sendHeartbeat(p, heartbeat, p.leads, p.isTold, now)
-	}
-	t.askNeighbours(now)
-	t.checkReady(now)
-}
-
-// sendHeartbeat sends a heartbeat to one control host.
-func (t *controlClientTask) sendHeartbeat(p *peer, heartbeat HeartbeatRecord, leads, isTold bool, sent time.Time) {
-	call, cancel := context.WithTimeout(t.ctx, callTimeout)
-	defer cancel()
-	if leads {
-		demands, err := t.listener.Demand(call)
-		if err != nil {
-			t.log.Warn("mesh: heartbeat without the demand of teams", "error", err)
-		}
-		for _, d := range demands {
-			heartbeat.Needs = append(heartbeat.Needs,
-				DemandRecord{Team: string(d.Team()), Asked: d.Requested(), Taken: d.Admitted(), Held: d.Leased()})
-		}
-		stats, err := t.listener.TargetStats(call)
-		if err != nil {
-			t.log.Warn("mesh: heartbeat without target stats", "error", err)
-		}
-		for _, s := range stats {
-			heartbeat.Counts = append(heartbeat.Counts, newTargetStatsRecord(s))
-		}
-		t.addSuspects(call, &heartbeat, isTold, sent)
-	}
-	m := heartbeatDone{peer: p, sent: sent, toLeader: leads}
-	m.err = p.client.Call(call, methodHeartbeat, &heartbeat, &m.record)
-	t.self.Tell(m)
-}
-
-// applyLeaderReply applies the part of a reply that only the leader sends.
-// Leases count from the time the heartbeat was sent, so that they never
-// outlast the allocator's record of them.
-func (t *controlClientTask) applyLeaderReply(m heartbeatDone) {
-	leases := make([]quota.Lease, len(m.record.Shares))
-	for i, r := range m.record.Shares {
-		leases[i] = quota.NewLease(ident.Team(r.Team), r.Share)
-	}
-	nearLimit := make([]ident.Team, len(m.record.Tight))
-	for i, name := range m.record.Tight {
-		nearLimit[i] = ident.Team(name)
-	}
-	t.listener.ApplyLeases(leases, nearLimit, m.sent.Add(quota.LeaseTime))
-	if stats, ok := t.remoteStats(m.record); ok {
-		t.listener.ApplyRemoteStats(stats)
-	}
-	t.applyLimits(m.record)
-	t.applySuspects(m)
-}
-
-// applyLimits applies the rate limits of targets in a reply of the leader.
-func (t *controlClientTask) applyLimits(r HeartbeatReplyRecord) {
-	if len(r.Limits) == 0 || r.LoadsTag != t.listTag {
-		return
-	}
-	shares, err := decodeLimits(r.Limits, t.list)
-	if err != nil {
-		t.log.Error("mesh: rate limits of targets cannot be decoded", "error", err)
-		return
-	}
-	t.listener.ApplyLimits(shares)
-}
-
-// remoteStats returns the stats of the other hosts in a reply. It returns false
-// if they refer to a list of targets that this host no longer has.
-func (t *controlClientTask) remoteStats(r HeartbeatReplyRecord) ([]spread.TargetStats, bool) {
-	if r.LoadsTag != 0 {
-		if r.LoadsTag != t.listTag {
-			return nil, false
-		}
-		stats, err := decodeLoads(r.Loads, t.list)
-		if err != nil {
-			t.log.Error("mesh: loads of targets cannot be decoded", "error", err)
-		}
-		return stats, err == nil
-	}
-	stats := make([]spread.TargetStats, len(r.Others))
-	for i, o := range r.Others {
-		stats[i] = spread.NewTargetStats(ident.Target(o.Target), o.Running, o.Failed, o.Served)
-	}
-	return stats, true
-}
-
 // readyTags returns the tags of the lists of ready hosts that this host has.
 func (t *controlClientTask) readyTags() []uint64 {
 	var tags []uint64
@@ -353,35 +269,6 @@
 	}
 }
 
-func (t *controlClientTask) heartbeatDone(m heartbeatDone) {
-	m.peer.busy = false
-	if m.err != nil {
-		t.log.Debug("mesh: heartbeat failed", "peer", m.peer.address, "error", m.err)
-		return
-	}
-	now := t.clock.Now()
-	if m.peer.lost {
-		t.log.Info("mesh: contact to control host restored", "peer", m.peer.address)
-	}
-	m.peer.lastHeard, m.peer.lost, m.peer.hostCount = now, false, m.record.Hosts
-	t.updateReady(m.peer, m.record)
-	m.peer.leads = m.record.Leads
-	if m.record.Leads {
-		t.applyLeaderReply(m)
-	} else {
-		m.peer.isTold = false
-	}
-	if t.firstReply.IsZero() {
-		t.firstReply = now
-	}
-	t.updateControlHosts(m.record.Controls)
-	t.updateHostCount(now)
-	t.applyReturned(m.sent, m.record)
-	t.applyState(m.peer, m.record)
-	t.considerList(m.peer, methodTargets, m.sent, m.record)
-	t.checkReady(now)
-}
-
 // updateHostCount sets the number of entry hosts to the largest one that a
 // control host reports. A smaller number takes effect only after
 // hostRetention, since a host without contact keeps serving with its share.
@@ -402,21 +289,6 @@
 	}
 }
 
-// applyReturned reports the ends of evacuations that this host has not seen itself:
-// it may have started, or been out of contact, meanwhile. It may know a later
-// revision already, from a control host that has restarted and reports no ends.
-func (t *controlClientTask) applyReturned(sent time.Time, record HeartbeatReplyRecord) {
-	for _, r := range record.Returned {
-		if t.returned.includes(ident.Zone(r.Zone), ident.Revision(r.Revision)) {
-			continue
-		}
-		t.log.Info("mesh: zone has returned", "zone", r.Zone, "revision", r.Revision, "age", r.Age.String())
-		at := sent.Add(-r.Age)
-		t.returned = t.returned.add(returnedZone{zone: ident.Zone(r.Zone), revision: ident.Revision(r.Revision), at: at})
-		t.listener.ZoneReturned(ident.Zone(r.Zone), at)
-	}
-}
-
 // applyState puts the evacuated zones in force and reports the version of the
 // configuration to the fetcher.
 func (t *controlClientTask) applyState(p *peer, r HeartbeatReplyRecord) {
