--- a/review/stand-2/fleet/fleet.go
+++ b/review/stand-2/fleet/fleet.go
@@ -83,7 +83,7 @@
 
 // areFree reports whether a range of ports is free on the first addresses.
 func (f *Fleet) areFree(first, last int) bool {
-	for host := 1; host <= 12; host++ {
+	for host := 1; host <= 20; host++ {
 		for port := first; port <= last; port++ {
 			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", f.ip(host), port))
 			if err != nil {
--- a/review/stand-2/stale/main.go
+++ b/review/stand-2/stale/main.go
@@ -13,7 +13,7 @@
 	"stand2/fleet"
 )
 
-func main() { os.Exit(fleet.Play(1, 6, play)) }
+func main() { os.Exit(fleet.Play(2, 6, play)) }
 
 const (
 	// freezeTime is how long the front machine stands still.
@@ -35,9 +35,9 @@
 	if err := fleet.StartPlatform(f, func() []*fleet.Server { return servers }); err != nil {
 		return fleet.Failed, err
 	}
-	old := []*fleet.Machine{f.Add("core-a", "zone-a", "control"), f.Add("core-b", "zone-b", "control"), f.Add("core-c", "zone-c", "control")}
+	old := controlMachines(f, "core")
 	fronts := []*fleet.Machine{f.Add("front-a", "zone-a", "entry"), f.Add("front-b", "zone-b", "entry")}
-	f.SetSeeds(old...)
+	f.SetSeeds(old[:3]...)
 	if err := start(append(old, fronts...)); err != nil {
 		return fleet.Failed, err
 	}
@@ -64,7 +64,7 @@
 	if trouble != "0" {
 		fronts[0].Signal(syscall.SIGSTOP)
 	}
-	fresh := []*fleet.Machine{f.Add("core-d", "zone-a", "control"), f.Add("core-e", "zone-b", "control"), f.Add("core-f", "zone-c", "control")}
+	fresh := controlMachines(f, "new-core")
 	if err := start(fresh); err != nil {
 		return fleet.Failed, err
 	}
@@ -84,7 +84,7 @@
 	if trouble != "0" {
 		fronts[0].Signal(syscall.SIGCONT)
 	}
-	f.SetSeeds(fresh...)
+	f.SetSeeds(fresh[:3]...)
 	for _, m := range fronts {
 		if err := m.WriteSettings(); err != nil {
 			return fleet.Failed, err
@@ -99,6 +99,15 @@
 	return judge(ctx, record, client, runs, fronts)
 }
 
+// controlMachines adds five control machines, which bear the loss of two.
+func controlMachines(f *fleet.Fleet, name string) []*fleet.Machine {
+	var list []*fleet.Machine
+	for i, zone := range []string{"zone-a", "zone-b", "zone-c", "zone-a", "zone-b"} {
+		list = append(list, f.Add(fmt.Sprintf("%s-%d", name, i+1), zone, "control"))
+	}
+	return list
+}
+
 func start(list []*fleet.Machine) error {
 	for _, m := range list {
 		if err := m.Start(); err != nil {
