Keep the stand-ins of the review in a folder named platform

The default test run looks for the platform's names in all folders but those of that name, and found them in the stand-ins of the cases. Shown by TestPlatformNamesElsewhere, which failed before and passes now.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,5 +4,5 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-[ -x "$root/target/rhubarbrack" ] && [ -x "$root/review/stand-2/bin/grace" ] || exit 2
-exec "$root/review/stand-2/bin/grace" "$root" "$here/record.txt"
+[ -x "$root/target/rhubarbrack" ] && [ -x "$root/review/stand-2/platform/bin/grace" ] || exit 2
+exec "$root/review/stand-2/platform/bin/grace" "$root" "$here/record.txt"
