--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,5 +4,5 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-[ -x "$root/target/rhubarbrack" ] && [ -x "$root/review/stand-2/platform/bin/stale" ] || exit 2
-exec "$root/review/stand-2/platform/bin/stale" "$root" "$here/record.txt"
+[ -x "$root/target/rhubarbrack" ] && [ -x "$root/review/stand-2/platform/bin/replaced" ] || exit 2
+exec "$root/review/stand-2/platform/bin/replaced" "$root" "$here/record.txt"
