--- a/review/stand-2/platform/grace/main.go
+++ b/review/stand-2/platform/grace/main.go
@@ -25,7 +25,7 @@
 	requests = 8
 )
 
-func main() { os.Exit(fleet.Play(2, graceSeconds, play)) }
+func main() { os.Exit(fleet.Play(1, graceSeconds, play)) }
 
 func play(ctx context.Context, f *fleet.Fleet, trouble string) (int, error) {
 	record, runs := f.Record, fleet.NewRuns()
