Tell a reset during an upload from the end of the answer

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the operating system reports the failure of a connection once, to the call that comes first. link.Pool.Send writes and reads in two goroutines. When the write took ECONNRESET, the next read found the end of the connection, which is also the end of a body without a length. Nobody asked how the write had ended.

Change: package intact. Its Conn records the first error of a write, and where a read finds the end, returns that error in place of io.EOF. A write under way may hold the error already, so the read interrupts it and waits for it. EPIPE is no such error: Linux gives it when the server had ended the connection in order before it reset it, so all bytes have come. An answer that comes early, without a length, from a target that reads the upload and closes, stays whole.

--- /dev/null
+++ b/intact/conn.go
@@ -0,0 +1,81 @@
+package intact
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// ErrCutOff means that a connection failed where its end would have been the end
+// of the response.
+const ErrCutOff = errors.ConstError("connection failed before the end of the response")
+
+// past is a write deadline that has passed.
+var past = time.Unix(1, 0)
+
+// Conn is a client's connection to a server. Its Read returns io.EOF only if the
+// server has ended the connection in order. Reads and writes may be concurrent.
+//
+// The operating system reports the failure of a connection once, to the call that
+// comes first. If that is a write, which carries the rest of a request, the next
+// read finds the end of the connection, as after a response that is whole.
+type Conn struct {
+	net.Conn
+	// writing is held during a write. It guards writeErr, the first error of a
+	// write.
+	writing  sync.Mutex
+	writeErr error
+}
+
+// NewConn returns a connection that reads and writes c.
+func NewConn(c net.Conn) *Conn { return &Conn{Conn: c} }
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// Read implements net.Conn. The error wraps ErrCutOff if a write has taken the
+// error of the connection.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
+	// Errors are not wrapped here, since readers compare them.
+	return n, err
+}
+
+// endError returns why there is nothing more to read: io.EOF or an error that
+// wraps ErrCutOff. A write under way may have taken the error of the connection,
+// so its result is awaited. The write is interrupted, since the server may not
+// read what it sends, and nobody waits for another response.
+func (c *Conn) endError() error {
+	// An error means that the connection is closed, which ends the write.
+	_ = c.SetWriteDeadline(past)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr == nil || isAfterEnd(c.writeErr) {
+		return io.EOF
+	}
+	return fmt.Errorf("%w: %w", ErrCutOff, c.writeErr)
+}
+
+// isAfterEnd reports whether the first error of a write tells nothing against an
+// end in order. On Linux, EPIPE means that the server has ended the connection in
+// order before it reset it; a reset alone is ECONNRESET.
+func isAfterEnd(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE)
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"rhubarbrack/intact"
 	"rhubarbrack/tasks"
 )
 
@@ -27,13 +28,13 @@
 // boundedReader reads a connection. While a header is read, it fails after
 // maxHeadBytes, because the parser of net/http has no limit of its own.
 type boundedReader struct {
-	socket net.Conn
+	stream *intact.Conn
 	// left is the number of bytes that may still be read, or negative if there
 	// is no limit.
 	left int
 }
 
-// Read implements io.Reader. It does not wrap errors of the socket, since
+// Read implements io.Reader. It does not wrap errors of the stream, since
 // readers compare them with io.EOF.
 func (r *boundedReader) Read(b []byte) (int, error) {
 	if r.left == 0 {
@@ -42,7 +43,7 @@
 	if r.left > 0 {
 		b = b[:min(len(b), r.left)]
 	}
-	n, err := r.socket.Read(b)
+	n, err := r.stream.Read(b)
 	if r.left > 0 {
 		r.left -= n
 	}
@@ -52,7 +53,9 @@
 // Conn is an open connection to a target. Only one goroutine may use it at a
 // time.
 type Conn struct {
-	socket  net.Conn
+	socket net.Conn
+	// stream reads and writes the socket.
+	stream  *intact.Conn
 	bounded *boundedReader
 	reader  *bufio.Reader
 	address string
@@ -66,9 +69,10 @@
 }
 
 func newConn(socket net.Conn, address string) *Conn {
-	bounded := &boundedReader{socket: socket, left: -1}
+	stream := intact.NewConn(socket)
+	bounded := &boundedReader{stream: stream, left: -1}
 	return &Conn{
-		socket: socket, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes), address: address,
+		socket: socket, stream: stream, bounded: bounded, reader: bufio.NewReaderSize(bounded, bufferBytes), address: address,
 		keepAlive: defaultKeepAlive,
 	}
 }
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -54,10 +54,10 @@
 	written := make(chan error, 1)
 	x.written = written
 	if r.Body == nil || r.ContentLength == 0 {
-		written <- r.Write(c.socket)
+		written <- r.Write(requestWriter{c.stream})
 	} else {
 		// A target may respond before it has read the whole body.
-		go func() { written <- r.Write(c.socket) }()
+		go func() { written <- r.Write(requestWriter{c.stream}) }()
 	}
 	response, err := x.read(r, matches)
 	if err != nil {
