Reject responses whose status is none of HTTP

What callers saw: a target answered with the status 000. Its caller waited until its time was up, though the answer was there at once, or got an answer behind it on the same connection. A refusal with the status 999 that states that the request has not run was taken for that proof, and an answer with the status 999 was passed on.

Cause: http.ReadResponse takes any three characters that are a number, and any version, for a status line, and link skips everything below 200 as an interim response.

Change: intact.Conn checks the header of each response as its bytes arrive. A status line must have a version HTTP/1.x and a status from 100 to 599; other bytes end the read with ErrMalformed. link begins a check with each header, also with those behind interim and late responses, so that requests, probes and requests through other entry hosts get it.

--- a/intact/conn.go
+++ b/intact/conn.go
@@ -19,8 +19,9 @@
 // past is a write deadline that has passed.
 var past = time.Unix(1, 0)
 
-// Conn is a client's connection to a server. Its Read returns io.EOF only if the
-// server has ended the connection in order. Reads and writes may be concurrent.
+// Conn is a client's connection to a server of HTTP/1.x. Its Read returns io.EOF only
+// if the server has ended the connection in order, and no byte of the line that makes
+// the header of a response malformed. Reads and writes may be concurrent.
 //
 // The operating system reports the failure of a connection once, to the call that
 // comes first. If that is a write, which carries the rest of a request, the next
@@ -31,6 +32,9 @@
 	// write.
 	writing  sync.Mutex
 	writeErr error
+	// scanning guards header.
+	scanning sync.Mutex
+	header   headerScanner
 }
 
 // NewConn returns a connection that reads and writes c.
@@ -47,10 +51,24 @@
 	return n, err
 }
 
+// BeginResponse makes Read check the header of the next response, and those of
+// interim responses before it. The client has read the buffered bytes already, but
+// not used them; the response begins there. The error wraps ErrMalformed.
+func (c *Conn) BeginResponse(buffered []byte) error {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	c.header.begin()
+	return c.header.scan(buffered)
+}
+
 // Read implements net.Conn. The error wraps ErrCutOff if a write has taken the
-// error of the connection.
+// error of the connection, and ErrMalformed if the header of a response is
+// malformed.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if malformed := c.scan(b[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
@@ -58,6 +76,12 @@
 	return n, err
 }
 
+func (c *Conn) scan(b []byte) error {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	return c.header.scan(b)
+}
+
 // endError returns why there is nothing more to read: io.EOF or an error that
 // wraps ErrCutOff. A write under way may have taken the error of the connection,
 // so its result is awaited. The write is interrupted, since the server may not
--- /dev/null
+++ b/intact/header.go
@@ -0,0 +1,77 @@
+package intact
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/juju/errors"
+)
+
+// ErrMalformed means that bytes arrived that are not the header of a response.
+const ErrMalformed = errors.ConstError("header of the response is malformed")
+
+// maxLineBytes limits a line of a header.
+const maxLineBytes = 64 << 10
+
+// headerScanner checks the header of a response, and those of interim responses
+// before it, as their bytes arrive. The zero value checks nothing.
+type headerScanner struct {
+	// isInHeader is set until the header is complete.
+	isInHeader bool
+	// hasStatus is set once the status line is complete.
+	hasStatus bool
+	status    statusLine
+	// line is the part of the current line that has arrived.
+	line []byte
+	err  error
+}
+
+// begin prepares for the next response.
+func (s *headerScanner) begin() { *s = headerScanner{isInHeader: true} }
+
+// scan checks the next bytes of the connection. It ignores those behind the
+// header. An error wraps ErrMalformed, and is returned again for all further bytes.
+func (s *headerScanner) scan(b []byte) error {
+	for s.isInHeader && s.err == nil && len(b) > 0 {
+		end := bytes.IndexByte(b, '\n') + 1
+		if end == 0 {
+			end = len(b)
+		}
+		s.scanPart(b[:end])
+		b = b[end:]
+	}
+	return s.err
+}
+
+// scanPart checks a line, or the next part of one.
+func (s *headerScanner) scanPart(part []byte) {
+	if len(s.line)+len(part) > maxLineBytes {
+		s.err = fmt.Errorf("%w: line of more than %d bytes", ErrMalformed, maxLineBytes)
+		return
+	}
+	line := part
+	if len(s.line) > 0 {
+		s.line = append(s.line, part...)
+		line = s.line
+	}
+	text, isWhole := bytes.CutSuffix(line, []byte("\n"))
+	if !isWhole {
+		s.line = append(s.line[:0], line...)
+		return
+	}
+	s.line = s.line[:0]
+	s.scanLine(bytes.TrimSuffix(text, []byte("\r")))
+}
+
+// scanLine checks a line without its end.
+func (s *headerScanner) scanLine(line []byte) {
+	switch {
+	case !s.hasStatus:
+		s.status, s.err = parseStatusLine(line)
+		s.hasStatus = true
+	case len(line) == 0:
+		// The header of another response follows that of an interim one.
+		s.hasStatus = false
+		s.isInHeader = s.status.isInterim()
+	}
+}
--- a/link/conn.go
+++ b/link/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -77,6 +78,20 @@
 	}
 }
 
+// beginHeader prepares for the header of a response, which begins with the bytes in
+// the read buffer. endHeader must follow unless an error is returned.
+func (c *Conn) beginHeader() error {
+	c.bounded.left = maxHeadBytes
+	// Bytes that are in the buffer can be read without an error.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.stream.BeginResponse(buffered); err != nil {
+		return fmt.Errorf("begin response: %w", err)
+	}
+	return nil
+}
+
+func (c *Conn) endHeader() { c.bounded.left = -1 }
+
 // IsReused reports whether the connection has carried an earlier request.
 func (c *Conn) IsReused() bool { return c.Carried() > 0 }
 
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -74,9 +74,7 @@
 
 func (x *Exchange) read(r *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
 	for range maxStrayResponses {
-		x.conn.bounded.left = maxHeadBytes
-		response, err := http.ReadResponse(x.conn.reader, r)
-		x.conn.bounded.left = -1
+		response, err := x.readHeader(r)
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
@@ -100,6 +98,15 @@
 	return nil, ErrResponseMismatch
 }
 
+// readHeader reads the header of the next response.
+func (x *Exchange) readHeader(r *http.Request) (*http.Response, error) {
+	if err := x.conn.beginHeader(); err != nil {
+		return nil, err
+	}
+	defer x.conn.endHeader()
+	return http.ReadResponse(x.conn.reader, r)
+}
+
 // isDelimited reports whether the end of the body can be detected without the
 // end of the connection.
 func isDelimited(r *http.Response) bool {
--- a/link/probe_test.go
+++ b/link/probe_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
+
+	"rhubarbrack/intact"
 )
 
 // TestProbe guards against probes that take a target for reachable because
@@ -34,6 +38,24 @@
 	}
 }
 
+// TestMalformedProbe guards against probes that take malformed bytes for the response
+// of a target, or wait for the response behind them.
+func TestMalformedProbe(t *testing.T) {
+	cases := []struct{ name, old, changed string }{
+		{"status 000", "200", "000"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newTarget(t, serve(func(id string) string { return strings.Replace(response(id, "ok"), c.old, c.changed, 1) }))
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if _, err := newPool(t).Probe(ctx, s.address(), "/health"); !errors.Is(err, intact.ErrMalformed) {
+				t.Errorf("error %v, want %v", err, intact.ErrMalformed)
+			}
+		})
+	}
+}
+
 // TestIsRefused guards against taking a target for ended that does not respond,
 // that accepts connections, or whose connections are reset on the way.
 func TestIsRefused(t *testing.T) {
