Reject responses with a malformed field in their header

What callers saw: a target sent an answer in whose header the name of a field held a blank. The caller got it: with that line, or, where the line was "Content-Length : 2" or "Transfer-Encoding : chunked", with a body that was not the target's. A refusal with such a line was taken for the proof that the request has not run.

Cause: net/textproto accepts blanks in names and leaves such names as they are, so that nobody finds the field under its name. A name after a line that begins with a blank becomes part of the value before it.

Change: the header check of intact.Conn requires of each line a name that is a token, with the colon right behind it, and a value without control characters, also in interim and late responses. Lines that continue a field are rejected, as RFC 9112 allows proxies. The syntax checks of package relay moved to intact.

Evidence, on: TestMalformedAnswer failed in all 8 cases with a blank (status 200 with the body okmore), TestMalformedRefusal in 4 of 4 (not-run after two attempts), TestBrokenAnswerOfPeer and TestMalformedProbe with a blank, and TestMalformedHeader in 6 of 6. Names with control bytes and empty names were rejected before; these cases stay as tests. All pass now.

--- a/bridge/broken_answer_test.go
+++ b/bridge/broken_answer_test.go
@@ -53,6 +53,7 @@
 	cases := []struct{ name, answer string }{
 		{"reset during the upload", "HTTP/1.1 200 OK" + fields + "\r\npart"},
 		{"status 000", "HTTP/1.1 000 OK" + fields + "Content-Length: 2\r\n\r\nok"},
+		{"blank in a name", "HTTP/1.1 200 OK" + fields + "Foo Bar: x\r\nContent-Length: 2\r\n\r\nok"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/intact/header.go
+++ b/intact/header.go
@@ -73,5 +73,19 @@
 		// The header of another response follows that of an interim one.
 		s.hasStatus = false
 		s.isInHeader = s.status.isInterim()
+	default:
+		s.err = checkField(line)
 	}
 }
+
+// checkField returns an error that wraps ErrMalformed unless a line is a header
+// field (RFC 9112, section 5). net/http accepts blanks in names, and then fails to
+// see a field such as Content-Length. A line that begins with a blank continues the
+// field before it, a form that is obsolete and that a proxy may reject.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !IsToken(name) || !IsFieldValue(value) {
+		return fmt.Errorf("%w: field %s", ErrMalformed, quote(line))
+	}
+	return nil
+}
--- a/intact/status_line.go
+++ b/intact/status_line.go
@@ -21,12 +21,12 @@
 // the text behind the status may be missing. The error wraps ErrMalformed.
 func parseStatusLine(line []byte) (statusLine, error) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
-	code, _, _ := bytes.Cut(rest, []byte(" "))
+	code, reason, _ := bytes.Cut(rest, []byte(" "))
 	minor, isVersion := bytes.CutPrefix(version, []byte("HTTP/1."))
 	// ParseUint accepts digits alone.
 	status, err := strconv.ParseUint(string(code), 10, 16)
 	if !isVersion || len(minor) != 1 || minor[0] < '0' || minor[0] > '9' ||
-		err != nil || len(code) != 3 || status < minStatus || status > maxStatus {
+		err != nil || len(code) != 3 || status < minStatus || status > maxStatus || !IsFieldValue(reason) {
 		return statusLine{}, fmt.Errorf("%w: status line %s", ErrMalformed, quote(line))
 	}
 	return statusLine{status: int(status)}, nil
--- a/link/malformed_test.go
+++ b/link/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"rhubarbrack/intact"
@@ -25,6 +26,13 @@
 		{"status 999", "HTTP/1.1 999 OK" + fields},
 		{"two blanks before the status", "HTTP/1.1  200 OK" + fields},
 		{"other version", "HTTP/3.7 200 OK" + fields},
+		{"blank before a colon", "HTTP/1.1 200 OK\r\nContent-Length : 1" + fields},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nFoo Bar: x" + fields},
+		{"blank before a name", "HTTP/1.1 200 OK\r\nFoo: x\r\n Bar: y" + fields},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nFoo\x01: x" + fields},
+		{"blank in a name behind a late response", response("0", "old") + "HTTP/1.1 200 OK\r\nFoo Bar: x" + fields},
+		{"blank in a name of a late response", strings.Replace(response("0", "old"), "Id", "Foo Bar: x\r\nId", 1) + response("7", "ok")},
+		{"blank in a name of an interim response", "HTTP/1.1 103 Early Hints\r\nFoo Bar: x\r\n\r\n" + response("7", "ok")},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/link/probe_test.go
+++ b/link/probe_test.go
@@ -43,6 +43,8 @@
 func TestMalformedProbe(t *testing.T) {
 	cases := []struct{ name, old, changed string }{
 		{"status 000", "200", "000"},
+		{"blank before a colon", "Content-Length:", "Content-Length :"},
+		{"blank in a name", "Id:", "Foo Bar: x\r\nId:"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/relay/framing.go
+++ b/relay/framing.go
@@ -5,6 +5,8 @@
 	"math"
 	"net/url"
 	"strconv"
+
+	"rhubarbrack/intact"
 )
 
 // framing tells where a request ends.
@@ -29,7 +31,7 @@
 	var f framing
 	for line := range bytes.SplitSeq(bytes.TrimSuffix(fields, []byte("\r\n\r\n")), []byte("\r\n")) {
 		name, value, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) || !isFieldValue(value) || !f.apply(name, bytes.Trim(value, " \t")) {
+		if !ok || !intact.IsToken(name) || !intact.IsFieldValue(value) || !f.apply(name, bytes.Trim(value, " \t")) {
 			return framing{}, false
 		}
 	}
@@ -70,24 +72,13 @@
 func isRequestLine(line []byte) bool {
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, ok := bytes.CutSuffix(rest, []byte(" HTTP/1.1"))
-	if !ok || !isToken(method) || !bytes.HasPrefix(target, []byte("/")) || bytes.Contains(target, []byte(" ")) {
+	if !ok || !intact.IsToken(method) || !bytes.HasPrefix(target, []byte("/")) || bytes.Contains(target, []byte(" ")) {
 		return false
 	}
 	_, err := url.ParseRequestURI(string(target))
 	return err == nil && isPrintable(target)
 }
 
-// isFieldValue reports whether a field value has no control characters but
-// tabs.
-func isFieldValue(value []byte) bool {
-	for _, c := range value {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // bodyScanner finds the end of a request's body. The zero value is the one of
 // an empty body.
 type bodyScanner struct {
--- a/relay/malformed_answer_test.go
+++ b/relay/malformed_answer_test.go
@@ -13,6 +13,22 @@
 	{"status 042", "HTTP/1.1 200 x", "HTTP/1.1 042 x"},
 	{"signed status", "HTTP/1.1 200 x", "HTTP/1.1 +20 x"},
 	{"status 999", "HTTP/1.1 200 x", "HTTP/1.1 999 x"},
+	{"blank before the colon of the length", "\r\nContent-Length: ", "\r\nContent-Length : 2\r\nFoo: "},
+	{"blank before the colon of the encoding", "\r\nContent-Length: ", "\r\nTransfer-Encoding : chunked\r\nFoo: "},
+	{"blank before the name of the length", "\r\nContent-Length: ", "\r\n Content-Length: 2\r\nFoo: "},
+	{"blank in a name", "\r\nId: ", "\r\nFoo Bar: x\r\nId: "},
+	{"tab in a name", "\r\nId: ", "\r\nFoo\t: x\r\nId: "},
+	{"control byte in a name", "\r\nId: ", "\r\nFoo\x01: x\r\nId: "},
+	{"no name", "\r\nId: ", "\r\n: x\r\nId: "},
+}
+
+// ending returns an answer behind which the target closes the connection if nothing
+// else ends the body.
+func ending(answer string) string {
+	if strings.Contains(answer, "\r\nContent-Length: ") {
+		return answer
+	}
+	return "!" + answer
 }
 
 // TestMalformedAnswer guards against an answer with a malformed header that reaches
@@ -21,7 +37,7 @@
 	for _, c := range malformedAnswers {
 		t.Run(c.name, func(t *testing.T) {
 			malformed := func(r *http.Request) string {
-				return strings.Replace(targetResponse(r, 200, "okmore"), c.old, c.changed, 1)
+				return ending(strings.Replace(targetResponse(r, 200, "okmore"), c.old, c.changed, 1))
 			}
 			t.Run("at most once", func(t *testing.T) {
 				h := newTestHost(t, func(_ int, r *http.Request) string { return malformed(r) })
@@ -58,7 +74,9 @@
 	for _, c := range malformedAnswers {
 		t.Run(c.name, func(t *testing.T) {
 			old := strings.Replace(c.old, "200", "503", 1)
-			h := newTestHost(t, func(_ int, r *http.Request) string { return strings.Replace(notRun(r), old, c.changed, 1) })
+			h := newTestHost(t, func(_ int, r *http.Request) string {
+				return ending(strings.Replace(notRun(r), old, c.changed, 1))
+			})
 			r, _, err := h.call(t, newClient(t), http.MethodPost, "/once/1", "key", strings.NewReader("a"))
 			if err != nil {
 				t.Fatal(err)
--- a/relay/request_scanner.go
+++ b/relay/request_scanner.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+
+	"rhubarbrack/intact"
 )
 
 // maxScannedHead is the size of the longest request header that a
@@ -147,7 +149,7 @@
 	hosts := 0
 	for line := range bytes.SplitSeq(bytes.TrimSuffix(fields, []byte("\r\n\r\n")), []byte("\r\n")) {
 		name, _, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !isToken(name) || !isPrintable(line) {
+		if !ok || !intact.IsToken(name) || !isPrintable(line) {
 			return false
 		}
 		for _, f := range delimitingFields {
@@ -177,14 +179,3 @@
 	}
 	return true
 }
-
-// isToken reports whether a field name is a token of RFC 9110.
-func isToken(name []byte) bool {
-	for _, c := range name {
-		isLetter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
-		if !isLetter && !bytes.ContainsRune([]byte("!#$%&'*+-.^_`|~"), rune(c)) {
-			return false
-		}
-	}
-	return len(name) > 0
-}
