Reject chunked responses of HTTP/1.0

What a caller would see: the sizes of the chunks within the body.

Cause: HTTP/1.0 has no chunks. net/http ignores Transfer-Encoding there and reads up to the end of the connection, or a Content-Length beside it. RFC 9112, section 6.1, calls the framing of such a response faulty.

Change: the header check of intact.Conn rejects a response of HTTP/1.0 with a Transfer-Encoding.

Evidence: without the change TestMalformedHeader got the body "2\r\nok\r\n0\r\n\r\n!", TestMalformedAnswer failed in 2 of 2 cases, and TestMalformedRefusal took the refusal for a proof. All pass now.

--- a/intact/header.go
+++ b/intact/header.go
@@ -74,7 +74,7 @@
 		s.hasStatus = false
 		s.isInHeader = s.status.isInterim()
 	default:
-		s.err = checkField(line)
+		s.err = s.status.checkField(line)
 	}
 }
 
@@ -82,10 +82,16 @@
 // field (RFC 9112, section 5). net/http accepts blanks in names, and then fails to
 // see a field such as Content-Length. A line that begins with a blank continues the
 // field before it, a form that is obsolete and that a proxy may reject.
-func checkField(line []byte) error {
+//
+// In HTTP/1.0 there are no chunks, and a response with a Transfer-Encoding has no
+// known end (section 6.1). net/http ignores that field there.
+func (s statusLine) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !IsToken(name) || !IsFieldValue(value) {
 		return fmt.Errorf("%w: field %s", ErrMalformed, quote(line))
 	}
+	if s.minorVersion == 0 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return fmt.Errorf("%w: field %s in HTTP/1.0", ErrMalformed, quote(line))
+	}
 	return nil
 }
--- a/intact/header_test.go
+++ b/intact/header_test.go
@@ -19,6 +19,7 @@
 	{"interim response before", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", false},
 	{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", false},
 	{"all characters of a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: b\r\n\r\n", false},
+	{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", false},
 	{"no value", "HTTP/1.1 200 OK\r\nA:\r\n\r\n", false},
 	{"blanks around a value", "HTTP/1.1 200 OK\r\nA: \t b: c\t \r\n\r\n", false},
 	{"not ASCII", "HTTP/1.1 200 S\xfc\xdf\r\nA: \xe4\r\n\r\n", false},
@@ -52,6 +53,7 @@
 	{"no colon", "HTTP/1.1 200 OK\r\nA\r\n\r\n", true},
 	{"control byte in a value", "HTTP/1.1 200 OK\r\nA: b\x01\r\n\r\n", true},
 	{"carriage return in a value", "HTTP/1.1 200 OK\r\nA: b\rc\r\n\r\n", true},
+	{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", true},
 	{"malformed field of an interim response", "HTTP/1.1 103 Early Hints\r\nA : b\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", true},
 	{"malformed behind an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n\r\n", true},
 }
--- a/intact/status_line.go
+++ b/intact/status_line.go
@@ -15,7 +15,11 @@
 )
 
 // statusLine is the first line of a response.
-type statusLine struct{ status int }
+type statusLine struct {
+	status int
+	// minorVersion is 0 for HTTP/1.0.
+	minorVersion byte
+}
 
 // parseStatusLine parses a line without its end (RFC 9112, section 4). The space and
 // the text behind the status may be missing. The error wraps ErrMalformed.
@@ -29,7 +33,7 @@
 		err != nil || len(code) != 3 || status < minStatus || status > maxStatus || !IsFieldValue(reason) {
 		return statusLine{}, fmt.Errorf("%w: status line %s", ErrMalformed, quote(line))
 	}
-	return statusLine{status: int(status)}, nil
+	return statusLine{status: int(status), minorVersion: minor[0] - '0'}, nil
 }
 
 // isInterim reports whether another response follows.
--- a/link/malformed_test.go
+++ b/link/malformed_test.go
@@ -33,6 +33,7 @@
 		{"blank in a name behind a late response", response("0", "old") + "HTTP/1.1 200 OK\r\nFoo Bar: x" + fields},
 		{"blank in a name of a late response", strings.Replace(response("0", "old"), "Id", "Foo Bar: x\r\nId", 1) + response("7", "ok")},
 		{"blank in a name of an interim response", "HTTP/1.1 103 Early Hints\r\nFoo Bar: x\r\n\r\n" + response("7", "ok")},
+		{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 7\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n!"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/relay/malformed_answer_test.go
+++ b/relay/malformed_answer_test.go
@@ -19,6 +19,7 @@
 	{"blank in a name", "\r\nId: ", "\r\nFoo Bar: x\r\nId: "},
 	{"tab in a name", "\r\nId: ", "\r\nFoo\t: x\r\nId: "},
 	{"control byte in a name", "\r\nId: ", "\r\nFoo\x01: x\r\nId: "},
+	{"chunks in HTTP/1.0", "HTTP/1.1 200 x\r\n", "HTTP/1.0 200 x\r\nTransfer-Encoding: chunked\r\n"},
 	{"no name", "\r\nId: ", "\r\n: x\r\nId: "},
 }
 
