Check the header of answers in the product's own mode

What callers would see: answers with a malformed header, as from the front end on the platform. Package target reads responses by net/http too.

A status of 999, a version 3.7, blanks in names, continued lines and chunks in HTTP/1.0 were passed on as answers that ran, and a refusal with a blank in a name was taken for the proof that the request has not run. The status 000 was refused before.

Change: the connections of the transport are intact.Conns that check the header of the answer to each exchange. A header that was read before the exchange began was not checked and answers another request, so the response is not paired. A malformed header makes the outcome unknown.

--- a/intact/conn.go
+++ b/intact/conn.go
@@ -76,6 +76,14 @@
 	return n, err
 }
 
+// HasHeader reports whether the header of a response has arrived since BeginResponse,
+// behind those of interim responses.
+func (c *Conn) HasHeader() bool {
+	c.scanning.Lock()
+	defer c.scanning.Unlock()
+	return c.header.isComplete
+}
+
 func (c *Conn) scan(b []byte) error {
 	c.scanning.Lock()
 	defer c.scanning.Unlock()
--- a/intact/header.go
+++ b/intact/header.go
@@ -16,8 +16,8 @@
 // headerScanner checks the header of a response, and those of interim responses
 // before it, as their bytes arrive. The zero value checks nothing.
 type headerScanner struct {
-	// isInHeader is set until the header is complete.
-	isInHeader bool
+	// isInHeader is set until the header is complete, and isComplete from then on.
+	isInHeader, isComplete bool
 	// hasStatus is set once the status line is complete.
 	hasStatus bool
 	status    statusLine
@@ -73,6 +73,7 @@
 		// The header of another response follows that of an interim one.
 		s.hasStatus = false
 		s.isInHeader = s.status.isInterim()
+		s.isComplete = !s.isInHeader
 	default:
 		s.err = s.status.checkField(line)
 	}
--- a/target/client.go
+++ b/target/client.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrDial, err)
 	}
-	return &countedConn{Conn: conn}, nil
+	return newCountedConn(conn), nil
 }
 
 // Close closes the idle connections.
--- a/target/conn.go
+++ b/target/conn.go
@@ -3,13 +3,15 @@
 import (
 	"net"
 	"sync"
+
+	"rhubarbrack/intact"
 )
 
 // countedConn counts writes to a connection and bytes read from it. The counts
 // decide whether a request was written and whether any byte of a response
 // arrived.
 type countedConn struct {
-	net.Conn
+	*intact.Conn
 
 	// exchange is locked from the time an exchange receives the connection until
 	// it has decided whether the next one may use it: net/http offers a
@@ -30,10 +32,14 @@
 	sealed bool
 }
 
+func newCountedConn(c net.Conn) *countedConn { return &countedConn{Conn: intact.NewConn(c)} }
+
 // begin waits until the previous exchange has decided about the connection, and
 // reports whether a request can be written to it. end must follow.
 func (c *countedConn) begin() bool {
 	c.exchange.Lock()
+	// Nothing is malformed yet.
+	_ = c.BeginResponse(nil)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return !c.sealed
--- a/target/conn_test.go
+++ b/target/conn_test.go
@@ -36,7 +36,7 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			inner := &countingConn{}
-			c := &countedConn{Conn: inner}
+			c := newCountedConn(inner)
 			for range tc.before {
 				if _, err := c.Write([]byte("x")); err != nil {
 					t.Fatal(err)
--- a/target/pair.go
+++ b/target/pair.go
@@ -35,8 +35,13 @@
 // connection, every response must bear it. The responses of targets that do not
 // repeat it are paired with requests by their order, so a connection carries no
 // request after a refusal: its copy could state that the next request did not
-// run.
+// run. A header that had arrived before the request was sent answers another one,
+// and was not checked.
 func (x *exchange) pair(r *http.Response) error {
+	if x.conn != nil && !x.conn.HasHeader() {
+		x.retireConn()
+		return fmt.Errorf("target %s: %w: status %d arrived before the request was sent", x.address, ErrUnpaired, r.StatusCode)
+	}
 	ids := r.Header[HeaderAttempt]
 	if len(ids) == 1 && ids[0] == x.attempt {
 		x.conn.echoes = true
--- a/target/send.go
+++ b/target/send.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/http/httptrace"
+
+	"rhubarbrack/intact"
 )
 
 // gotConn runs before the request is written. A connection that was given up
@@ -112,7 +114,8 @@
 	if bodyErr := x.bodyError(err); bodyErr != nil {
 		return Unknown, fmt.Errorf("target %s: %w: %w", x.address, ErrRequestBody, bodyErr)
 	}
-	if read == x.bytesReadBefore {
+	// A malformed header has arrived, though nothing of it was read.
+	if read == x.bytesReadBefore && !errors.Is(err, intact.ErrMalformed) {
 		return Crashed, fmt.Errorf("target %s: %w before its response: %w", x.address, ErrLost, err)
 	}
 	return Unknown, fmt.Errorf("target %s: %w: %w", x.address, ErrLost, err)
