Check the header of health and load reports

What operators would see: a target whose reports have a malformed header counts as healthy. Reports of the product's own mode are read by net/http.

Cause: the same as for answers; a blank in a name was accepted.

Change: intact.Transport checks the header of each response that comes over it, also over TLS, and the prober uses it.

--- a/target/prober.go
+++ b/target/prober.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rhubarbrack/ident"
+	"rhubarbrack/intact"
 	"rhubarbrack/tasks"
 )
 
@@ -165,7 +166,7 @@
 // of one probe.
 func newProbeClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: defaultHeaderBytes},
+		Transport:     intact.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: defaultHeaderBytes}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
