Check the header of the list in the product's own mode

What operators would see: a list of targets in force whose response has a malformed header, so that its body may end elsewhere than the platform's.

Change: package lister reads the list by intact.Transport.

Evidence, on: TestMalformedHeader took the list in the two cases with a blank; the status 000 and control bytes were rejected before under other errors.

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rhubarbrack/clock"
+	"rhubarbrack/intact"
 	"rhubarbrack/tasks"
 )
 
@@ -242,7 +243,7 @@
 // can come only from the configured address.
 func newHTTPClient() *http.Client {
 	return &http.Client{
-		Transport:     &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes},
+		Transport:     intact.NewTransport(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: maxHeaderBytes}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
