Reset the connection of a caller of HTTP/1.0 whose answer breaks off

Cause: HTTP/1.0 has no chunks. A long answer whose length the host does not know ends there with the connection, and net/http ends it in the same way whether the handler returns or aborts.

Change: from the header of such an answer on, the end of the connection is a reset, also when the process ends. Once the whole answer has been written, the connection ends in order again.

--- a/intact/transport_test.go
+++ b/intact/transport_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -84,7 +85,9 @@
 // TestTransportWithTLS guards against a server that is reached over TLS and whose
 // responses are rejected, or whose certificate is not verified.
 func TestTransportWithTLS(t *testing.T) {
-	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
 	t.Cleanup(server.Close)
 	trusted := server.Client().Transport.(*http.Transport).TLSClientConfig
 	cases := []struct {
--- a/relay/closing.go
+++ b/relay/closing.go
@@ -32,6 +32,9 @@
 	return f.ResponseWriter.Write(b)
 }
 
+// Unwrap returns the response writer of the server, for http.ResponseController.
+func (f *frontResponse) Unwrap() http.ResponseWriter { return f.ResponseWriter }
+
 // beginHeader announces the close of the connection if this response is to be
 // the last one.
 func (f *frontResponse) beginHeader() {
--- a/relay/conn.go
+++ b/relay/conn.go
@@ -46,6 +46,9 @@
 	return &callerConn{Conn: c, clock: k, pipeline: p, idle: true}
 }
 
+// NetConn returns the connection that is read and written.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
 // markIdle records that the response to the last request is complete.
 func (c *callerConn) markIdle() {
 	c.pipeline.completeResponse()
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -25,6 +25,7 @@
 	if r.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 	}
+	complete := rh.guardEnd(r.ContentLength)
 	rh.writer.WriteHeader(r.StatusCode)
 	// The latency of the target is the time to the first bytes; the rest
 	// depends on the network.
@@ -45,6 +46,7 @@
 		rh.recordEnd(d, "broken-off", append(attrs, slog.Int64("rest-bytes", max(r.ContentLength-int64(written), -1)), errorAttr(err))...)
 		panic(http.ErrAbortHandler)
 	}
+	complete()
 	exchange.Finish()
 	rh.recordEnd(d, "answered", attrs...)
 }
