Reset broken answers to callers of HTTP/1.0 in the product's own mode

A caller of HTTP/1.0 took a part of an answer for the whole.

Change: intact.GuardEnd, which package relay now uses as well, guards answers without a length in package caller.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"rhubarbrack/ident"
+	"rhubarbrack/intact"
 	"rhubarbrack/once"
 	"rhubarbrack/route"
 	"rhubarbrack/steer"
@@ -32,15 +33,18 @@
 // exchange is one HTTP request while the router handles it. It is used only by
 // the goroutine of the request.
 type exchange struct {
-	writer         http.ResponseWriter
-	request        *http.Request
-	dispatcher     Dispatcher
-	id             ident.RequestID
-	body           []byte
-	maxBodyBytes   int64
-	status         int
-	started        bool
-	streaming      bool
+	writer       http.ResponseWriter
+	request      *http.Request
+	dispatcher   Dispatcher
+	id           ident.RequestID
+	body         []byte
+	maxBodyBytes int64
+	status       int
+	started      bool
+	streaming    bool
+	// complete records that a response without a length has been written whole. It is
+	// nil before the response and for others.
+	complete       func()
 	partial        target.PartialDownload
 	resumable      bool
 	recordedBody   bytes.Buffer
@@ -164,6 +168,9 @@
 	out.Set(HeaderRequest, string(x.id))
 	x.started, x.status = true, status
 	x.streaming = header.Get("Content-Length") == ""
+	if x.streaming {
+		x.complete = intact.GuardEnd(x.writer, x.request, connOf(x.request))
+	}
 	x.writer.WriteHeader(status)
 	return nil
 }
--- a/caller/handler.go
+++ b/caller/handler.go
@@ -110,6 +110,8 @@
 	case out.Outcome() != route.Ran:
 		// The caller must not mistake a partial response for the whole.
 		panic(http.ErrAbortHandler)
+	case x.complete != nil:
+		x.complete()
 	}
 }
 
--- a/caller/server.go
+++ b/caller/server.go
@@ -36,6 +36,7 @@
 	s := &Server{
 		server: &http.Server{
 			Handler:           handler,
+			ConnContext:       withConn,
 			MaxHeaderBytes:    limits.headerBytes,
 			ReadHeaderTimeout: limits.headerTime,
 			IdleTimeout:       limits.idleTime,
@@ -50,6 +51,20 @@
 	return s
 }
 
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+// withConn returns the context of the requests on a connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOf returns the connection of a request, or nil if it is not known.
+func connOf(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	return c
+}
+
 // Done returns a channel that is closed when the server no longer accepts
 // connections.
 func (s *Server) Done() <-chan struct{} { return s.done }
@@ -116,6 +131,9 @@
 	closed chan struct{}
 }
 
+// NetConn returns the connection that is read and written.
+func (c *boundedConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn. Only the first call frees the slot of the
 // connection.
 func (c *boundedConn) Close() error {
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,6 +8,7 @@
 
 	"rhubarbrack/admit"
 	"rhubarbrack/ident"
+	"rhubarbrack/intact"
 	"rhubarbrack/link"
 	"rhubarbrack/spread"
 )
@@ -25,7 +26,7 @@
 	if r.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(r.ContentLength, 10))
 	}
-	complete := rh.guardEnd(r.ContentLength)
+	complete := rh.guardEnd(r)
 	rh.writer.WriteHeader(r.StatusCode)
 	// The latency of the target is the time to the first bytes; the rest
 	// depends on the network.
@@ -51,6 +52,16 @@
 	rh.recordEnd(d, "answered", attrs...)
 }
 
+// guardEnd keeps a response without a length from looking whole to the caller until
+// it is. The returned function records that it is.
+func (rh *requestHandler) guardEnd(r *http.Response) (complete func()) {
+	conn, ok := rh.incoming.Context().Value(connKey{}).(*callerConn)
+	if !ok || r.ContentLength >= 0 {
+		return func() {}
+	}
+	return intact.GuardEnd(rh.writer, rh.incoming, conn)
+}
+
 // bodyLength returns the length of the body of a response, if it is known. The response
 // to a HEAD request states the length of a body that does not follow.
 func (rh *requestHandler) bodyLength(r *http.Response) ident.Option[int64] {
