Answer a long upload while its rest is still to come

What callers saw: nothing reported; found by the test that a whole early answer stays whole. A target answered an upload early with 400,000 bytes, read the upload to its end and closed. Now and then the caller got all bytes and, after 2 s, a connection that broke off. A caller that pauses its upload got neither such an answer nor the refusal at its deadline until it went on.

Cause: before net/http sends the header of a response, it reads the rest of the request's body, or waits for a read of it. The goroutine that sends the upload to the target reads the same body, so the target lost the part that net/http took, and the header waited for a read that only the caller could end.

Change: while an upload has not been read to its end, the response is written in full duplex, as net/http calls it, and closes the connection. Once the request has been handled, a read deadline ends the read of the upload.

--- a/relay/request_handler.go
+++ b/relay/request_handler.go
@@ -31,6 +31,8 @@
 	// longBody is set if the request body exceeds the buffer. Such requests
 	// cannot be retried.
 	longBody bool
+	// upload is the rest of a long body while it is sent to a target.
+	upload *upload
 	// newConnection is set if the last attempt opened a connection, or tried to.
 	newConnection bool
 	// connection is the local address of the last attempt's connection, or "" if
@@ -81,6 +83,7 @@
 	rh.ctx, rh.giveUp = ctx, cancel
 	rh.keep = context.AfterFunc(rh.handler.ending, cancel)
 	defer rh.keep()
+	defer rh.endUpload()
 	for {
 		next, done := rh.attempt(d)
 		if done {
@@ -228,7 +231,8 @@
 	switch {
 	case rh.incoming.ContentLength == 0:
 	case rh.longBody:
-		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(rh.body), rh.incoming.Body))
+		rh.upload = newUpload(rh.incoming, len(rh.body))
+		r.Body = io.NopCloser(io.MultiReader(bytes.NewReader(rh.body), rh.upload))
 	default:
 		r.ContentLength = int64(len(rh.body))
 		r.Body = io.NopCloser(bytes.NewReader(rh.body))
@@ -308,6 +312,7 @@
 			outcome = Late
 		}
 	}
+	rh.beginAnswer()
 	h := rh.handler
 	refusal := NewRefusal(rh.request.ID(), outcome, reason, d.RetryAfter(), sends(d))
 	h.dialect.WriteRefusal(rh.writer, refusal)
--- a/relay/response.go
+++ b/relay/response.go
@@ -99,6 +99,7 @@
 
 // writeResponse writes the buffered response.
 func (rh *requestHandler) writeResponse(d admit.Decision) {
+	rh.beginAnswer()
 	h := rh.writer.Header()
 	for name, values := range rh.response.header {
 		h[name] = values
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -18,6 +18,7 @@
 func (rh *requestHandler) streamResponse(
 	d admit.Decision, exchange *link.Exchange, response Response, result spread.Result, header http.Header, first []byte,
 ) {
+	rh.beginAnswer()
 	r := exchange.Response()
 	h := rh.writer.Header()
 	for name, values := range header {
