--- a/intact/header.go
+++ b/intact/header.go
@@ -88,11 +88,12 @@
 // known end (section 6.1). net/http ignores that field there.
 func (s statusLine) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
-	if !ok || !IsToken(name) || !IsFieldValue(value) {
-		return fmt.Errorf("%w: field %s", ErrMalformed, quote(line))
-	}
-	if s.minorVersion == 0 && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
-		return fmt.Errorf("%w: field %s in HTTP/1.0", ErrMalformed, quote(line))
+	// Errors, which are logged, do not name the value.
+	switch {
+	case !ok || !IsToken(name) || !IsFieldValue(value):
+		return fmt.Errorf("%w: field %s", ErrMalformed, quote(name))
+	case s.minorVersion == 0 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return fmt.Errorf("%w: field %s in HTTP/1.0", ErrMalformed, quote(name))
 	}
 	return nil
 }
