--- a/intact/conn.go
+++ b/intact/conn.go
@@ -20,8 +20,8 @@
 var past = time.Unix(1, 0)
 
 // Conn is a client's connection to a server of HTTP/1.x. Its Read returns io.EOF only
-// if the server has ended the connection in order, and no byte of the line that makes
-// the header of a response malformed. Reads and writes may be concurrent.
+// if the server has ended the connection in order, and an error in place of the rest of
+// a malformed header. Reads and writes may be concurrent.
 //
 // The operating system reports the failure of a connection once, to the call that
 // comes first. If that is a write, which carries the rest of a request, the next
@@ -105,9 +105,9 @@
 	return fmt.Errorf("%w: %w", ErrCutOff, c.writeErr)
 }
 
-// isAfterEnd reports whether the first error of a write tells nothing against an
-// end in order. On Linux, EPIPE means that the server has ended the connection in
-// order before it reset it; a reset alone is ECONNRESET.
+// isAfterEnd reports whether the server may have ended the connection in order although
+// a write has failed first with an error. The deadline is that of endError. EPIPE means,
+// on Linux, that the end came before a reset; a reset alone is ECONNRESET.
 func isAfterEnd(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE)
 }
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -101,7 +101,7 @@
 // readHeader reads the header of the next response.
 func (x *Exchange) readHeader(r *http.Request) (*http.Response, error) {
 	if err := x.conn.beginHeader(); err != nil {
-		return nil, err
+		return nil, fmt.Errorf("buffered bytes: %w", err)
 	}
 	defer x.conn.endHeader()
 	return http.ReadResponse(x.conn.reader, r)
