Leave the rest of an upload time to arrive behind its answer

Cause: the read of an upload whose answer has been sent ended at once, so that what the caller still sent stayed unread. Unread bytes make the close of the connection a reset, which can overtake the end of the answer.

Change: the read ends closeGrace (500 ms) after the answer, as a connection that is idle does.

Measured: the tests of package relay pass, also with the race detector. None of them shows the reset, which takes a slow caller; found by reading the change.

--- a/relay/upload.go
+++ b/relay/upload.go
@@ -5,7 +5,6 @@
 	"io"
 	"net/http"
 	"sync/atomic"
-	"time"
 )
 
 // upload is the rest of a long request body that a target is sent. A goroutine of
@@ -56,14 +55,12 @@
 	rh.writer.Header().Set("Connection", "close")
 }
 
-// pastDeadline is a read deadline that has passed.
-var pastDeadline = time.Unix(1, 0)
-
-// endUpload ends a read of the upload by the goroutine that sends it. Otherwise the
-// server would wait for what the caller may never send.
+// endUpload ends the read of an upload behind its answer. The rest may still arrive
+// for a while, since unread bytes make the close a reset, which can overtake the
+// answer. Without a limit, the server would wait for what the caller may never send.
 func (rh *requestHandler) endUpload() {
 	if rh.isUploading() {
 		// An error means that the writer does not belong to a server's connection.
-		_ = http.NewResponseController(rh.writer).SetReadDeadline(pastDeadline)
+		_ = http.NewResponseController(rh.writer).SetReadDeadline(rh.handler.clock.Now().Add(closeGrace))
 	}
 }
