Spare voters by the tolerance that the settings name

Cause: the planner of the membership spares a silent or stopping voter only while more voters remain than the tolerated losses need, and took two losses, so five voters, in every deployment. Nothing read Terms.FaultTolerance.

The settings' number now reaches the planner, two if it is missing. The log line of the start names the tolerance.

--- a/mesh/control.go
+++ b/mesh/control.go
@@ -74,6 +74,12 @@
 // configurations from control hosts of their region.
 func WithRegion(region ident.Region) Option { return func(c *Control) { c.region = region } }
 
+// WithTolerance sets how many control hosts may be lost at the same time. It decides
+// how many voters must remain when one that is silent or leaves is removed.
+func WithTolerance(hosts int) Option {
+	return func(c *Control) { c.planner = quorum.NewPlanner(c.host, quorum.WithTolerance(hosts)) }
+}
+
 // WithDialer sets how connections to the other control hosts are opened.
 func WithDialer(d wire.Dialer) Option {
 	return func(c *Control) { c.wireOptions = append(c.wireOptions, wire.WithDialer(d)) }
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -20,6 +20,7 @@
 	"rhubarbrack/ident"
 	"rhubarbrack/mesh"
 	"rhubarbrack/meter"
+	"rhubarbrack/quorum"
 	"rhubarbrack/store"
 	"rhubarbrack/tasks"
 	"rhubarbrack/wire"
@@ -39,6 +40,7 @@
 	metricsAddress string
 	dataDirectory  string
 	firstStart     bool
+	tolerance      int
 	gracePeriod    time.Duration
 	drainTime      time.Duration
 	descriptors    int
@@ -58,7 +60,7 @@
 ) HostConfig {
 	return HostConfig{
 		host: host, zone: zone, region: regions[zone], regions: regions, ip: ip, peerPort: peerPort, seeds: seeds,
-		clock: c, log: log, dialer: &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}},
+		tolerance: quorum.DefaultTolerance, clock: c, log: log, dialer: &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}},
 	}
 }
 
@@ -76,6 +78,12 @@
 	return c
 }
 
+// WithTolerance sets how many control hosts may be lost at the same time.
+func (c HostConfig) WithTolerance(hosts int) HostConfig {
+	c.tolerance = hosts
+	return c
+}
+
 // WithBounds sets the limits that all entry hosts share.
 func (c HostConfig) WithBounds(b admit.Bounds) HostConfig {
 	c.bounds = b
@@ -237,7 +245,8 @@
 func (c HostConfig) runControl(
 	ctx context.Context, lister mesh.Lister, endpoints func(*mesh.Control) []Endpoint,
 ) error {
-	c.log.Info("node: control host starts", "host", c.host, "zone", c.zone, "first-start", c.firstStart)
+	c.log.Info("node: control host starts", "host", c.host, "zone", c.zone, "first-start", c.firstStart,
+		"tolerance", c.tolerance)
 	name, err := c.replicaName()
 	if err != nil {
 		return fmt.Errorf("control host: %w", err)
@@ -248,7 +257,8 @@
 	defer stop()
 	hostMeter := meter.New()
 	control, err := mesh.Start(taskCtx, system, c.clock, c.log, name, c.peerAddress(), c.seeds,
-		mesh.WithMeter(hostMeter), mesh.WithRegion(c.region), mesh.WithDialer(c.dialer))
+		mesh.WithMeter(hostMeter), mesh.WithRegion(c.region), mesh.WithDialer(c.dialer),
+		mesh.WithTolerance(c.tolerance))
 	if err != nil {
 		return fmt.Errorf("control host: %w", err)
 	}
--- a/quorum/faults_test.go
+++ b/quorum/faults_test.go
@@ -102,7 +102,7 @@
 	if leader := m.leader(); leader != nil && m.random.IntN(3) == 0 {
 		h = leader
 	}
-	if h.gone || h.node == nil || m.now.Before(h.busyUntil) || m.lost() >= modelTolerance {
+	if h.gone || h.node == nil || m.now.Before(h.busyUntil) || m.lost() >= m.tolerance {
 		return
 	}
 	if m.now.Before(h.lostUntil) && m.random.IntN(2) == 0 {
@@ -185,14 +185,28 @@
 	return nil
 }
 
-// TestModel guards against a membership that does not survive the loss of two
-// disks, at any moment of replacements, losses and changes of the leader that the
-// fleet must bear, and against hosts that do not become voters again.
+// TestModel guards against a membership that does not survive the loss of as many
+// disks as are tolerated, at any moment of replacements, losses and changes of the
+// leader that the fleet must bear, and against hosts that do not become voters again.
 func TestModel(t *testing.T) {
-	for seed := range *modelSeeds {
-		if err := runModel(newModel(seed), modelFaults); err != nil {
-			t.Fatalf("seed %d: %v", seed, err)
-		}
+	cases := []struct {
+		name                string
+		machines, tolerance int
+	}{
+		{"five machines, two losses", 5, 2},
+		{"three machines, one loss", 3, 1},
+		{"more machines than one loss needs", 5, 1},
+		{"an even number of machines", 4, 1},
+		{"seven machines, three losses", 7, 3},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range *modelSeeds {
+				if err := runModel(newModel(seed, c.machines, c.tolerance), modelFaults); err != nil {
+					t.Fatalf("seed %d: %v", seed, err)
+				}
+			}
+		})
 	}
 }
 
@@ -210,7 +224,7 @@
 	for _, c := range cases {
 		found := 0
 		for seed := range *modelSeeds {
-			m := newModel(seed)
+			m := newModel(seed, 5, 2)
 			c.spoil(m)
 			if runModel(m, modelFaults) != nil {
 				found++
--- a/quorum/model_test.go
+++ b/quorum/model_test.go
@@ -19,8 +19,6 @@
 	modelAbsence      = time.Second
 	// modelCatchUp is how long a machine counts as lost after it is back.
 	modelCatchUp = 4 * time.Second
-	// modelTolerance is the number of losses that are to be borne at once.
-	modelTolerance = 2
 )
 
 // machine is a control host of the model: its disk, and its node while it runs.
@@ -47,13 +45,15 @@
 // model runs the control hosts of a fleet with simulated time and a network
 // without delay beyond a step.
 type model struct {
-	random   *rand.Rand
-	now      time.Time
-	machines []*machine
-	messages []agree.Message
-	initial  agree.Members
-	nextDisk agree.DiskID
-	nextTag  agree.Tag
+	// tolerance is the number of losses that are to be borne at once.
+	tolerance int
+	random    *rand.Rand
+	now       time.Time
+	machines  []*machine
+	messages  []agree.Message
+	initial   agree.Members
+	nextDisk  agree.DiskID
+	nextTag   agree.Tag
 	// later holds what happens at a time.
 	later []event
 	trace []string
@@ -69,11 +69,13 @@
 	do func()
 }
 
-func newModel(seed uint64) *model {
+// newModel returns a model with a number of machines, of which as many may be lost at
+// once as tolerance says.
+func newModel(seed uint64, machines, tolerance int) *model {
 	m := &model{
-		random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1000, 0), silence: voterSilence, rejoins: true, leaves: true,
+		tolerance: tolerance, random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1000, 0), silence: voterSilence, rejoins: true, leaves: true,
 	}
-	for range 2*modelTolerance + 1 {
+	for range machines {
 		m.addMachine()
 	}
 	for _, h := range m.machines {
@@ -227,7 +229,7 @@
 
 // planner returns the planner of a leader.
 func (m *model) planner(h *machine) Planner {
-	p := NewPlanner(h.name, WithTolerance(modelTolerance))
+	p := NewPlanner(h.name, WithTolerance(m.tolerance))
 	p.voterSilence = m.silence
 	return p
 }
@@ -293,9 +295,9 @@
 			intact++
 		}
 	}
-	if remaining := intact - max(0, modelTolerance-lost); 2*remaining <= members.Voters() {
+	if remaining := intact - max(0, m.tolerance-lost); 2*remaining <= members.Voters() {
 		return fmt.Errorf("%d of %d voters have their disks, %d more may lose them:\n%s",
-			intact, members.Voters(), modelTolerance-lost, strings.Join(m.trace, "\n"))
+			intact, members.Voters(), m.tolerance-lost, strings.Join(m.trace, "\n"))
 	}
 	return nil
 }
--- a/quorum/planner.go
+++ b/quorum/planner.go
@@ -8,9 +8,11 @@
 	"rhubarbrack/ident"
 )
 
+// DefaultTolerance is the number of disks that may be lost at the same time unless
+// WithTolerance says otherwise.
+const DefaultTolerance = 2
+
 const (
-	// defaultTolerance is the number of lost disks that voters tolerate.
-	defaultTolerance = 2
 	// voterSilence is how long a voter may be silent before it is removed, if
 	// enough others are in contact. A removed host joins again when it is back.
 	voterSilence = time.Second
@@ -103,11 +105,11 @@
 // Option sets an optional property of a Planner.
 type Option func(*Planner)
 
-// WithTolerance sets the number of disks that may be lost at the same time. Values
-// below 1 are ignored.
+// WithTolerance sets the number of disks that may be lost at the same time. Negative
+// values are ignored.
 func WithTolerance(disks int) Option {
 	return func(p *Planner) {
-		if disks >= 1 {
+		if disks >= 0 {
 			p.target = votersFor(disks)
 		}
 	}
@@ -119,7 +121,7 @@
 
 // NewPlanner returns the planner of a host.
 func NewPlanner(host ident.Host, options ...Option) Planner {
-	p := Planner{host: host, target: votersFor(defaultTolerance), voterSilence: voterSilence}
+	p := Planner{host: host, target: votersFor(DefaultTolerance), voterSilence: voterSilence}
 	for _, apply := range options {
 		apply(&p)
 	}
