Name the parts of a planned stop

The times of a stop were computed within the stop itself, where no test reaches them. They are a type of their own now, computed from the grace period alone. No change of behaviour: TestShutDown and the tests of the stop pass.

--- a/node/drain.go
+++ b/node/drain.go
@@ -21,6 +21,24 @@
 	answerTime = 300 * time.Millisecond
 )
 
+// stopTimes are the parts of the grace period of an entry host.
+type stopTimes struct {
+	// lookup is how long callers are served as before, and finish how long requests in
+	// flight may take after it.
+	lookup, finish time.Duration
+	// answer is how long the answers to those that are given up may take.
+	answer time.Duration
+}
+
+// newStopTimes returns the parts of a grace period.
+func newStopTimes(gracePeriod time.Duration) stopTimes {
+	lookup := min(lookupExpiryTime, gracePeriod/2)
+	return stopTimes{lookup: lookup, finish: max(gracePeriod-lookup-stopMargin-answerTime, 0), answer: answerTime}
+}
+
+// givesUpAt returns when requests are given up, from the beginning of the stop.
+func (t stopTimes) givesUpAt() time.Duration { return t.lookup + t.finish }
+
 // stopping holds the parts of an entry host that take part in its stop.
 type stopping struct {
 	host      HostConfig
@@ -37,24 +55,23 @@
 // answered as ones that may have run.
 func (s stopping) drain(ctx context.Context) {
 	c := s.host
-	lookupWait := min(lookupExpiryTime, c.gracePeriod/2)
-	finishTime := max(c.gracePeriod-lookupWait-stopMargin-answerTime, 0)
-	s.admission.StopBy(c.clock.Now().Add(lookupWait + finishTime))
+	times := newStopTimes(c.gracePeriod)
+	s.admission.StopBy(c.clock.Now().Add(times.givesUpAt()))
 	s.logWork(ctx, "node: accepted requests at the stop")
 	s.pacer.Drain()
 	s.peers.refuse()
 	s.front.Drain()
-	c.sleep(lookupWait)
+	c.sleep(times.lookup)
 	s.handler.Stop()
 	s.pacer.Finish()
-	if s.shutdown(ctx, finishTime) == nil {
+	if s.shutdown(ctx, times.finish) == nil {
 		return
 	}
 	c.log.Warn("node: requests are given up at the end of the grace period", "host", c.host)
 	s.logWork(ctx, "node: accepted requests at the end of the grace period")
 	s.handler.End()
 	s.peers.end()
-	if err := s.shutdown(ctx, answerTime); err != nil {
+	if err := s.shutdown(ctx, times.answer); err != nil {
 		c.log.Warn("node: connections were closed at the end of the grace period", "error", err)
 	}
 }
