Wait for targets until the last sixth of a short grace period

Cause: requests were given up a fixed time before the end, 0.3 s for the answers and 0.5 s until the kill. In a grace period below 4.8 s that is more than the last sixth, in which alone targets need not be waited for.

The two times together are now at most a sixth of the grace period, shorter in proportion. From 4.8 s on nothing changes (5.2 s of 6 s, 9.2 s of 10 s).

TestStopTimes failed before for 4 s, 2 s and 0.6 s.

--- a/node/drain.go
+++ b/node/drain.go
@@ -19,6 +19,12 @@
 	// answerTime is how long before that the requests in flight are given up, so
 	// that their callers get an answer.
 	answerTime = 300 * time.Millisecond
+	// stopReserve is the time at the end of a grace period in which targets are no
+	// longer waited for.
+	stopReserve = answerTime + stopMargin
+	// minReserveParts is the number of parts of a grace period of which the reserve
+	// is at most one: callers rely on being waited for in the others.
+	minReserveParts = 6
 )
 
 // stopTimes are the parts of the grace period of an entry host.
@@ -30,10 +36,13 @@
 	answer time.Duration
 }
 
-// newStopTimes returns the parts of a grace period.
+// newStopTimes returns the parts of a grace period. In a short one, the reserve and the
+// time for answers within it are shorter in proportion.
 func newStopTimes(gracePeriod time.Duration) stopTimes {
 	lookup := min(lookupExpiryTime, gracePeriod/2)
-	return stopTimes{lookup: lookup, finish: max(gracePeriod-lookup-stopMargin-answerTime, 0), answer: answerTime}
+	reserve := min(stopReserve, gracePeriod/minReserveParts)
+	answer := time.Duration(float64(reserve) * answerTime.Seconds() / stopReserve.Seconds())
+	return stopTimes{lookup: lookup, finish: gracePeriod - lookup - reserve, answer: answer}
 }
 
 // givesUpAt returns when requests are given up, from the beginning of the stop.
