Remember that a process leaves that is not listed

A host may pass on an answer in which a target says that it leaves while its own list does not name the process: the answer came through another host, and the list that names the process has not arrived. The statement was dropped, so once the list was there the host sent requests to the target, until an answer of its own told it again. The same happened to what was known of a process that one list lacked and the next one named again, and to answers and probes that ended in between.

Processes without a start are not kept, since the next one with their ID would be left out. Rate limits and pauses are not kept: they are stated with each answer.

--- a/spread/statement.go
+++ b/spread/statement.go
@@ -60,7 +60,8 @@
 // the changes.
 func (t *Table) Observe(now time.Time, c Choice, statement Statement) []Change {
 	s, ok := t.targets[c.target.id]
-	if !ok || s != c.state {
+	if !ok || !s.isSameProcess(c.target) {
+		t.observeUnlisted(now, c.target.process(), statement)
 		return nil
 	}
 	return t.observe(now, now, s, statement)
@@ -85,6 +86,7 @@
 func (t *Table) ObserveProbe(now time.Time, target Target, statement Statement) []Change {
 	s, ok := t.targets[target.id]
 	if !ok || !s.isSameProcess(target) {
+		t.observeUnlisted(now, target.process(), statement)
 		return nil
 	}
 	return s.applyStatement(now, statement)
@@ -111,6 +113,7 @@
 func (t *Table) ObserveForwarded(now, notBefore time.Time, id ident.Target, startedAt int64, statement Statement) []Change {
 	s, ok := t.targets[id]
 	if !ok || s.startedAt != startedAt {
+		t.observeUnlisted(now, process{id: id, startedAt: startedAt}, statement)
 		return nil
 	}
 	statement.pause = 0
--- a/spread/statement_test.go
+++ b/spread/statement_test.go
@@ -196,3 +196,62 @@
 		})
 	}
 }
+
+// TestLeavingTargetNotListed guards against requests to a target that has said that it
+// leaves while the host did not list it: before the first list that names it reaches
+// the host, or while one list lacks it.
+func TestLeavingTargetNotListed(t *testing.T) {
+	leaving := NewStatement(WithLeaving())
+	process := func(startedAt int64) Target {
+		return NewTarget("i", "s", "h:80", "z", "r", 1, false, time.Time{}, WithStart(startedAt))
+	}
+	cases := []struct {
+		name string
+		// observe applies the statement of process 1 to a table that lists nothing.
+		observe func(table *Table)
+		listed  Target
+		after   time.Duration
+		isUsed  bool
+	}{
+		{"through another host, before it is listed", func(table *Table) {
+			table.ObserveForwarded(start, start, "i", 1, leaving)
+		}, process(1), time.Second, false},
+		{"listed, removed and listed again", func(table *Table) {
+			table.Update([]Target{process(1)})
+			table.Observe(start, table.Choose(start, query("x")), leaving)
+			table.Update(nil)
+		}, process(1), time.Second, false},
+		{"response after it was removed from the list", func(table *Table) {
+			table.Update([]Target{process(1)})
+			c := table.Choose(start, query("x"))
+			table.Update(nil)
+			table.Observe(start, c, leaving)
+		}, process(1), time.Second, false},
+		{"answer to a probe after it was removed from the list", func(table *Table) {
+			table.ObserveProbe(start, process(1), leaving)
+		}, process(1), time.Second, false},
+		{"without a start", func(table *Table) {
+			table.ObserveForwarded(start, start, "i", 0, leaving)
+		}, process(0), time.Second, true},
+		{"its successor", func(table *Table) {
+			table.ObserveForwarded(start, start, "i", 1, leaving)
+		}, process(2), time.Second, true},
+		{"another statement", func(table *Table) {
+			table.ObserveForwarded(start, start, "i", 1, NewStatement())
+		}, process(1), time.Second, true},
+		{"long ago", func(table *Table) {
+			table.ObserveForwarded(start, start, "i", 1, leaving)
+			table.ObserveForwarded(start.Add(leavingMemory), start, "other", 1, leaving)
+		}, process(1), leavingMemory, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table := NewTable("z", "r", NewColdBounds(1.5, 5))
+			c.observe(table)
+			table.Update([]Target{c.listed})
+			if got := table.Choose(start.Add(c.after), query("x")).IsFound(); got != c.isUsed {
+				t.Errorf("used %v, want %v", got, c.isUsed)
+			}
+		})
+	}
+}
--- a/spread/table.go
+++ b/spread/table.go
@@ -61,6 +61,7 @@
 	targets    map[ident.Target]*targetState
 	services   map[ident.Service][]*targetState
 	evacuated  map[ident.Zone]bool
+	leavers    leavers
 	// returnedAt is when the last evacuation of a zone ended.
 	returnedAt     map[ident.Zone]time.Time
 	coldTerms      map[ident.Service]coldTerms
@@ -87,7 +88,7 @@
 	t := &Table{
 		zone: zone, region: region, coldBounds: coldBounds, hostShare: 1,
 		targets: map[ident.Target]*targetState{}, services: map[ident.Service][]*targetState{},
-		evacuated: map[ident.Zone]bool{}, returnedAt: map[ident.Zone]time.Time{},
+		evacuated: map[ident.Zone]bool{}, leavers: leavers{}, returnedAt: map[ident.Zone]time.Time{},
 		coldTerms:      map[ident.Service]coldTerms{},
 		typicalLatency: map[ident.Service]float64{}, rtts: map[ident.Region]time.Duration{},
 	}
@@ -131,10 +132,12 @@
 		if !ok || !s.isSameProcess(n) {
 			if ok {
 				removed = append(removed, s.address)
+				t.forget(s)
 			}
 			s = &targetState{
 				hash: xxhash.Sum64String(string(n.id)), coldRequests: quota.NewWindow(coldWindow),
 				failed: quota.NewWindow(resultWindow), served: quota.NewWindow(resultWindow),
+				leavingSince: t.leavers[n.process()],
 			}
 			t.targets[n.id] = s
 		}
@@ -148,6 +151,7 @@
 	for id, s := range t.targets {
 		if !listed[id] {
 			removed = append(removed, s.address)
+			t.forget(s)
 			delete(t.targets, id)
 		}
 	}
