Recognize malformed responses that join an earlier one

A target may write the beginning of an earlier response, late, on a kept connection. The response that is due then joins its header: its status line becomes part of a value, or of the reason, and the status and the proofs of the earlier response count with the request ID of the other. Headers with a status line inside were refused, but only if it was one of HTTP/1.0 or 1.1 with a status from 100 to 599. A broken answer, which is refused where it stands alone, got through: a 421 or 503 of an earlier request said of a request that ran that it had not, and a 200 came with another body.

Any version that a number follows counts as a status line now. Values that name a version alone, as Via and Upgrade may, still pass.

--- a/link/joined.go
+++ b/link/joined.go
@@ -7,8 +7,10 @@
 	"strings"
 )
 
-// statusLine matches the beginning of a status line.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
+// statusLine matches the beginning of a status line, also of one with another version or
+// with a status that does not exist: a malformed response may join an earlier one too.
+// Values that name a version alone, as those of Via and Upgrade do, do not match.
+var statusLine = regexp.MustCompile(`HTTP/[0-9.]+[ \t]+[-+0-9]`)
 
 // isJoined reports whether a status line stands within the header of a response:
 // the beginning of an earlier response may have come before this one.
@@ -25,5 +27,5 @@
 }
 
 func containsStatusLine(text string) bool {
-	return strings.Contains(text, "HTTP/1.") && statusLine.MatchString(text)
+	return strings.Contains(text, "HTTP/") && statusLine.MatchString(text)
 }
--- a/link/joined_test.go
+++ b/link/joined_test.go
@@ -40,6 +40,42 @@
 	}
 }
 
+// TestJoinedMalformedHeader guards against the beginning of an earlier response that
+// comes once more and joins a malformed one: in the place of a value, the status line of
+// that one is not checked, and it becomes a response with the status of the other.
+func TestJoinedMalformedHeader(t *testing.T) {
+	const earlier = "HTTP/1.1 421 Misdirected Request\r\nDate: Sun, 06 Dec\r\nId: 7\r\nContent-Length: 0\r\n\r\n"
+	cases := []struct{ name, statusLine string }{
+		{"status 000", "HTTP/1.1 000 OK"},
+		{"status below 100", "HTTP/1.1 042 OK"},
+		{"status above 599", "HTTP/1.1 999 OK"},
+		{"signed status", "HTTP/1.1 +20 OK"},
+		{"status of one digit", "HTTP/1.1 2 OK"},
+		{"unknown minor version, status 000", "HTTP/1.7 000 OK"},
+		{"unknown major version", "HTTP/3.7 200 OK"},
+		{"major version alone", "HTTP/2 200 OK"},
+		{"two blanks", "HTTP/1.1  200 OK"},
+	}
+	for _, c := range cases {
+		for cut := range earlier {
+			respond := func(id string) string {
+				if id == "7" {
+					return earlier
+				}
+				return earlier[:cut] + strings.Replace(response(id, "own!"), "HTTP/1.1 200 OK", c.statusLine, 1)
+			}
+			p := newPool(t)
+			s := newTarget(t, serve(respond))
+			if _, _, err := send(t, p, s.address(), "7"); err != nil {
+				t.Fatal(err)
+			}
+			if status, header := statusOf(t, p, s.address(), "8"); status != 0 {
+				t.Errorf("%s, cut after %q: status %d, header %v", c.name, earlier[:cut], status, header)
+			}
+		}
+	}
+}
+
 // TestStatusLineInHeader guards against a target whose headers contain a status
 // line, and whose responses would all be taken for joined ones.
 func TestStatusLineInHeader(t *testing.T) {
