Refuse joined headers in the own mode

The beginning of an earlier response that a target writes once more, late, on a kept connection may join the header of the response that is due. Package link refuses such headers; package target, the own mode, took them: a request that had run was reported as shed, so that it ran again, and a refusal was passed on as a response with the status 200 of another request.

The check moves to package intact, which every reader of responses uses, and package target makes it too: on a reused connection the outcome is unknown, and a target whose headers contain status lines gets a connection for each request, as in package link.

--- a/intact/doc.go
+++ b/intact/doc.go
@@ -5,5 +5,6 @@
 //
 // Conn checks the header of each response and how a connection ended, for clients that
 // read responses themselves; Transport does so for net/http. GuardEnd is for servers: it
-// keeps a response that breaks off from looking whole.
+// keeps a response that breaks off from looking whole. IsJoined finds the header of a
+// response that an earlier one has run into.
 package intact
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"rhubarbrack/intact"
 )
 
 const (
@@ -78,7 +80,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("read response header: %w", err)
 		}
-		if x.conn.IsReused() && isJoined(response) {
+		if x.conn.IsReused() && intact.IsJoined(response) {
 			return nil, fmt.Errorf("%w: header of two responses", ErrResponseMismatch)
 		}
 		if response.StatusCode < http.StatusOK && response.StatusCode != http.StatusSwitchingProtocols {
@@ -124,7 +126,7 @@
 // before the one that is due.
 func (x *Exchange) isReusable() bool {
 	isHead := x.response.Request.Method == http.MethodHead
-	return !x.response.Close && isDelimited(x.response) && !isJoined(x.response) && !isHead
+	return !x.response.Close && isDelimited(x.response) && !intact.IsJoined(x.response) && !isHead
 }
 
 // Finish returns the connection to the pool after the response body was read
--- a/target/copied_test.go
+++ b/target/copied_test.go
@@ -42,6 +42,9 @@
 	copies   int
 	// edit changes a copy. It may be nil.
 	edit func(answer string) string
+	// due changes the answer to the second request of a connection, which ends with
+	// it, so that no rest is waited for. It may be nil.
+	due func(answer string) string
 }
 
 func startCopyingServer(t *testing.T, b copyBehaviour) *copyingServer {
@@ -86,6 +89,10 @@
 			return
 		}
 		answer := s.run(request)
+		isLast := s.behaviour.due != nil && previous != ""
+		if isLast {
+			answer = s.behaviour.due(answer)
+		}
 		for range s.behaviour.copies {
 			_, _ = io.WriteString(conn, previous)
 		}
@@ -94,6 +101,9 @@
 			return
 		}
 		_, _ = io.WriteString(conn, answer)
+		if isLast {
+			return
+		}
 		previous = answer
 		if s.behaviour.edit != nil {
 			previous = s.behaviour.edit(answer)
--- a/target/pair.go
+++ b/target/pair.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+
+	"rhubarbrack/intact"
 )
 
 // attemptIDs generates the IDs of the dispatches of one client. The random
@@ -35,13 +37,21 @@
 // connection, every response must bear it. The responses of targets that do not
 // repeat it are paired with requests by their order, so a connection carries no
 // request after a refusal: its copy could state that the next request did not
-// run. A header that had arrived before the request was sent answers another one,
+// run. The beginning of a copy may join the header of the response that is due, so
+// a target whose headers contain status lines gets a connection for each request.
+// A header that had arrived before the request was sent answers another one,
 // and was not checked.
 func (x *exchange) pair(r *http.Response) error {
 	if x.conn != nil && !x.conn.HasHeader() {
 		x.retireConn()
 		return fmt.Errorf("target %s: %w: status %d arrived before the request was sent", x.address, ErrUnpaired, r.StatusCode)
 	}
+	if intact.IsJoined(r) {
+		x.retireConn()
+		if x.reused {
+			return fmt.Errorf("target %s: %w: header of two responses", x.address, ErrUnpaired)
+		}
+	}
 	ids := r.Header[HeaderAttempt]
 	if len(ids) == 1 && ids[0] == x.attempt {
 		x.conn.echoes = true
