Name what the table remembers of leaving processes

forget kept a fact about a process that leaves the list, so it is called rememberLeaving. No change of behaviour: the tests of spread and of the times of a stop pass.

--- a/node/drain.go
+++ b/node/drain.go
@@ -22,9 +22,9 @@
 	// stopReserve is the time at the end of a grace period in which targets are no
 	// longer waited for.
 	stopReserve = answerTime + stopMargin
-	// minReserveParts is the number of parts of a grace period of which the reserve
-	// is at most one: callers rely on being waited for in the others.
-	minReserveParts = 6
+	// reserveParts is the number of equal parts of a grace period of which the reserve
+	// is the last one at most. In the others, callers rely on targets being waited for.
+	reserveParts = 6
 )
 
 // stopTimes are the parts of the grace period of an entry host.
@@ -40,7 +40,7 @@
 // time for answers within it are shorter in proportion.
 func newStopTimes(gracePeriod time.Duration) stopTimes {
 	lookup := min(lookupExpiryTime, gracePeriod/2)
-	reserve := min(stopReserve, gracePeriod/minReserveParts)
+	reserve := min(stopReserve, gracePeriod/reserveParts)
 	answer := time.Duration(float64(reserve) * answerTime.Seconds() / stopReserve.Seconds())
 	return stopTimes{lookup: lookup, finish: gracePeriod - lookup - reserve, answer: answer}
 }
--- a/spread/leaving.go
+++ b/spread/leaving.go
@@ -47,8 +47,9 @@
 	}
 }
 
-// forget takes a process from the table that is no longer listed.
-func (t *Table) forget(s *targetState) {
+// rememberLeaving keeps what is known of a process that is no longer listed: that it is
+// leaving, if it is.
+func (t *Table) rememberLeaving(s *targetState) {
 	if s.isLeaving() {
 		t.leavers.add(s.process(), s.leavingSince)
 	}
--- a/spread/table.go
+++ b/spread/table.go
@@ -132,7 +132,7 @@
 		if !ok || !s.isSameProcess(n) {
 			if ok {
 				removed = append(removed, s.address)
-				t.forget(s)
+				t.rememberLeaving(s)
 			}
 			s = &targetState{
 				hash: xxhash.Sum64String(string(n.id)), coldRequests: quota.NewWindow(coldWindow),
@@ -151,7 +151,7 @@
 	for id, s := range t.targets {
 		if !listed[id] {
 			removed = append(removed, s.address)
-			t.forget(s)
+			t.rememberLeaving(s)
 			delete(t.targets, id)
 		}
 	}
