Give the list of the third review's stand-ins the field Zone

PROTOCOL.md says that each entry has Zone; the stand-in's list left it out, in the incomplete entry of review/11 too. Neither check, bound nor timing changed.

--- a/review/stand-3/platform/server.go
+++ b/review/stand-3/platform/server.go
@@ -79,8 +79,8 @@
 		state = "draining"
 	}
 	e := entry{
-		"Id": s.id, "Backend": s.service, "Address": s.address, "Version": "v1", "Slots": s.slots, "State": state,
-		"ColdRemainingMs": 0, "born": s.born.UnixMilli(),
+		"Id": s.id, "Backend": s.service, "Address": s.address, "Zone": s.zone, "Version": "v1", "Slots": s.slots,
+		"State": state, "ColdRemainingMs": 0, "born": s.born.UnixMilli(),
 	}
 	if !s.cold.IsZero() {
 		e[coldUntil] = s.cold
--- a/review/stand-3/platform/stale_entry.go
+++ b/review/stand-3/platform/stale_entry.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// staleEntry lets a server leave as planned. Five seconds later its entry in the list
-// comes from another writer, for three seconds: it lacks the fields Version,
+// staleEntry lets a server leave as planned. Six seconds after the list showed that, its
+// entry comes from another writer, for three seconds: it lacks the fields Version,
 // ColdRemainingMs and born, and still says that the server is ready. Such an entry
-// names no server to use.
+// names no server to use. The server ends while it stands.
 func staleEntry(t *trial) ([]string, error) {
 	const service = "wuno96b"
 	var servers []*server
@@ -37,7 +37,8 @@
 	t.sleepUntil(11)
 	if t.trouble {
 		t.list(servers, entry{
-			"Id": leaver.id, "Backend": leaver.service, "Address": leaver.address, "Slots": leaver.slots, "State": "ready",
+			"Id": leaver.id, "Backend": leaver.service, "Address": leaver.address, "Zone": leaver.zone, "Slots": leaver.slots,
+			"State": "ready",
 		})
 		t.record.say("the entry of %s comes from another writer: fields are missing", leaver.id)
 	}
